--- /dev/null
+++ b/cactusford/configuration/declaration.cc
@@ -0,0 +1,236 @@
+#include "cactusford/configuration/declaration.h"
+
+#include "cactusford/settings/settings.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <map>
+
+namespace cactusford::configuration {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr std::size_t max_spec_bytes = 256U << 10;
+
+const std::map<std::string, json, std::less<>>&
+schemas()
+{
+  static const std::map<std::string, json, std::less<>> all{
+    { "pool", json::parse(R"({"type": "object",
+      "additionalProperties": false, "required": ["model"],
+      "properties": {
+        "model": {"type": "string", "minLength": 1},
+        "max_swapping_share": {"type": "number", "minimum": 0.01,
+                               "maximum": 1}}})") },
+    { "service", json::parse(R"({"type": "object",
+      "additionalProperties": false,
+      "properties": {
+        "deadline_ms": {"type": "integer", "minimum": 1,
+                        "maximum": 3600000}}})") },
+    { "trainer", json::parse(R"({"type": "object",
+      "additionalProperties": false, "required": ["model"],
+      "properties": {
+        "share": {"type": "number", "minimum": 0, "maximum": 1},
+        "model": {"type": "string", "minLength": 1},
+        "staleness_bound": {"type": "integer", "minimum": 0, "maximum": 64},
+        "run_ahead": {"type": "number", "minimum": 0, "maximum": 64}}})") },
+    { "rollout_job", json::parse(R"({"type": "object",
+      "additionalProperties": false, "required": ["trainer", "pool"],
+      "properties": {
+        "trainer": {"type": "string", "minLength": 1},
+        "pool": {"type": "string", "minLength": 1},
+        "scorer": {"type": "string"},
+        "steps": {"type": "integer", "minimum": 1, "maximum": 1000000000},
+        "groups": {"type": "integer", "minimum": 1, "maximum": 65536},
+        "group_size": {"type": "integer", "minimum": 1, "maximum": 1024},
+        "max_tokens": {"type": "integer", "minimum": 1, "maximum": 1048576},
+        "prompt_tokens": {"type": "integer", "minimum": 1,
+                          "maximum": 1048576}}})") },
+    { "weights", json::parse(R"({"type": "object",
+      "additionalProperties": false, "required": ["model", "version"],
+      "properties": {
+        "model": {"type": "string", "minLength": 1},
+        "version": {"type": "integer", "minimum": 1}}})") },
+  };
+  return all;
+}
+
+bool
+is_name(const std::string& name)
+{
+  constexpr std::size_t max_name = 63;
+  return !name.empty() && name.size() <= max_name &&
+         std::all_of(name.begin(), name.end(), [](unsigned char c) {
+           return std::islower(c) != 0 || std::isdigit(c) != 0 || c == '-';
+         });
+}
+
+json
+parse_spec(const std::string& spec)
+{
+  auto j = json::parse(spec, nullptr, false);
+  return j.is_object() ? j : json::object();
+}
+
+} // namespace
+
+const std::vector<std::string>&
+declared_kinds()
+{
+  static const std::vector<std::string> kinds{
+    "pool", "service", "weights", "trainer", "rollout_job"
+  };
+  return kinds;
+}
+
+bool
+is_relayed_kind(std::string_view kind)
+{
+  return kind != "lease" && kind != "ledger";
+}
+
+failure
+check_declaration(const std::string& kind,
+                  const std::string& name,
+                  const std::string& spec)
+{
+  const auto schema = schemas().find(kind);
+  if (schema == schemas().end()) {
+    return { error_kind::bad_request,
+             "kind '" + kind +
+               "' is not one of pool, service, weights, trainer, "
+               "rollout_job" };
+  }
+  if (!is_name(name)) {
+    return { error_kind::bad_request,
+             "name '" + name + "' needs 1 to 63 of a-z, 0-9 and -" };
+  }
+  if (spec.size() > max_spec_bytes) {
+    return { error_kind::too_large,
+             "spec is over " + std::to_string(max_spec_bytes) + " bytes" };
+  }
+  const auto document = json::parse(spec, nullptr, false);
+  if (document.is_discarded()) {
+    return { error_kind::bad_request, "spec is not JSON" };
+  }
+  if (auto wrong = settings::check(schema->second, document)) {
+    return { error_kind::bad_request, kind + "/" + name + " " + wrong.detail };
+  }
+  return {};
+}
+
+pool
+pool_from(const std::string& spec)
+{
+  const auto j = parse_spec(spec);
+  pool p;
+  p.model = j.value("model", p.model);
+  p.max_swapping_share = j.value("max_swapping_share", p.max_swapping_share);
+  return p;
+}
+
+service
+service_from(const std::string& spec)
+{
+  const auto j = parse_spec(spec);
+  service s;
+  s.deadline_ms = j.value("deadline_ms", s.deadline_ms);
+  return s;
+}
+
+trainer
+trainer_from(const std::string& spec)
+{
+  const auto j = parse_spec(spec);
+  trainer t;
+  t.share = j.value("share", t.share);
+  t.model = j.value("model", t.model);
+  t.staleness_bound = j.value("staleness_bound", t.staleness_bound);
+  t.run_ahead = j.value("run_ahead", t.run_ahead);
+  return t;
+}
+
+rollout_job
+rollout_job_from(const std::string& spec)
+{
+  const auto j = parse_spec(spec);
+  rollout_job r;
+  r.trainer = j.value("trainer", r.trainer);
+  r.pool = j.value("pool", r.pool);
+  r.scorer = j.value("scorer", r.scorer);
+  r.steps = j.value("steps", r.steps);
+  r.groups = j.value("groups", r.groups);
+  r.group_size = j.value("group_size", r.group_size);
+  r.max_tokens = j.value("max_tokens", r.max_tokens);
+  r.prompt_tokens = j.value("prompt_tokens", r.prompt_tokens);
+  return r;
+}
+
+model_weights
+weights_from(const std::string& spec)
+{
+  const auto j = parse_spec(spec);
+  model_weights w;
+  w.model = j.value("model", w.model);
+  w.version = j.value("version", w.version);
+  return w;
+}
+
+instance
+instance_from(const std::string& spec)
+{
+  const auto j = parse_spec(spec);
+  instance i;
+  i.role = j.value("role", i.role);
+  i.region = j.value("region", i.region);
+  i.data_centre = j.value("data_centre", i.data_centre);
+  i.link = j.value("link", i.link);
+  i.serves = j.value("serves", i.serves);
+  const auto state = j.value("state", std::string{ "live" });
+  i.state =
+    state == "leaving" ? instance_state::leaving : instance_state::live;
+  return i;
+}
+
+home_map
+home_map_from(const std::string& spec)
+{
+  const auto j = parse_spec(spec);
+  home_map m;
+  for (const auto& item : j.value("members", json::array())) {
+    m.members.push_back({ item.value("instance", std::string{}),
+                          item.value("since_ms", std::uint64_t{ 0 }) });
+  }
+  for (const auto& item : j.value("former", json::array())) {
+    m.former.push_back({ item.value("instance", std::string{}),
+                         item.value("until_ms", std::uint64_t{ 0 }) });
+  }
+  return m;
+}
+
+std::string
+to_spec(const model_weights& w)
+{
+  return json{ { "model", w.model }, { "version", w.version } }.dump();
+}
+
+std::string
+to_spec(const home_map& m)
+{
+  auto members = json::array();
+  for (const auto& member : m.members) {
+    members.push_back(
+      { { "instance", member.instance }, { "since_ms", member.since_ms } });
+  }
+  auto former = json::array();
+  for (const auto& f : m.former) {
+    former.push_back(
+      { { "instance", f.instance }, { "until_ms", f.until_ms } });
+  }
+  return json{ { "members", members }, { "former", former } }.dump();
+}
+
+} // namespace cactusford::configuration
--- /dev/null
+++ b/cactusford/configuration/declaration.h
@@ -0,0 +1,153 @@
+// What operators declare and what the platform lists, as typed values.
+#pragma once
+
+#include "cactusford/error.h"
+#include "cactusford/platform/client.h"
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace cactusford::configuration {
+
+// Backend servers with one model engine each.
+struct pool
+{
+  std::string model;
+  // Share of the backend servers that may swap weights at the same time.
+  double max_swapping_share = 0.5;
+
+  friend bool operator==(const pool&, const pool&) = default;
+};
+
+// Backend servers with a plain service each.
+struct service
+{
+  // Longest time that a call may take, milliseconds.
+  std::uint32_t deadline_ms = 5000;
+
+  friend bool operator==(const service&, const service&) = default;
+};
+
+struct trainer
+{
+  // Part of the rollout tokens, 0 to 1.
+  double share = 1;
+  std::string model;
+  // Most versions that a sample may lie behind at delivery.
+  std::uint32_t staleness_bound = 1;
+  // Part of the next step that may start before its weights are published,
+  // 0 to staleness_bound: more cuts idle time, less cuts staleness.
+  double run_ahead = 0;
+
+  friend bool operator==(const trainer&, const trainer&) = default;
+};
+
+struct rollout_job
+{
+  std::string trainer;
+  std::string pool;
+  std::string scorer;
+  std::uint32_t steps = 1;
+  std::uint32_t groups = 1;
+  std::uint32_t group_size = 1;
+  std::uint32_t max_tokens = 256;
+  std::uint32_t prompt_tokens = 64;
+
+  friend bool operator==(const rollout_job&, const rollout_job&) = default;
+};
+
+// The wanted version of a model, on every backend server that has it.
+struct model_weights
+{
+  std::string model;
+  std::uint64_t version = 1;
+
+  friend bool operator==(const model_weights&, const model_weights&) = default;
+};
+
+enum class instance_state
+{
+  live,
+  leaving,
+};
+
+// A line of the platform's lagging list.
+struct instance
+{
+  std::string role;
+  std::string region;
+  std::string data_centre;
+  std::string link;
+  std::string serves;
+  instance_state state = instance_state::live;
+
+  friend bool operator==(const instance&, const instance&) = default;
+};
+
+// Where the record of a non-idempotent key lives; docs/AT-MOST-ONCE.md.
+struct home_member
+{
+  std::string instance;
+  // Keys issued before this moment may have run at an earlier home.
+  std::uint64_t since_ms = 0;
+
+  friend bool operator==(const home_member&, const home_member&) = default;
+};
+
+// A member that left, kept while a key that it may have run can come back.
+struct former_member
+{
+  std::string instance;
+  // It may have run keys up to this moment: its lease had lapsed by then.
+  std::uint64_t until_ms = 0;
+
+  friend bool operator==(const former_member&, const former_member&) = default;
+};
+
+struct home_map
+{
+  std::vector<home_member> members;
+  std::vector<former_member> former;
+
+  friend bool operator==(const home_map&, const home_map&) = default;
+};
+
+// Kinds that operators may write, in the order in which they are applied.
+const std::vector<std::string>&
+declared_kinds();
+
+// Kinds that take part in the configuration of a process.
+bool
+is_relayed_kind(std::string_view kind);
+
+// Checks name and spec against the schema of the kind.
+failure
+check_declaration(const std::string& kind,
+                  const std::string& name,
+                  const std::string& spec);
+
+// The specs were checked when they were accepted; a field that is missing
+// takes its default.
+pool
+pool_from(const std::string& spec);
+service
+service_from(const std::string& spec);
+trainer
+trainer_from(const std::string& spec);
+rollout_job
+rollout_job_from(const std::string& spec);
+model_weights
+weights_from(const std::string& spec);
+instance
+instance_from(const std::string& spec);
+home_map
+home_map_from(const std::string& spec);
+
+std::string
+to_spec(const model_weights& w);
+std::string
+to_spec(const home_map& m);
+
+} // namespace cactusford::configuration
--- /dev/null
+++ b/cactusford/configuration/state.cc
@@ -0,0 +1,131 @@
+#include "cactusford/configuration/state.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+
+namespace cactusford::configuration {
+
+namespace {
+
+std::string
+key_of(const platform::object& o)
+{
+  return o.kind + "/" + o.name;
+}
+
+std::uint64_t
+hash_of(const std::string& key, std::uint64_t version)
+{
+  return XXH3_64bits_withSeed(key.data(), key.size(), version);
+}
+
+// Copies a table on its first change in a merge only: a first load of
+// thousands of objects would otherwise cost a copy for each of them.
+template<typename T>
+table<T>&
+writable(std::shared_ptr<const table<T>>& held)
+{
+  if (held.use_count() > 1) {
+    held = std::make_shared<table<T>>(*held);
+  }
+  return const_cast<table<T>&>(*held);
+}
+
+template<typename T>
+void
+put(std::shared_ptr<const table<T>>& held,
+    const std::string& name,
+    const platform::object& o,
+    T (*parse)(const std::string&))
+{
+  auto& next = writable(held);
+  if (o.deleted) {
+    next.erase(name);
+  } else {
+    next[name] = { parse(o.spec), o.version };
+  }
+}
+
+void
+apply(snapshot& view, const platform::object& o)
+{
+  if (o.kind == "pool") {
+    put(view.pools, o.name, o, pool_from);
+  } else if (o.kind == "service") {
+    put(view.services, o.name, o, service_from);
+  } else if (o.kind == "trainer") {
+    put(view.trainers, o.name, o, trainer_from);
+  } else if (o.kind == "rollout_job") {
+    put(view.jobs, o.name, o, rollout_job_from);
+  } else if (o.kind == "weights") {
+    put(view.weights, weights_from(o.spec).model, o, weights_from);
+  } else if (o.kind == "instance") {
+    put(view.instances, o.name, o, instance_from);
+  } else if (o.kind == "home_map") {
+    put(view.home_maps, o.name, o, home_map_from);
+  }
+}
+
+} // namespace
+
+snapshot_ptr
+empty_snapshot()
+{
+  auto s = std::make_shared<snapshot>();
+  s->pools = std::make_shared<table<pool>>();
+  s->services = std::make_shared<table<service>>();
+  s->trainers = std::make_shared<table<trainer>>();
+  s->jobs = std::make_shared<table<rollout_job>>();
+  s->weights = std::make_shared<table<model_weights>>();
+  s->instances = std::make_shared<table<instance>>();
+  s->home_maps = std::make_shared<table<home_map>>();
+  return s;
+}
+
+std::vector<platform::object>
+merge(state& s, std::span<const platform::object> incoming)
+{
+  std::vector<platform::object> taken;
+  auto view = std::make_shared<snapshot>(*s.view);
+  for (const auto& o : incoming) {
+    if (!is_relayed_kind(o.kind)) {
+      continue;
+    }
+    const auto key = key_of(o);
+    auto& held = s.objects[key];
+    if (o.version <= held.version) {
+      continue;
+    }
+    if (held.version != 0) {
+      s.digest ^= hash_of(key, held.version);
+    }
+    s.digest ^= hash_of(key, o.version);
+    held = o;
+    s.max_version = std::max(s.max_version, o.version);
+    apply(*view, o);
+    taken.push_back(o);
+  }
+  if (!taken.empty()) {
+    view->version = s.max_version;
+    s.view = std::move(view);
+  }
+  return taken;
+}
+
+std::vector<platform::object>
+newer_than(const state& s, std::uint64_t version)
+{
+  std::vector<platform::object> newer;
+  for (const auto& [key, o] : s.objects) {
+    if (o.version > version) {
+      newer.push_back(o);
+    }
+  }
+  std::sort(newer.begin(), newer.end(), [](const auto& a, const auto& b) {
+    return a.version < b.version;
+  });
+  return newer;
+}
+
+} // namespace cactusford::configuration
--- /dev/null
+++ b/cactusford/engine/client.h
@@ -0,0 +1,121 @@
+// Client of a backend server: a model engine or a plain service. Calls block:
+// run them on a worker thread. Protocol: docs/ENGINE.md.
+#pragma once
+
+#include "cactusford/error.h"
+
+#include <atomic>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace cactusford::engine {
+
+struct generation
+{
+  std::string request_id;
+  std::string model;
+  std::string prompt;
+  std::uint32_t max_tokens = 0;
+  // Tokens already generated elsewhere, with their text.
+  std::uint32_t resume_from = 0;
+  std::string resume_text;
+  // Lower runs first.
+  std::uint32_t priority = 0;
+
+  friend bool operator==(const generation&, const generation&) = default;
+};
+
+struct token_chunk
+{
+  std::uint32_t count = 0;
+  std::string text;
+  // 0 when the engine does not report versions.
+  std::uint64_t weight_version = 0;
+
+  friend bool operator==(const token_chunk&, const token_chunk&) = default;
+};
+
+struct generation_end
+{
+  std::string finish_reason;
+  failure error;
+};
+
+struct service_request
+{
+  std::string method;
+  std::string path;
+  std::string content_type;
+  std::string body;
+  std::string request_id;
+
+  friend bool operator==(const service_request&,
+                         const service_request&) = default;
+};
+
+struct service_answer
+{
+  std::uint32_t status = 0;
+  std::string content_type;
+  std::string body;
+
+  friend bool operator==(const service_answer&,
+                         const service_answer&) = default;
+};
+
+enum class order_kind
+{
+  stage,
+  swap,
+};
+
+struct order
+{
+  order_kind kind = order_kind::stage;
+  std::string model;
+  std::uint64_t version = 0;
+  // Refused when the engine has seen a higher one.
+  std::uint64_t fence = 0;
+
+  friend bool operator==(const order&, const order&) = default;
+};
+
+struct versions
+{
+  // 0 when there is none.
+  std::uint64_t active = 0;
+  std::uint64_t staged = 0;
+
+  friend bool operator==(const versions&, const versions&) = default;
+};
+
+class client
+{
+public:
+  // `address` is "ip:port".
+  explicit client(const std::string& address);
+  ~client();
+
+  // Streams tokens until the end, an error, or `cancelled`. An answer without
+  // its end mark is an error (stream_cut).
+  generation_end generate(const generation& g,
+                          const std::atomic<bool>& cancelled,
+                          const std::function<void(const token_chunk&)>& take);
+
+  // Errors: no_backend (it never left), outcome_unknown.
+  result<service_answer> call(const service_request& r,
+                              std::uint32_t deadline_ms);
+
+  // Errors: fenced, backend_failed (refused), outcome_unknown.
+  failure give(const order& o);
+
+  result<versions> read_versions(const std::string& model);
+
+private:
+  struct state;
+  std::unique_ptr<state> state_;
+};
+
+} // namespace cactusford::engine
--- /dev/null
+++ b/cactusford/entry/rpc.cc
@@ -0,0 +1,557 @@
+#include "cactusford/entry/rpc.h"
+
+#include "cactusford/configuration/configuration.pb.h"
+#include "cactusford/configuration/tree.h"
+#include "cactusford/link/ask.h"
+#include "cactusford/operators/operators.grpc.pb.h"
+#include "cactusford/rollout/rollout.grpc.pb.h"
+#include "cactusford/timeline/event.h"
+
+#include <grpcpp/grpcpp.h>
+
+#include <algorithm>
+#include <future>
+
+namespace cactusford::entry {
+
+namespace {
+
+constexpr std::uint32_t ask_timeout_ms = 1500;
+constexpr std::uint32_t fetch_margin_ms = 2000;
+constexpr int max_rpc_message = 64 << 20;
+
+grpc::Status
+status_of(const failure& f)
+{
+  if (!f) {
+    return grpc::Status::OK;
+  }
+  auto code = grpc::StatusCode::UNAVAILABLE;
+  switch (f.kind) {
+    case error_kind::bad_request:
+    case error_kind::too_large:
+      code = grpc::StatusCode::INVALID_ARGUMENT;
+      break;
+    case error_kind::not_found:
+      code = grpc::StatusCode::NOT_FOUND;
+      break;
+    case error_kind::conflict:
+    case error_kind::fenced:
+      code = grpc::StatusCode::ABORTED;
+      break;
+    case error_kind::unauthorized:
+      code = grpc::StatusCode::PERMISSION_DENIED;
+      break;
+    default:
+      break;
+  }
+  return { code, message_of(f), std::string{ name_of(f.kind) } };
+}
+
+failure
+failure_from(const rollout::rollout_error& e)
+{
+  return { error_kind_from(e.kind()), e.message(), e.retry_after_ms() };
+}
+
+} // namespace
+
+struct rpc_server::impl
+{
+  class trainers : public rollout::trainer_service::Service
+  {
+  public:
+    explicit trainers(impl& i)
+      : impl_{ i }
+    {
+    }
+    grpc::Status fetch(grpc::ServerContext*,
+                       const rollout::fetch_request* in,
+                       rollout::fetch_response* out) override
+    {
+      return status_of(impl_.fetch(*in, *out));
+    }
+    grpc::Status publish(grpc::ServerContext*,
+                         const rollout::publish_request* in,
+                         rollout::publish_response* out) override
+    {
+      return status_of(impl_.publish(*in, *out));
+    }
+
+  private:
+    impl& impl_;
+  };
+
+  class operators_service : public operators::operator_service::Service
+  {
+  public:
+    explicit operators_service(impl& i)
+      : impl_{ i }
+    {
+    }
+    grpc::Status apply(grpc::ServerContext*,
+                       const operators::apply_request* in,
+                       operators::apply_response* out) override
+    {
+      return status_of(impl_.apply(*in, *out));
+    }
+    grpc::Status get(grpc::ServerContext*,
+                     const operators::get_request* in,
+                     operators::get_response* out) override
+    {
+      return status_of(impl_.get(*in, *out));
+    }
+    grpc::Status remove(grpc::ServerContext*,
+                        const operators::delete_request* in,
+                        operators::apply_response* out) override
+    {
+      return status_of(impl_.remove(*in, *out));
+    }
+    grpc::Status status(grpc::ServerContext*,
+                        const operators::status_request*,
+                        operators::status_response* out) override
+    {
+      return status_of(impl_.status(*out));
+    }
+
+  private:
+    impl& impl_;
+  };
+
+  impl(process::daemon& d, settings::entry_settings s, owner& o)
+    : daemon{ d }
+    , settings{ std::move(s) }
+    , own{ o }
+    , for_trainers{ *this }
+    , for_operators{ *this }
+  {
+  }
+
+  // Runs `run` on the io thread and waits for what it hands back.
+  template<typename T>
+  T on_io(std::function<void(std::function<void(T)>)> run)
+  {
+    auto promise = std::make_shared<std::promise<T>>();
+    auto future = promise->get_future();
+    asio::post(daemon.io, [promise, run = std::move(run)] {
+      run([promise](T value) { promise->set_value(std::move(value)); });
+    });
+    return future.get();
+  }
+
+  configuration::snapshot_ptr view()
+  {
+    return on_io<configuration::snapshot_ptr>(
+      [this](auto done) { done(daemon.configuration.current()); });
+  }
+
+  failure fetch(const rollout::fetch_request& in,
+                rollout::fetch_response& out)
+  {
+    const auto reply = on_io<rollout::fetch_reply>(
+      [this, in](auto done) { fetch_somewhere(in, done); });
+    if (reply.has_error()) {
+      return failure_from(reply.error());
+    }
+    out = reply.response();
+    return {};
+  }
+
+  // This entry may not be the owner: then the fetch goes on to the entries
+  // that may be, in their order.
+  void fetch_somewhere(const rollout::fetch_request& in, fetch_done done)
+  {
+    own.fetch(in, [this, in, done](const rollout::fetch_reply& reply) {
+      if (reply.has_error() && reply.error().kind() == "not_owner") {
+        const auto current = daemon.configuration.current();
+        auto others = owner_candidates(*current, in.trainer());
+        std::erase(others, settings.process.instance);
+        fetch_at(in, others, 0, reply, done);
+      } else {
+        done(reply);
+      }
+    });
+  }
+
+  void fetch_at(const rollout::fetch_request& in,
+                const std::vector<std::string>& entries,
+                std::size_t next,
+                const rollout::fetch_reply& last,
+                const fetch_done& done)
+  {
+    const auto current = daemon.configuration.current();
+    const auto found = next < entries.size()
+                         ? current->instances->find(entries[next])
+                         : current->instances->end();
+    if (found == current->instances->end()) {
+      done(last);
+      return;
+    }
+    link::ask(daemon.io,
+              daemon.links,
+              link::address_from(found->second.value.link),
+              "/rollout/fetch",
+              in.SerializeAsString(),
+              in.wait_ms() + fetch_margin_ms,
+              [=, this](const result<std::string>& r) {
+                rollout::fetch_reply reply;
+                const bool whole = r && reply.ParseFromString(r.value);
+                if (whole && reply.has_response()) {
+                  done(reply);
+                } else {
+                  fetch_at(in, entries, next + 1, whole ? reply : last, done);
+                }
+              });
+  }
+
+  failure publish(const rollout::publish_request& in,
+                  rollout::publish_response& out)
+  {
+    const auto current = view();
+    const auto trainer = current->trainers->find(in.trainer());
+    if (trainer == current->trainers->end()) {
+      return { error_kind::not_found, "trainer " + in.trainer() };
+    }
+    const auto& model = trainer->second.value.model;
+    const auto held = daemon.platform.get("weights", model);
+    if (!held && held.error.kind != error_kind::not_found) {
+      return held.error;
+    }
+    // A repeat of a publication that took effect, and a late one, change
+    // nothing: versions only grow.
+    const auto now = configuration::weights_from(held.value.spec).version;
+    if (held && !held.value.deleted && now >= in.weight_version()) {
+      out.set_configuration_version(held.value.version);
+      return {};
+    }
+    const auto spec =
+      configuration::to_spec({ model, in.weight_version() });
+    const auto written = put({ "weights",
+                               model,
+                               held.value.version,
+                               spec,
+                               in.request_id(),
+                               false });
+    out.set_configuration_version(written.value);
+    if (written) {
+      timeline::log(timeline::event{ "weights_published" }
+                      .with("trainer", in.trainer())
+                      .with("model", model)
+                      .with("weight_version", in.weight_version())
+                      .with("version", written.value));
+    }
+    return written.error;
+  }
+
+  result<std::uint64_t> put(platform::write w)
+  {
+    if (w.request_id.empty()) {
+      w.request_id = process::new_id();
+    }
+    auto r = daemon.platform.put(w);
+    if (r) {
+      timeline::log(timeline::event{ "configuration_accepted" }
+                      .with("kind", w.kind)
+                      .with("name", w.name)
+                      .with("version", r.value)
+                      .with("request", w.request_id));
+      // The writer knows first: it does not wait for the watch.
+      asio::post(daemon.io, [this, w, version = r.value] {
+        daemon.configuration.learn(
+          { { w.kind, w.name, version, w.remove, w.spec, w.request_id } });
+      });
+    }
+    return r;
+  }
+
+  failure apply(const operators::apply_request& in,
+                operators::apply_response& out)
+  {
+    const auto& d = in.declaration();
+    if (auto wrong =
+          configuration::check_declaration(d.kind(), d.name(), d.spec())) {
+      return wrong;
+    }
+    const auto held = daemon.platform.get(d.kind(), d.name());
+    if (!held && held.error.kind != error_kind::not_found) {
+      return held.error;
+    }
+    if (held && held.value.request_id == in.request_id() &&
+        !in.request_id().empty()) {
+      out.set_version(held.value.version);
+      out.set_changed(true);
+      return {};
+    }
+    if (held && !held.value.deleted && held.value.spec == d.spec()) {
+      out.set_version(held.value.version);
+      return {};
+    }
+    const auto written = put({ d.kind(),
+                               d.name(),
+                               in.expected_version(),
+                               d.spec(),
+                               in.request_id(),
+                               false });
+    out.set_version(written.value);
+    out.set_changed(static_cast<bool>(written));
+    return written.error;
+  }
+
+  failure get(const operators::get_request& in, operators::get_response& out)
+  {
+    const auto& kinds = configuration::declared_kinds();
+    if (std::find(kinds.begin(), kinds.end(), in.kind()) == kinds.end()) {
+      return { error_kind::bad_request, "kind '" + in.kind() + "'" };
+    }
+    if (!in.name().empty()) {
+      const auto held = daemon.platform.get(in.kind(), in.name());
+      if (!held) {
+        return held.error;
+      }
+      add(out, held.value);
+      return {};
+    }
+    const auto all = daemon.platform.changes(0, 0);
+    for (const auto& o : all.value.objects) {
+      if (o.kind == in.kind() && !o.deleted) {
+        add(out, o);
+      }
+    }
+    return all.error;
+  }
+
+  static void add(operators::get_response& out, const platform::object& o)
+  {
+    auto& d = *out.add_declarations();
+    d.set_kind(o.kind);
+    d.set_name(o.name);
+    d.set_spec(o.spec);
+    d.set_version(o.version);
+    d.set_deleted(o.deleted);
+  }
+
+  failure remove(const operators::delete_request& in,
+                 operators::apply_response& out)
+  {
+    const auto& kinds = configuration::declared_kinds();
+    if (std::find(kinds.begin(), kinds.end(), in.kind()) == kinds.end()) {
+      return { error_kind::bad_request, "kind '" + in.kind() + "'" };
+    }
+    const auto held = daemon.platform.get(in.kind(), in.name());
+    if (!held) {
+      return held.error;
+    }
+    if (held.value.deleted) {
+      out.set_version(held.value.version);
+      return {};
+    }
+    const auto written = put({ in.kind(),
+                               in.name(),
+                               in.expected_version(),
+                               held.value.spec,
+                               in.request_id(),
+                               true });
+    out.set_version(written.value);
+    out.set_changed(static_cast<bool>(written));
+    return written.error;
+  }
+
+  failure status(operators::status_response& out)
+  {
+    const auto current = view();
+    out.set_configuration_version(current->version);
+    out.set_security("off");
+    for (const auto& [name, i] : *current->instances) {
+      auto& line = *out.add_instances();
+      line.set_id(name);
+      line.set_role(i.value.role);
+      line.set_data_centre(i.value.data_centre);
+      line.set_serves(i.value.serves);
+      line.set_state(i.value.state == configuration::instance_state::live
+                       ? "live"
+                       : "leaving");
+    }
+    for (const auto& [kind, count] :
+         daemon.metrics.totals("refusals_total", "kind")) {
+      auto& line = *out.add_refusals();
+      line.set_kind(kind);
+      line.set_count(count);
+    }
+    out.set_processes(static_cast<std::uint32_t>(current->instances->size()));
+    out.set_in_force(count_in_force(*current));
+    add_trainers(*current, out);
+    return {};
+  }
+
+  // The roots of each data centre's tree know what the processes below them
+  // hold, so a few questions cover the whole fleet.
+  std::uint32_t count_in_force(const configuration::snapshot& current)
+  {
+    std::uint32_t covered = 0;
+    for (const auto& peer : roots_of(current)) {
+      const auto r = ask_now(peer, "/configuration", report_bytes());
+      configuration::relay_message m;
+      if (r && m.ParseFromString(r.value) &&
+          m.update().covered_version() >= current.version) {
+        covered += m.update().covered_processes();
+      }
+    }
+    return covered;
+  }
+
+  static std::string report_bytes()
+  {
+    configuration::relay_message m;
+    m.mutable_report()->set_max_version(UINT64_MAX);
+    return m.SerializeAsString();
+  }
+
+  static std::vector<std::string> roots_of(
+    const configuration::snapshot& current)
+  {
+    std::vector<std::string> links;
+    for (const auto& [name, i] : *current.instances) {
+      const auto place = configuration::place_of(
+        *current.instances, name, i.value.data_centre);
+      if (place.is_watcher) {
+        links.push_back(i.value.link);
+      }
+    }
+    return links;
+  }
+
+  result<std::string> ask_now(const std::string& peer,
+                              const std::string& path,
+                              const std::string& request)
+  {
+    return on_io<result<std::string>>([=, this](auto done) {
+      link::ask(daemon.io,
+                daemon.links,
+                link::address_from(peer),
+                path,
+                request,
+                ask_timeout_ms,
+                done);
+    });
+  }
+
+  void add_trainers(const configuration::snapshot& current,
+                    operators::status_response& out)
+  {
+    std::vector<std::string> entries;
+    for (const auto& [trainer, t] : *current.trainers) {
+      for (const auto& name : owner_candidates(current, trainer)) {
+        if (std::find(entries.begin(), entries.end(), name) ==
+            entries.end()) {
+          entries.push_back(name);
+        }
+      }
+    }
+    for (const auto& name : entries) {
+      const auto& link = current.instances->at(name).value.link;
+      const auto r = ask_now(link, "/rollout/status", "?");
+      operators::status_response part;
+      if (r && part.ParseFromString(r.value)) {
+        for (auto& line : *part.mutable_trainers()) {
+          line.set_owner(name);
+          *out.add_trainers() = line;
+        }
+      }
+    }
+  }
+
+  void serve(const link::stream_ptr& s)
+  {
+    const bool is_fetch = s->path() == "/rollout/fetch";
+    s->on_message = [this, s, is_fetch](std::string_view m) {
+      s->on_message = nullptr;
+      if (!is_fetch) {
+        link::reply(*s, own_status());
+        return;
+      }
+      rollout::fetch_request r;
+      if (!r.ParseFromArray(m.data(), static_cast<int>(m.size()))) {
+        s->cancel();
+        return;
+      }
+      own.fetch(r, [s](const rollout::fetch_reply& reply) {
+        link::reply(*s, reply.SerializeAsString());
+      });
+    };
+  }
+
+  std::string own_status() const
+  {
+    operators::status_response part;
+    for (const auto& one : own.status()) {
+      auto& line = *part.add_trainers();
+      line.set_name(one.trainer);
+      line.set_fence(one.fence);
+      line.set_step(one.step);
+      line.set_received(one.received);
+      line.set_step_size(one.step_size);
+      line.set_weight_version(one.weight_version);
+      line.set_staleness_mean(one.staleness_mean);
+    }
+    return part.SerializeAsString();
+  }
+
+  failure start()
+  {
+    grpc::ServerBuilder builder;
+    int port = 0;
+    builder.AddListeningPort(
+      settings.rpc, grpc::InsecureServerCredentials(), &port);
+    builder.AddChannelArgument(GRPC_ARG_ALLOW_REUSEPORT, 0);
+    builder.SetMaxReceiveMessageSize(max_rpc_message);
+    builder.RegisterService(&for_trainers);
+    builder.RegisterService(&for_operators);
+    server = builder.BuildAndStart();
+    if (!server || port == 0) {
+      return { error_kind::settings_invalid,
+               "key rpc: " + settings.rpc +
+                 " cannot be bound; choose a free port" };
+    }
+    daemon.add_port("rpc", static_cast<std::uint16_t>(port));
+    return {};
+  }
+
+  process::daemon& daemon;
+  settings::entry_settings settings;
+  owner& own;
+  trainers for_trainers;
+  operators_service for_operators;
+  std::unique_ptr<grpc::Server> server;
+};
+
+rpc_server::rpc_server(process::daemon& d,
+                       const settings::entry_settings& s,
+                       owner& o)
+  : impl_{ std::make_unique<impl>(d, s, o) }
+{
+}
+
+rpc_server::~rpc_server() = default;
+
+failure
+rpc_server::start()
+{
+  return impl_->start();
+}
+
+// Calls that wait on the io thread must not wait for ever, so this runs while
+// it still turns.
+void
+rpc_server::stop()
+{
+  impl_->server->Shutdown(std::chrono::system_clock::now() +
+                          std::chrono::seconds{ 2 });
+}
+
+void
+rpc_server::serve(const link::stream_ptr& s)
+{
+  impl_->serve(s);
+}
+
+} // namespace cactusford::entry
--- /dev/null
+++ b/cactusford/link/link.cc
@@ -0,0 +1,927 @@
+#include "cactusford/link/link.h"
+
+#include "cactusford/timeline/event.h"
+
+#include <asio/connect.hpp>
+#include <asio/ip/tcp.hpp>
+#include <asio/steady_timer.hpp>
+#include <asio/write.hpp>
+#include <nghttp2/nghttp2.h>
+
+#include <array>
+#include <charconv>
+#include <chrono>
+#include <cstring>
+#include <map>
+#include <unordered_map>
+#include <vector>
+
+namespace cactusford::link {
+
+namespace {
+
+using tcp = asio::ip::tcp;
+using steady = std::chrono::steady_clock;
+
+constexpr std::size_t length_size = 4;
+constexpr std::size_t clock_size = 8;
+constexpr std::size_t header_size = length_size + clock_size;
+constexpr std::int32_t window_size = 16 << 20;
+constexpr std::size_t read_size = 64 << 10;
+constexpr std::size_t write_batch = 256 << 10;
+
+class category : public std::error_category
+{
+public:
+  const char* name() const noexcept override { return "cactusford.link"; }
+  std::string message(int value) const override
+  {
+    static constexpr std::array<const char*, 5> texts{
+      "no error",
+      "not connected: the request never left",
+      "cut: the stream ended before its end",
+      "protocol: the peer broke the framing or a limit",
+      "slow_peer: the peer reads too slowly",
+    };
+    return texts.at(static_cast<std::size_t>(value));
+  }
+};
+
+void
+put_number(std::string& out, std::uint64_t value, std::size_t bytes)
+{
+  for (std::size_t i = 0; i < bytes; ++i) {
+    out += static_cast<char>((value >> (8 * i)) & 0xff);
+  }
+}
+
+std::uint64_t
+get_number(const char* data, std::size_t bytes)
+{
+  std::uint64_t value = 0;
+  for (std::size_t i = 0; i < bytes; ++i) {
+    value |= std::uint64_t{ static_cast<unsigned char>(data[i]) } << (8 * i);
+  }
+  return value;
+}
+
+nghttp2_nv
+header(std::string_view name, std::string_view value)
+{
+  nghttp2_nv nv{};
+  nv.name = reinterpret_cast<std::uint8_t*>(const_cast<char*>(name.data()));
+  nv.namelen = name.size();
+  nv.value = reinterpret_cast<std::uint8_t*>(const_cast<char*>(value.data()));
+  nv.valuelen = value.size();
+  nv.flags = NGHTTP2_NV_FLAG_NONE;
+  return nv;
+}
+
+} // namespace
+
+const std::error_category&
+link_category() noexcept
+{
+  static const category instance;
+  return instance;
+}
+
+std::error_code
+make_error_code(link_error e) noexcept
+{
+  return { static_cast<int>(e), link_category() };
+}
+
+address
+address_from(std::string_view text)
+{
+  const auto colon = text.rfind(':');
+  if (colon == std::string_view::npos) {
+    return {};
+  }
+  address a;
+  const auto digits = text.substr(colon + 1);
+  const auto* end = digits.data() + digits.size();
+  const auto result = std::from_chars(digits.data(), end, a.port);
+  asio::error_code ec;
+  asio::ip::make_address(std::string{ text.substr(0, colon) }, ec);
+  if (result.ec != std::errc{} || result.ptr != end || ec) {
+    return {};
+  }
+  a.ip = text.substr(0, colon);
+  return a;
+}
+
+std::string
+to_string(const address& a)
+{
+  return a.ip + ":" + std::to_string(a.port);
+}
+
+namespace detail {
+
+class stream_impl : public stream
+{
+public:
+  stream_impl(std::weak_ptr<connection> c, std::string path)
+    : connection_{ std::move(c) }
+    , path_{ std::move(path) }
+  {
+  }
+
+  void send(std::string_view message) override;
+  void finish() override;
+  void cancel() override;
+  const std::string& path() const override { return path_; }
+
+  bool receive(const std::uint8_t* data, std::size_t size, const limits& l);
+  void close(std::error_code ec);
+  ssize_t read(std::uint8_t* buffer, std::size_t size, std::uint32_t* flags);
+
+  std::int32_t id = -1;
+  bool closed = false;
+  bool remote_finished = false;
+  // Set while nghttp2 waits for more data of this stream.
+  bool deferred = false;
+
+private:
+  void wake();
+
+  std::weak_ptr<connection> connection_;
+  std::string path_;
+  std::string in_;
+  std::string out_;
+  std::size_t out_read_ = 0;
+  bool finished_ = false;
+};
+
+using impl_ptr = std::shared_ptr<stream_impl>;
+
+class connection : public std::enable_shared_from_this<connection>
+{
+public:
+  connection(asio::io_context& io, const limits& l, bool is_server)
+    : socket{ io }
+    , limits_{ l }
+    , timer_{ io }
+    , is_server_{ is_server }
+  {
+  }
+  ~connection()
+  {
+    if (session_ != nullptr) {
+      nghttp2_session_del(session_);
+    }
+  }
+  connection(const connection&) = delete;
+  connection& operator=(const connection&) = delete;
+
+  void start();
+  void dial(const address& peer);
+  void attach(const impl_ptr& s);
+  void reset(std::int32_t id);
+  void resume(std::int32_t id);
+  void close(std::error_code ec);
+  // Lets the present streams end and then closes.
+  void retire();
+  bool is_closed() const { return closed_; }
+  bool is_retiring() const { return retiring_; }
+  std::size_t stream_count() const { return streams_.size() + waiting_.size(); }
+  const limits& bounds() const { return limits_; }
+
+  tcp::socket socket;
+  accept_handler on_stream;
+  std::function<void(connection*)> on_closed;
+
+private:
+  void submit(const impl_ptr& s);
+  void setup_session();
+  void read();
+  void flush_soon();
+  void flush();
+  void end_if_retired();
+  void tick();
+  impl_ptr find(std::int32_t id) const;
+  void remove(std::int32_t id, std::error_code ec);
+
+  static connection& self(void* user)
+  {
+    return *static_cast<connection*>(user);
+  }
+  static int on_header(nghttp2_session*,
+                       const nghttp2_frame*,
+                       const std::uint8_t*,
+                       std::size_t,
+                       const std::uint8_t*,
+                       std::size_t,
+                       std::uint8_t,
+                       void*);
+  static int on_frame(nghttp2_session*, const nghttp2_frame*, void*);
+  static int on_data(nghttp2_session*,
+                     std::uint8_t,
+                     std::int32_t,
+                     const std::uint8_t*,
+                     std::size_t,
+                     void*);
+  static int on_stream_close(nghttp2_session*,
+                             std::int32_t,
+                             std::uint32_t,
+                             void*);
+  static ssize_t read_stream(nghttp2_session*,
+                             std::int32_t,
+                             std::uint8_t*,
+                             std::size_t,
+                             std::uint32_t*,
+                             nghttp2_data_source*,
+                             void*);
+
+  limits limits_;
+  asio::steady_timer timer_;
+  bool is_server_;
+  bool connected_ = false;
+  bool closed_ = false;
+  bool retiring_ = false;
+  bool writing_ = false;
+  bool flush_posted_ = false;
+  nghttp2_session* session_ = nullptr;
+  std::unordered_map<std::int32_t, impl_ptr> streams_;
+  std::vector<impl_ptr> waiting_;
+  std::array<std::uint8_t, read_size> read_buffer_{};
+  std::string write_buffer_;
+  steady::time_point last_heard_ = steady::now();
+  steady::time_point started_ = steady::now();
+};
+
+void
+stream_impl::send(std::string_view message)
+{
+  const auto c = connection_.lock();
+  if (closed || finished_ || !c) {
+    return;
+  }
+  if (out_.size() - out_read_ + message.size() > c->bounds().max_buffered) {
+    // A peer that reads too slowly would otherwise hold our memory without
+    // bound. The stream ends with a typed error, never with a short answer.
+    c->reset(id);
+    close(link_error::slow_peer);
+    return;
+  }
+  put_number(out_, message.size(), length_size);
+  put_number(
+    out_, timeline::pack(timeline::process_clock().now()), clock_size);
+  out_ += message;
+  wake();
+}
+
+void
+stream_impl::finish()
+{
+  if (!finished_) {
+    finished_ = true;
+    wake();
+  }
+}
+
+void
+stream_impl::cancel()
+{
+  on_message = nullptr;
+  on_close = nullptr;
+  if (const auto c = connection_.lock(); c && !closed) {
+    closed = true;
+    c->reset(id);
+  }
+  closed = true;
+}
+
+void
+stream_impl::wake()
+{
+  const auto c = connection_.lock();
+  if (c && id >= 0 && !closed) {
+    c->resume(id);
+  }
+}
+
+ssize_t
+stream_impl::read(std::uint8_t* buffer, std::size_t size, std::uint32_t* flags)
+{
+  const auto n = std::min(size, out_.size() - out_read_);
+  std::memcpy(buffer, out_.data() + out_read_, n);
+  out_read_ += n;
+  if (out_read_ == out_.size()) {
+    out_.clear();
+    out_read_ = 0;
+    if (finished_) {
+      *flags |= NGHTTP2_DATA_FLAG_EOF;
+      return static_cast<ssize_t>(n);
+    }
+  }
+  if (n == 0) {
+    deferred = true;
+    return NGHTTP2_ERR_DEFERRED;
+  }
+  return static_cast<ssize_t>(n);
+}
+
+bool
+stream_impl::receive(const std::uint8_t* data,
+                     std::size_t size,
+                     const limits& l)
+{
+  in_.append(reinterpret_cast<const char*>(data), size);
+  std::size_t at = 0;
+  const auto keep = shared_from_this();
+  while (in_.size() - at >= header_size) {
+    const auto length = get_number(in_.data() + at, length_size);
+    if (length > l.max_message) {
+      return false;
+    }
+    if (in_.size() - at - header_size < length) {
+      break;
+    }
+    const auto stamp = get_number(in_.data() + at + length_size, clock_size);
+    timeline::process_clock().observe(timeline::unpack(stamp));
+    const std::string message =
+      in_.substr(at + header_size, static_cast<std::size_t>(length));
+    at += header_size + length;
+    if (on_message) {
+      // A copy, since the handler may replace or clear itself.
+      const auto handler = on_message;
+      handler(message);
+    }
+  }
+  in_.erase(0, at);
+  return true;
+}
+
+void
+stream_impl::close(std::error_code ec)
+{
+  if (closed && !on_close) {
+    return;
+  }
+  closed = true;
+  if (!ec && !in_.empty()) {
+    ec = link_error::cut;
+  }
+  const auto keep = shared_from_this();
+  const auto handler = std::move(on_close);
+  on_close = nullptr;
+  on_message = nullptr;
+  if (handler) {
+    handler(ec);
+  }
+}
+
+void
+connection::setup_session()
+{
+  nghttp2_session_callbacks* callbacks = nullptr;
+  nghttp2_session_callbacks_new(&callbacks);
+  nghttp2_session_callbacks_set_on_header_callback(callbacks, on_header);
+  nghttp2_session_callbacks_set_on_frame_recv_callback(callbacks, on_frame);
+  nghttp2_session_callbacks_set_on_data_chunk_recv_callback(callbacks, on_data);
+  nghttp2_session_callbacks_set_on_stream_close_callback(callbacks,
+                                                         on_stream_close);
+  if (is_server_) {
+    nghttp2_session_server_new(&session_, callbacks, this);
+  } else {
+    nghttp2_session_client_new(&session_, callbacks, this);
+  }
+  nghttp2_session_callbacks_del(callbacks);
+  const std::array settings{
+    nghttp2_settings_entry{ NGHTTP2_SETTINGS_MAX_CONCURRENT_STREAMS,
+                            limits_.max_streams },
+    nghttp2_settings_entry{ NGHTTP2_SETTINGS_INITIAL_WINDOW_SIZE, window_size },
+  };
+  nghttp2_submit_settings(
+    session_, NGHTTP2_FLAG_NONE, settings.data(), settings.size());
+  nghttp2_session_set_local_window_size(
+    session_, NGHTTP2_FLAG_NONE, 0, window_size);
+}
+
+void
+connection::start()
+{
+  asio::error_code ignored;
+  socket.set_option(tcp::no_delay{ true }, ignored);
+  connected_ = true;
+  setup_session();
+  last_heard_ = steady::now();
+  read();
+  for (auto& s : std::exchange(waiting_, {})) {
+    submit(s);
+  }
+  tick();
+  flush_soon();
+}
+
+void
+connection::dial(const address& peer)
+{
+  asio::error_code ec;
+  const auto ip = asio::ip::make_address(peer.ip, ec);
+  if (ec) {
+    asio::post(socket.get_executor(), [me = shared_from_this()] {
+      me->close(link_error::not_connected);
+    });
+    return;
+  }
+  tick();
+  socket.async_connect({ ip, peer.port },
+                       [me = shared_from_this()](asio::error_code failed) {
+                         if (failed || me->closed_) {
+                           me->close(link_error::not_connected);
+                         } else {
+                           me->start();
+                         }
+                       });
+}
+
+void
+connection::attach(const impl_ptr& s)
+{
+  if (connected_) {
+    submit(s);
+    flush_soon();
+  } else {
+    waiting_.push_back(s);
+  }
+}
+
+void
+connection::submit(const impl_ptr& s)
+{
+  if (s->closed) {
+    return;
+  }
+  const std::array headers{
+    header(":method", "POST"),
+    header(":scheme", "http"),
+    header(":authority", "cactusford"),
+    header(":path", s->path()),
+  };
+  nghttp2_data_provider provider{};
+  provider.source.ptr = nullptr;
+  provider.read_callback = read_stream;
+  const auto id = nghttp2_submit_request(
+    session_, nullptr, headers.data(), headers.size(), &provider, nullptr);
+  if (id < 0) {
+    s->close(link_error::not_connected);
+    return;
+  }
+  s->id = id;
+  streams_[id] = s;
+}
+
+impl_ptr
+connection::find(std::int32_t id) const
+{
+  const auto found = streams_.find(id);
+  return found == streams_.end() ? nullptr : found->second;
+}
+
+void
+connection::remove(std::int32_t id, std::error_code ec)
+{
+  const auto s = find(id);
+  if (!s) {
+    return;
+  }
+  streams_.erase(id);
+  s->close(ec);
+  if (retiring_ && streams_.empty()) {
+    flush_soon();
+  }
+}
+
+void
+connection::reset(std::int32_t id)
+{
+  if (session_ != nullptr && id >= 0 && !closed_) {
+    nghttp2_submit_rst_stream(
+      session_, NGHTTP2_FLAG_NONE, id, NGHTTP2_CANCEL);
+    flush_soon();
+  }
+}
+
+void
+connection::resume(std::int32_t id)
+{
+  const auto s = find(id);
+  if (s && s->deferred && session_ != nullptr) {
+    s->deferred = false;
+    nghttp2_session_resume_data(session_, id);
+  }
+  flush_soon();
+}
+
+void
+connection::read()
+{
+  socket.async_read_some(
+    asio::buffer(read_buffer_),
+    [me = shared_from_this()](asio::error_code ec, std::size_t n) {
+      if (ec || me->closed_) {
+        me->close(link_error::cut);
+        return;
+      }
+      me->last_heard_ = steady::now();
+      const auto used =
+        nghttp2_session_mem_recv(me->session_, me->read_buffer_.data(), n);
+      if (used < 0) {
+        me->close(link_error::protocol);
+        return;
+      }
+      me->flush_soon();
+      me->read();
+    });
+}
+
+void
+connection::flush_soon()
+{
+  if (flush_posted_ || closed_ || !connected_) {
+    return;
+  }
+  flush_posted_ = true;
+  asio::post(socket.get_executor(), [me = shared_from_this()] {
+    me->flush_posted_ = false;
+    me->flush();
+  });
+}
+
+void
+connection::flush()
+{
+  if (writing_ || closed_ || session_ == nullptr) {
+    return;
+  }
+  write_buffer_.clear();
+  while (write_buffer_.size() < write_batch) {
+    const std::uint8_t* data = nullptr;
+    const auto n = nghttp2_session_mem_send(session_, &data);
+    if (n < 0) {
+      close(link_error::protocol);
+      return;
+    }
+    if (n == 0) {
+      break;
+    }
+    write_buffer_.append(reinterpret_cast<const char*>(data),
+                         static_cast<std::size_t>(n));
+  }
+  if (write_buffer_.empty()) {
+    end_if_retired();
+    return;
+  }
+  writing_ = true;
+  asio::async_write(
+    socket,
+    asio::buffer(write_buffer_),
+    [me = shared_from_this()](asio::error_code ec, std::size_t) {
+      me->writing_ = false;
+      if (ec) {
+        me->close(link_error::cut);
+      } else {
+        me->flush();
+      }
+    });
+}
+
+// A peer that vanished without a FIN (a pulled cable, SIGSTOP) would hold its
+// streams open for ever. Pings make it heard from; silence closes.
+void
+connection::tick()
+{
+  timer_.expires_after(std::chrono::milliseconds{
+    connected_ ? limits_.ping_interval_ms : limits_.connect_timeout_ms });
+  timer_.async_wait([me = shared_from_this()](asio::error_code ec) {
+    if (ec || me->closed_) {
+      return;
+    }
+    const auto silent = steady::now() - me->last_heard_;
+    if (!me->connected_) {
+      me->close(link_error::not_connected);
+    } else if (silent > std::chrono::milliseconds{ me->limits_.dead_after_ms }) {
+      me->close(link_error::cut);
+    } else {
+      nghttp2_submit_ping(me->session_, NGHTTP2_FLAG_NONE, nullptr);
+      me->flush_soon();
+      me->tick();
+    }
+  });
+}
+
+// GOAWAY names the last stream that this side takes, so a request that
+// crosses it on the wire ends as "not connected" at the peer: it never ran.
+void
+connection::retire()
+{
+  if (retiring_ || !connected_ || closed_) {
+    return;
+  }
+  retiring_ = true;
+  nghttp2_submit_goaway(session_,
+                        NGHTTP2_FLAG_NONE,
+                        nghttp2_session_get_last_proc_stream_id(session_),
+                        NGHTTP2_NO_ERROR,
+                        nullptr,
+                        0);
+  flush_soon();
+}
+
+// Only the sending half is closed: closing with unread bytes would send a
+// reset, and the peer could lose the GOAWAY that is still on its way.
+void
+connection::end_if_retired()
+{
+  if (retiring_ && streams_.empty() && waiting_.empty()) {
+    asio::error_code ignored;
+    socket.shutdown(tcp::socket::shutdown_send, ignored);
+  }
+}
+
+void
+connection::close(std::error_code ec)
+{
+  if (closed_) {
+    return;
+  }
+  closed_ = true;
+  const auto me = shared_from_this();
+  asio::error_code ignored;
+  socket.close(ignored);
+  timer_.cancel();
+  for (auto& s : std::exchange(waiting_, {})) {
+    s->close(link_error::not_connected);
+  }
+  for (auto& [id, s] : std::exchange(streams_, {})) {
+    s->close(ec);
+  }
+  if (on_closed) {
+    on_closed(this);
+  }
+}
+
+int
+connection::on_header(nghttp2_session*,
+                      const nghttp2_frame* frame,
+                      const std::uint8_t* name,
+                      std::size_t name_size,
+                      const std::uint8_t* value,
+                      std::size_t value_size,
+                      std::uint8_t,
+                      void* user)
+{
+  auto& me = self(user);
+  const std::string_view key{ reinterpret_cast<const char*>(name), name_size };
+  if (!me.is_server_ || key != ":path" ||
+      frame->hd.type != NGHTTP2_HEADERS) {
+    return 0;
+  }
+  const auto id = frame->hd.stream_id;
+  auto s = std::make_shared<stream_impl>(
+    me.weak_from_this(),
+    std::string{ reinterpret_cast<const char*>(value), value_size });
+  s->id = id;
+  me.streams_[id] = s;
+  return 0;
+}
+
+int
+connection::on_frame(nghttp2_session* session,
+                     const nghttp2_frame* frame,
+                     void* user)
+{
+  auto& me = self(user);
+  if (frame->hd.type == NGHTTP2_GOAWAY) {
+    me.retiring_ = true;
+    return 0;
+  }
+  const auto id = frame->hd.stream_id;
+  const auto s = me.find(id);
+  if (!s) {
+    return 0;
+  }
+  if (me.is_server_ && frame->hd.type == NGHTTP2_HEADERS) {
+    const std::array headers{ header(":status", "200") };
+    nghttp2_data_provider provider{};
+    provider.source.ptr = nullptr;
+    provider.read_callback = read_stream;
+    nghttp2_submit_response(
+      session, id, headers.data(), headers.size(), &provider);
+    if (me.on_stream) {
+      me.on_stream(s);
+    }
+  }
+  if ((frame->hd.flags & NGHTTP2_FLAG_END_STREAM) != 0) {
+    s->remote_finished = true;
+    if (!me.is_server_) {
+      s->finish();
+      s->close({});
+    }
+  }
+  return 0;
+}
+
+int
+connection::on_data(nghttp2_session* session,
+                    std::uint8_t,
+                    std::int32_t id,
+                    const std::uint8_t* data,
+                    std::size_t size,
+                    void* user)
+{
+  auto& me = self(user);
+  const auto s = me.find(id);
+  if (s && !s->receive(data, size, me.limits_)) {
+    nghttp2_submit_rst_stream(
+      session, NGHTTP2_FLAG_NONE, id, NGHTTP2_PROTOCOL_ERROR);
+    s->close(link_error::protocol);
+  }
+  return 0;
+}
+
+int
+connection::on_stream_close(nghttp2_session*,
+                            std::int32_t id,
+                            std::uint32_t code,
+                            void* user)
+{
+  auto& me = self(user);
+  const auto s = me.find(id);
+  const bool clean = s && code == NGHTTP2_NO_ERROR && s->remote_finished;
+  const bool refused = code == NGHTTP2_REFUSED_STREAM;
+  me.remove(id,
+            clean     ? std::error_code{}
+            : refused ? link_error::not_connected
+                      : make_error_code(link_error::cut));
+  return 0;
+}
+
+ssize_t
+connection::read_stream(nghttp2_session*,
+                        std::int32_t id,
+                        std::uint8_t* buffer,
+                        std::size_t size,
+                        std::uint32_t* flags,
+                        nghttp2_data_source*,
+                        void* user)
+{
+  const auto s = self(user).find(id);
+  if (!s) {
+    *flags |= NGHTTP2_DATA_FLAG_EOF;
+    return 0;
+  }
+  return s->read(buffer, size, flags);
+}
+
+class endpoint_impl : public std::enable_shared_from_this<endpoint_impl>
+{
+public:
+  endpoint_impl(asio::io_context& io, limits l)
+    : io_{ io }
+    , limits_{ l }
+    , acceptor_{ io }
+  {
+  }
+
+  std::error_code listen(const address& local,
+                         accept_handler handler,
+                         address& bound)
+  {
+    asio::error_code ec;
+    const auto ip = asio::ip::make_address(local.ip, ec);
+    if (ec) {
+      return ec;
+    }
+    const tcp::endpoint at{ ip, local.port };
+    handler_ = std::move(handler);
+    acceptor_.open(at.protocol(), ec);
+    if (!ec) {
+      acceptor_.set_option(tcp::acceptor::reuse_address{ true }, ec);
+    }
+    if (!ec) {
+      acceptor_.bind(at, ec);
+    }
+    if (!ec) {
+      acceptor_.listen(asio::socket_base::max_listen_connections, ec);
+    }
+    if (!ec) {
+      bound = { local.ip, acceptor_.local_endpoint(ec).port() };
+      accept();
+    }
+    return ec;
+  }
+
+  stream_ptr open(const address& peer, const std::string& path)
+  {
+    auto& c = dialed_[peer];
+    if (!c || c->is_closed() || c->is_retiring()) {
+      c = std::make_shared<connection>(io_, limits_, false);
+      c->dial(peer);
+    }
+    auto s = std::make_shared<stream_impl>(c, path);
+    c->attach(s);
+    return s;
+  }
+
+  void stop_listening()
+  {
+    asio::error_code ignored;
+    acceptor_.close(ignored);
+    for (const auto& [raw, c] : accepted_) {
+      c->retire();
+    }
+  }
+
+  void close_all()
+  {
+    asio::error_code ignored;
+    acceptor_.close(ignored);
+    for (auto& [raw, c] : std::exchange(accepted_, {})) {
+      c->close(link_error::cut);
+    }
+    for (auto& [peer, c] : std::exchange(dialed_, {})) {
+      c->close(link_error::cut);
+    }
+  }
+
+  std::size_t connections() const { return accepted_.size() + dialed_.size(); }
+
+private:
+  void accept()
+  {
+    auto c = std::make_shared<connection>(io_, limits_, true);
+    acceptor_.async_accept(
+      c->socket, [me = shared_from_this(), c](asio::error_code ec) {
+        if (ec == asio::error::operation_aborted || !me->acceptor_.is_open()) {
+          return;
+        }
+        // Beyond the bound a peer is closed at once: its requests never left.
+        if (!ec && me->accepted_.size() < me->limits_.max_connections) {
+          me->take(c);
+        }
+        me->accept();
+      });
+  }
+
+  void take(const std::shared_ptr<connection>& c)
+  {
+    accepted_[c.get()] = c;
+    c->on_stream = handler_;
+    c->on_closed = [weak = weak_from_this()](connection* raw) {
+      if (const auto me = weak.lock()) {
+        me->accepted_.erase(raw);
+      }
+    };
+    c->start();
+  }
+
+  asio::io_context& io_;
+  limits limits_;
+  tcp::acceptor acceptor_;
+  accept_handler handler_;
+  std::map<address, std::shared_ptr<connection>> dialed_;
+  std::unordered_map<connection*, std::shared_ptr<connection>> accepted_;
+};
+
+} // namespace detail
+
+endpoint::endpoint(asio::io_context& io, limits l)
+  : impl_{ std::make_shared<detail::endpoint_impl>(io, l) }
+{
+}
+
+endpoint::~endpoint()
+{
+  impl_->close_all();
+}
+
+std::error_code
+endpoint::listen(const address& local, accept_handler handler, address& bound)
+{
+  return impl_->listen(local, std::move(handler), bound);
+}
+
+stream_ptr
+endpoint::open(const address& peer, const std::string& path)
+{
+  return impl_->open(peer, path);
+}
+
+void
+endpoint::stop_listening()
+{
+  impl_->stop_listening();
+}
+
+std::size_t
+endpoint::connections() const
+{
+  return impl_->connections();
+}
+
+} // namespace cactusford::link
--- /dev/null
+++ b/cactusford/membership/rendezvous.h
@@ -0,0 +1,24 @@
+// Rendezvous hashing (Thaler and Ravishankar, 1998): every process ranks the
+// same members in the same order without a message.
+#pragma once
+
+#include <cstdint>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace cactusford::membership {
+
+std::uint64_t
+weight_of(std::string_view member, std::string_view key) noexcept;
+
+// Members by falling weight for the key; ties by name.
+std::vector<std::string>
+rank(std::span<const std::string> members, std::string_view key);
+
+// The first of that order without sorting; empty without members.
+std::string
+first_of(std::span<const std::string> members, std::string_view key);
+
+} // namespace cactusford::membership
--- /dev/null
+++ b/cactusford/operators/command.cc
@@ -0,0 +1,414 @@
+#include "cactusford/operators/command.h"
+
+#include "cactusford/configuration/declaration.h"
+#include "cactusford/operators/client.h"
+#include "cactusford/operators/files.h"
+#include "cactusford/process/daemon.h"
+#include "cactusford/timeline/history.h"
+#include "cactusford/timeline/merge.h"
+
+#include <google/protobuf/util/json_util.h>
+#include <nlohmann/json.hpp>
+#include <popt.h>
+
+#include <array>
+#include <chrono>
+#include <cstdlib>
+#include <fstream>
+#include <iomanip>
+#include <iostream>
+#include <thread>
+
+namespace cactusford::operators {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr int exit_done = 0;
+constexpr int exit_failed = 1;
+constexpr int exit_usage = 2;
+constexpr int exit_conflict = 3;
+constexpr std::chrono::seconds watch_interval{ 2 };
+
+constexpr const char* usage =
+  "COMMAND [ARGUMENTS]\n\n"
+  "  apply -f FILE|DIR        put declarations into force\n"
+  "  get KIND [NAME]          show declarations\n"
+  "  diff -f FILE|DIR         show what apply would change\n"
+  "  delete KIND NAME         take a declaration back\n"
+  "  status [--watch]         instances, trainers, configuration, refusals\n"
+  "  timeline DIR             merge the event logs below DIR\n"
+  "  check-history DIR        check the promises on the event logs\n\n"
+  "Entries are named by --entry or CACTUSFORD_ENTRIES (comma-separated).";
+
+struct options
+{
+  std::vector<std::string> entries;
+  std::vector<std::string> words;
+  std::string file;
+  std::string request;
+  std::string sample;
+  std::string trace;
+  std::string html;
+  long expected_version = -1;
+  bool as_json = false;
+  bool watch = false;
+  bool text = false;
+};
+
+int
+fail(const failure& f)
+{
+  std::cerr << message_of(f) << "\n";
+  return f.kind == error_kind::conflict ? exit_conflict : exit_failed;
+}
+
+int
+misuse(const std::string& what)
+{
+  std::cerr << what << "; see cactusford --help\n";
+  return exit_usage;
+}
+
+void
+split_entries(const std::string& text, std::vector<std::string>& out)
+{
+  std::istringstream in{ text };
+  std::string part;
+  while (std::getline(in, part, ',')) {
+    if (!part.empty()) {
+      out.push_back(part);
+    }
+  }
+}
+
+// What the platform holds of the declaration: version 0 when there is none.
+result<declaration>
+held_of(client& c, const declared& d)
+{
+  get_request r;
+  r.set_kind(d.kind);
+  r.set_name(d.name);
+  const auto answer = c.get(r);
+  if (answer.error.kind == error_kind::not_found) {
+    return {};
+  }
+  if (!answer) {
+    return { {}, answer.error };
+  }
+  return { answer.value.declarations(0), {} };
+}
+
+int
+apply(const options& o)
+{
+  if (o.file.empty()) {
+    return misuse("apply needs -f FILE|DIR");
+  }
+  const auto all = read_declarations(o.file);
+  if (!all) {
+    return fail(all.error);
+  }
+  client c{ o.entries };
+  for (const auto& d : all.value) {
+    const auto held = held_of(c, d);
+    if (!held) {
+      return fail(held.error);
+    }
+    apply_request r;
+    r.mutable_declaration()->set_kind(d.kind);
+    r.mutable_declaration()->set_name(d.name);
+    r.mutable_declaration()->set_spec(d.spec);
+    r.set_expected_version(
+      o.expected_version >= 0
+        ? static_cast<std::uint64_t>(o.expected_version)
+        : held.value.version());
+    r.set_request_id(process::new_id());
+    const auto answer = c.apply(r);
+    if (!answer) {
+      return fail(answer.error);
+    }
+    std::cout << d.kind << "/" << d.name << " version "
+              << answer.value.version()
+              << (answer.value.changed() ? " applied\n" : " unchanged\n");
+  }
+  return exit_done;
+}
+
+int
+diff(const options& o)
+{
+  if (o.file.empty()) {
+    return misuse("diff needs -f FILE|DIR");
+  }
+  const auto all = read_declarations(o.file);
+  if (!all) {
+    return fail(all.error);
+  }
+  client c{ o.entries };
+  int changes = 0;
+  for (const auto& d : all.value) {
+    const auto held = held_of(c, d);
+    if (!held) {
+      return fail(held.error);
+    }
+    const bool absent = held.value.version() == 0 || held.value.deleted();
+    const auto before =
+      absent ? json::object() : json::parse(held.value.spec());
+    const auto patch = json::diff(before, json::parse(d.spec));
+    if (absent || !patch.empty()) {
+      ++changes;
+      std::cout << d.kind << "/" << d.name
+                << (absent ? " (new) " : " ") << patch.dump() << "\n";
+    }
+  }
+  std::cout << changes << " to change\n";
+  return exit_done;
+}
+
+int
+get(const options& o)
+{
+  if (o.words.size() < 2) {
+    return misuse("get needs KIND [NAME]");
+  }
+  get_request r;
+  r.set_kind(o.words[1]);
+  r.set_name(o.words.size() > 2 ? o.words[2] : "");
+  const auto answer = client{ o.entries }.get(r);
+  if (!answer) {
+    return fail(answer.error);
+  }
+  for (const auto& d : answer.value.declarations()) {
+    if (!d.deleted()) {
+      std::cout << json{ { "kind", d.kind() },
+                         { "name", d.name() },
+                         { "version", d.version() },
+                         { "spec", json::parse(d.spec()) } }
+                     .dump()
+                << "\n";
+    }
+  }
+  return exit_done;
+}
+
+int
+remove(const options& o)
+{
+  if (o.words.size() != 3) {
+    return misuse("delete needs KIND NAME");
+  }
+  client c{ o.entries };
+  const auto held = held_of(c, { o.words[1], o.words[2], {}, {} });
+  if (!held) {
+    return fail(held.error);
+  }
+  delete_request r;
+  r.set_kind(o.words[1]);
+  r.set_name(o.words[2]);
+  r.set_expected_version(held.value.version());
+  r.set_request_id(process::new_id());
+  const auto answer = c.remove(r);
+  if (!answer) {
+    return fail(answer.error);
+  }
+  std::cout << o.words[1] << "/" << o.words[2] << " version "
+            << answer.value.version() << " deleted\n";
+  return exit_done;
+}
+
+void
+print_status(const status_response& s)
+{
+  std::cout << "configuration version " << s.configuration_version()
+            << " in force on " << s.in_force() << " of " << s.processes()
+            << "\nsecurity " << s.security() << "\n";
+  std::map<std::string, std::map<std::string, int>> centres;
+  for (const auto& i : s.instances()) {
+    ++centres[i.data_centre()][i.role() + " " + i.state()];
+  }
+  for (const auto& [centre, counts] : centres) {
+    std::cout << "data centre " << centre << ":";
+    for (const auto& [what, count] : counts) {
+      std::cout << " " << what << " " << count;
+    }
+    std::cout << "\n";
+  }
+  for (const auto& t : s.trainers()) {
+    std::cout << "trainer " << t.name() << ": owner " << t.owner()
+              << " fence " << t.fence() << " step " << t.step() << " samples "
+              << t.received() << "/" << t.step_size() << " weights "
+              << t.weight_version() << std::fixed << std::setprecision(2)
+              << " staleness " << t.staleness_mean() << "\n";
+  }
+  for (const auto& r : s.refusals()) {
+    std::cout << "refused " << r.kind() << " " << r.count() << "\n";
+  }
+}
+
+int
+status(const options& o)
+{
+  client c{ o.entries };
+  do {
+    const auto answer = c.status();
+    if (!answer) {
+      return fail(answer.error);
+    }
+    if (o.as_json) {
+      std::string text;
+      google::protobuf::util::JsonPrintOptions print;
+      print.preserve_proto_field_names = true;
+      print.always_print_primitive_fields = true;
+      (void)google::protobuf::util::MessageToJsonString(
+        answer.value, &text, print);
+      std::cout << text << std::endl;
+    } else {
+      print_status(answer.value);
+    }
+    if (o.watch) {
+      std::cout << std::endl;
+      std::this_thread::sleep_for(watch_interval);
+    }
+  } while (o.watch);
+  return exit_done;
+}
+
+int
+check_history(const options& o)
+{
+  if (o.words.size() != 2) {
+    return misuse("check-history needs DIR");
+  }
+  const auto records = timeline::read_logs(o.words[1]);
+  bool kept = true;
+  for (const auto& r : timeline::check_history(records, {})) {
+    std::cout << timeline::to_string(r) << "\n";
+    for (const auto& v : r.violations) {
+      std::cerr << "violation promise=" << r.promise << " " << v << "\n";
+    }
+    kept = kept && r.violations.empty();
+  }
+  return kept ? exit_done : exit_failed;
+}
+
+int
+show_timeline(const options& o)
+{
+  if (o.words.size() != 2) {
+    return misuse("timeline needs DIR");
+  }
+  const auto records =
+    timeline::select(timeline::read_logs(o.words[1]), o.request, o.sample);
+  if (!o.trace.empty()) {
+    std::ofstream{ o.trace } << timeline::to_trace(records);
+  }
+  if (!o.html.empty()) {
+    std::ofstream{ o.html } << timeline::to_html(records);
+  }
+  if (o.text || (o.trace.empty() && o.html.empty())) {
+    std::cout << timeline::to_text(records);
+  }
+  return exit_done;
+}
+
+std::string
+take(char* text)
+{
+  std::string s = text == nullptr ? "" : text;
+  std::free(text);
+  return s;
+}
+
+} // namespace
+
+int
+run_command(int argc, char** argv)
+{
+  options o;
+  enum
+  {
+    entry_option = 1,
+  };
+  char* entry = nullptr;
+  char* file = nullptr;
+  char* request = nullptr;
+  char* sample = nullptr;
+  char* trace = nullptr;
+  char* html = nullptr;
+  int as_json = 0;
+  int watch = 0;
+  int text = 0;
+  const std::array<poptOption, 12> table{
+    poptOption{ "entry", 'e', POPT_ARG_STRING, &entry, entry_option,
+                "RPC address of an entry; may be repeated", "IP:PORT" },
+    poptOption{ "file", 'f', POPT_ARG_STRING, &file, 0,
+                "Declarations", "FILE|DIR" },
+    poptOption{ "expected-version", 0, POPT_ARG_LONG, &o.expected_version, 0,
+                "Version that apply builds on", "N" },
+    poptOption{ "json", 0, POPT_ARG_NONE, &as_json, 0, "Status as JSON",
+                nullptr },
+    poptOption{ "watch", 'w', POPT_ARG_NONE, &watch, 0,
+                "Repeat the status", nullptr },
+    poptOption{ "request", 0, POPT_ARG_STRING, &request, 0,
+                "Time line of one request", "ID" },
+    poptOption{ "sample", 0, POPT_ARG_STRING, &sample, 0,
+                "Time line of one sample", "ID" },
+    poptOption{ "text", 0, POPT_ARG_NONE, &text, 0, "Time line as text",
+                nullptr },
+    poptOption{ "trace", 0, POPT_ARG_STRING, &trace, 0,
+                "Time line as Chrome trace JSON", "FILE" },
+    poptOption{ "html", 0, POPT_ARG_STRING, &html, 0,
+                "Time line as a page", "FILE" },
+    poptOption POPT_AUTOHELP poptOption POPT_TABLEEND
+  };
+  auto* context = poptGetContext(
+    "cactusford", argc, const_cast<const char**>(argv), table.data(), 0);
+  poptSetOtherOptionHelp(context, usage);
+  int rc = 0;
+  while ((rc = poptGetNextOpt(context)) > 0) {
+    if (rc == entry_option) {
+      split_entries(take(std::exchange(entry, nullptr)), o.entries);
+    }
+  }
+  std::string wrong;
+  if (rc < -1) {
+    wrong = std::string{ poptBadOption(context, 0) } + ": " + poptStrerror(rc);
+  }
+  while (const char* word = poptGetArg(context)) {
+    o.words.emplace_back(word);
+  }
+  poptFreeContext(context);
+  o.file = take(file);
+  o.request = take(request);
+  o.sample = take(sample);
+  o.trace = take(trace);
+  o.html = take(html);
+  o.as_json = as_json != 0;
+  o.watch = watch != 0;
+  o.text = text != 0;
+  if (const char* named = std::getenv("CACTUSFORD_ENTRIES");
+      o.entries.empty() && named != nullptr) {
+    split_entries(named, o.entries);
+  }
+  if (!wrong.empty() || o.words.empty()) {
+    return misuse(wrong.empty() ? "a command is missing" : wrong);
+  }
+  const std::map<std::string, int (*)(const options&)> commands{
+    { "apply", apply },
+    { "get", get },
+    { "diff", diff },
+    { "delete", remove },
+    { "status", status },
+    { "timeline", show_timeline },
+    { "check-history", check_history },
+  };
+  const auto found = commands.find(o.words[0]);
+  if (found == commands.end()) {
+    return misuse("'" + o.words[0] + "' is no command");
+  }
+  return found->second(o);
+}
+
+} // namespace cactusford::operators
--- /dev/null
+++ b/cactusford/ownership/lease-test.cc
@@ -0,0 +1,131 @@
+#include "cactusford/ownership/lease.h"
+
+#include "cactusford/testing/section.h"
+
+#include <criterion/criterion.h>
+#include <rapidcheck.h>
+
+#include <array>
+
+using namespace cactusford::ownership;
+
+namespace {
+
+keeper
+candidate(const char* name, std::uint32_t rank)
+{
+  keeper k;
+  k.self = name;
+  k.rank = rank;
+  k.duration_ms = 9000;
+  return k;
+}
+
+// The platform's conditional write.
+bool
+write(lease& stored, keeper& k, action a, std::uint64_t now)
+{
+  if (k.seen.version != stored.version) {
+    on_conflict(k);
+    return false;
+  }
+  const auto fence = a == action::renew ? k.seen.fence : 0;
+  ++stored.version;
+  stored.holder = a == action::release ? "" : k.self;
+  stored.fence = fence == 0 ? stored.version : fence;
+  on_written(k, a, stored.version, now);
+  return true;
+}
+
+} // namespace
+
+// The owner is paused for longer than its lease, and another entry takes
+// over. The first wakes up and believes that it still holds the lease: its
+// next write conflicts, and until then its fencing number is the older one.
+Test(lease, a_paused_owner_loses_to_a_newer_fence)
+{
+  lease stored;
+  auto a = candidate("a", 0);
+  auto b = candidate("b", 1);
+  on_read(a, stored, 0);
+  cr_assert(begin(a, false, 0) == action::acquire);
+  cr_assert(write(stored, a, action::acquire, 0));
+  const auto old_fence = a.seen.fence;
+  on_read(b, stored, 10);
+  SECTION("while the lease is renewed nobody takes over")
+  {
+    cr_assert(begin(a, true, 3000) == action::renew);
+    write(stored, a, action::renew, 3000);
+    cr_assert_eq(a.seen.fence, old_fence, "renewal keeps the fence");
+    on_read(b, stored, 3100);
+    cr_assert(begin(b, true, 9600) == action::read);
+    on_read(b, stored, 9600);
+  }
+  SECTION("an unchanged lease is taken over after its duration")
+  {
+    cr_assert(begin(b, true, 3100 + 9000 + 500) == action::acquire);
+    cr_assert(write(stored, b, action::acquire, 12600));
+    cr_assert_gt(b.seen.fence, old_fence);
+  }
+  SECTION("the old owner's next write fails")
+  {
+    cr_assert(begin(a, true, 20000) == action::renew);
+    cr_assert(!write(stored, a, action::renew, 20000));
+    cr_assert(!a.held);
+  }
+}
+
+// The platform is down for longer than any lease. Nobody can take over, so
+// the holder goes on; a candidate must not trust what it saw before.
+Test(lease, an_outage_changes_no_owner)
+{
+  lease stored;
+  auto a = candidate("a", 0);
+  on_read(a, stored, 0);
+  begin(a, false, 0);
+  write(stored, a, action::acquire, 0);
+  for (std::uint64_t now = 3000; now < 60000; now += 3000) {
+    cr_assert(begin(a, true, now) == action::renew);
+    on_unavailable(a, now);
+    cr_assert(a.held);
+  }
+}
+
+// Any interleaving of reads, writes, lost answers and pauses: fences grow
+// with every change of owner, and the newest fence belongs to one keeper.
+Test(lease, property_fences_only_grow)
+{
+  const bool ok = rc::check("fences only grow", [] {
+    lease stored;
+    std::array<keeper, 3> all{ candidate("a", 0),
+                               candidate("b", 1),
+                               candidate("c", 2) };
+    std::uint64_t now = 0;
+    std::uint64_t newest = 0;
+    std::string owner;
+    const auto steps = *rc::gen::container<std::vector<std::pair<int, int>>>(
+      rc::gen::pair(rc::gen::inRange(0, 3), rc::gen::inRange(0, 6)));
+    for (const auto& [who, what] : steps) {
+      auto& k = all.at(static_cast<std::size_t>(who));
+      now += 1700;
+      const auto a = begin(k, true, now);
+      if (a == action::none) {
+        continue;
+      }
+      if (what == 0) {
+        on_unavailable(k, now);
+      } else if (a == action::read) {
+        on_read(k, stored, now);
+      } else if (write(stored, k, a, now) && a == action::acquire) {
+        RC_ASSERT(k.seen.fence > newest);
+        newest = k.seen.fence;
+        owner = k.self;
+      }
+      for (const auto& other : all) {
+        RC_ASSERT(!other.held || other.seen.fence < newest ||
+                  other.self == owner);
+      }
+    }
+  });
+  cr_assert(ok);
+}
--- /dev/null
+++ b/cactusford/ownership/lease.h
@@ -0,0 +1,79 @@
+// Who owns a trainer: a lease object in the platform, with a fencing number.
+// Pure; times are milliseconds of a steady clock. See docs/OWNERSHIP.md.
+#pragma once
+
+#include <cstdint>
+#include <string>
+
+namespace cactusford::ownership {
+
+// The lease object as last read. The fencing number is the version of the
+// write that acquired it, so it grows with every change of the owner.
+struct lease
+{
+  std::uint64_t version = 0;
+  // Empty when released.
+  std::string holder;
+  std::uint64_t fence = 0;
+
+  friend bool operator==(const lease&, const lease&) = default;
+};
+
+struct keeper
+{
+  std::string self;
+  std::uint32_t duration_ms = 10000;
+  // Position among the entries that may own this trainer.
+  std::uint32_t rank = 0;
+  lease seen;
+  // When `seen.version` was first read, by this process's own clock: clocks
+  // of two processes are never compared.
+  std::uint64_t seen_ms = 0;
+  std::uint64_t renewed_ms = 0;
+  std::uint64_t polled_ms = 0;
+  bool has_seen = false;
+  bool held = false;
+  bool busy = false;
+  bool releasing = false;
+
+  friend bool operator==(const keeper&, const keeper&) = default;
+};
+
+enum class action
+{
+  none,
+  read,
+  acquire,
+  renew,
+  release,
+};
+
+// The next step, noted as begun. `holder_listed` says whether the platform's
+// list still holds the present holder.
+action
+begin(keeper& k, bool holder_listed, std::uint64_t now_ms);
+
+// The platform answered a read.
+void
+on_read(keeper& k, const lease& l, std::uint64_t now_ms);
+
+// A write took effect at this version.
+void
+on_written(keeper& k, action a, std::uint64_t version, std::uint64_t now_ms);
+
+// The platform does not answer: nobody can take over either, so a holder
+// remains one.
+void
+on_unavailable(keeper& k, std::uint64_t now_ms);
+
+// Somebody else wrote.
+void
+on_conflict(keeper& k);
+
+std::string
+to_spec(const lease& l);
+
+lease
+lease_from(std::uint64_t version, const std::string& spec);
+
+} // namespace cactusford::ownership
--- /dev/null
+++ b/cactusford/platform/client.cc
@@ -0,0 +1,190 @@
+#include "cactusford/platform/client.h"
+
+#include "cactusford/link/link.h"
+#include "cactusford/timeline/event.h"
+
+#include <httplib.h>
+#include <nlohmann/json.hpp>
+
+#include <atomic>
+
+namespace cactusford::platform {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr int ok = 200;
+constexpr int not_found = 404;
+constexpr int conflict = 409;
+constexpr std::uint32_t watch_margin_ms = 2000;
+
+object
+object_from(const json& j)
+{
+  object o;
+  o.kind = j.at("kind");
+  o.name = j.at("name");
+  o.version = j.at("version");
+  o.deleted = j.value("deleted", false);
+  o.spec = j.value("spec", std::string{});
+  o.request_id = j.value("request_id", std::string{});
+  return o;
+}
+
+failure
+unavailable(const std::string& what)
+{
+  return { error_kind::platform_unavailable, what, 1000 };
+}
+
+std::string
+path_of(const std::string& kind, const std::string& name)
+{
+  return "/v1/objects/" + kind + "/" + name;
+}
+
+} // namespace
+
+struct client::state
+{
+  std::string ip;
+  int port = 0;
+  std::uint32_t timeout_ms = 0;
+  std::atomic<std::uint64_t> calls{ 0 };
+  // Highest version seen of each object that this client read by name.
+  std::mutex mutex;
+  std::map<std::string, std::uint64_t> seen;
+
+  std::unique_ptr<httplib::Client> connect(std::uint32_t extra_ms) const
+  {
+    auto c = std::make_unique<httplib::Client>(ip, port);
+    const auto limit = std::chrono::milliseconds{ timeout_ms + extra_ms };
+    c->set_connection_timeout(std::chrono::milliseconds{ timeout_ms });
+    c->set_read_timeout(limit);
+    c->set_write_timeout(limit);
+    c->set_tcp_nodelay(true);
+    return c;
+  }
+
+  // A replica of the store that lags would hand out an older version. Taking
+  // it would revert a configuration; the read fails instead.
+  bool is_stale(const object& o)
+  {
+    const std::lock_guard lock{ mutex };
+    auto& newest = seen[o.kind + "/" + o.name];
+    if (o.version < newest) {
+      return true;
+    }
+    newest = o.version;
+    return false;
+  }
+};
+
+client::client(std::string address, std::uint32_t timeout_ms)
+  : state_{ std::make_unique<state>() }
+{
+  const auto a = link::address_from(address);
+  state_->ip = a.ip;
+  state_->port = a.port;
+  state_->timeout_ms = timeout_ms;
+}
+
+client::~client() = default;
+
+result<object>
+client::get(const std::string& kind, const std::string& name)
+{
+  ++state_->calls;
+  const auto answer = state_->connect(0)->Get(path_of(kind, name).c_str());
+  if (!answer || (answer->status != ok && answer->status != not_found)) {
+    return { {}, unavailable("get " + kind + "/" + name) };
+  }
+  if (answer->status == not_found) {
+    return { {}, { error_kind::not_found, kind + "/" + name } };
+  }
+  const auto body = json::parse(answer->body, nullptr, false);
+  if (body.is_discarded()) {
+    return { {}, unavailable("the answer is not JSON") };
+  }
+  auto o = object_from(body);
+  if (state_->is_stale(o)) {
+    timeline::log(timeline::event{ "platform_stale" }
+                    .with("kind", o.kind)
+                    .with("name", o.name)
+                    .with("version", o.version));
+    return { {}, { error_kind::platform_stale, kind + "/" + name, 1000 } };
+  }
+  return { std::move(o), {} };
+}
+
+result<change_list>
+client::changes(std::uint64_t since, std::uint32_t wait_ms)
+{
+  ++state_->calls;
+  const auto path = "/v1/changes?since=" + std::to_string(since) +
+                    "&wait_ms=" + std::to_string(wait_ms) +
+                    "&exclude=lease,ledger";
+  const auto answer =
+    state_->connect(wait_ms + (wait_ms > 0 ? watch_margin_ms : 0))
+      ->Get(path.c_str());
+  if (!answer || answer->status != ok) {
+    return { {}, unavailable("changes") };
+  }
+  const auto body = json::parse(answer->body, nullptr, false);
+  if (body.is_discarded()) {
+    return { {}, unavailable("the answer is not JSON") };
+  }
+  change_list list;
+  list.revision = body.at("revision");
+  for (const auto& item : body.at("objects")) {
+    list.objects.push_back(object_from(item));
+  }
+  if (list.revision < since) {
+    timeline::log(timeline::event{ "platform_stale" }
+                    .with("revision", list.revision)
+                    .with("since", since));
+    return { {}, { error_kind::platform_stale, "changes", 1000 } };
+  }
+  return { std::move(list), {} };
+}
+
+result<std::uint64_t>
+client::put(const write& w)
+{
+  ++state_->calls;
+  const json body{ { "expected_version", w.expected_version },
+                   { "spec", w.spec },
+                   { "request_id", w.request_id },
+                   { "deleted", w.remove } };
+  const auto answer = state_->connect(0)->Put(
+    path_of(w.kind, w.name).c_str(), body.dump(), "application/json");
+  if (answer && answer->status == ok) {
+    const auto reply = json::parse(answer->body, nullptr, false);
+    return { reply.at("version").get<std::uint64_t>(), {} };
+  }
+  // The write may have taken effect although its answer was lost, and a
+  // repeat then meets its own earlier write as a conflict. The request id in
+  // the object tells the two apart.
+  const bool refused = answer && answer->status == conflict;
+  const auto now = get(w.kind, w.name);
+  if (now && now.value.request_id == w.request_id) {
+    return { now.value.version, {} };
+  }
+  if (refused) {
+    const auto newer = now ? std::to_string(now.value.version) : "unknown";
+    return { now.value.version,
+             { error_kind::conflict,
+               w.kind + "/" + w.name + " is at version " + newer +
+                 ", expected " + std::to_string(w.expected_version) } };
+  }
+  return { {}, unavailable("put " + w.kind + "/" + w.name) };
+}
+
+std::uint64_t
+client::calls() const
+{
+  return state_->calls;
+}
+
+} // namespace cactusford::platform
--- /dev/null
+++ b/cactusford/process/daemon.cc
@@ -0,0 +1,240 @@
+#include "cactusford/process/daemon.h"
+
+#include "cactusford/timeline/event.h"
+
+#include <asio/signal_set.hpp>
+#include <asio/steady_timer.hpp>
+#include <httplib.h>
+#include <nlohmann/json.hpp>
+#include <popt.h>
+
+#include <chrono>
+#include <csignal>
+#include <cstdio>
+#include <fstream>
+#include <future>
+#include <iostream>
+#include <random>
+#include <thread>
+
+namespace cactusford::process {
+
+struct daemon::admin
+{
+  httplib::Server server;
+  std::thread thread;
+};
+
+daemon::daemon(const settings::process_settings& s, std::size_t worker_count)
+  : settings{ s }
+  , incarnation{ timeline::wall_ms() }
+  , workers{ worker_count }
+  , links{ io, {} }
+  , platform{ s.platform }
+  , configuration{ io, workers, links, platform, s }
+{
+}
+
+daemon::~daemon()
+{
+  if (admin_) {
+    admin_->server.stop();
+    if (admin_->thread.joinable()) {
+      admin_->thread.join();
+    }
+  }
+}
+
+failure
+daemon::start(link::accept_handler on_stream)
+{
+  const auto local = link::address_from(settings.link);
+  link::address bound;
+  const auto ec = links.listen(
+    local,
+    [this, on_stream = std::move(on_stream)](const link::stream_ptr& s) {
+      if (s->path() == "/configuration") {
+        configuration.serve(s);
+      } else {
+        on_stream(s);
+      }
+    },
+    bound);
+  if (ec) {
+    return { error_kind::settings_invalid,
+             "key link: " + settings.link + ": " + ec.message() +
+               "; choose a free port" };
+  }
+  add_port("link", bound.port);
+  return start_admin();
+}
+
+failure
+daemon::start_admin()
+{
+  admin_ = std::make_unique<admin>();
+  auto& server = admin_->server;
+  server.new_task_queue = [] { return new httplib::ThreadPool(2); };
+  server.Get("/metrics", [this](const auto&, auto& answer) {
+    answer.set_content(metrics.text(), "text/plain; version=0.0.4");
+  });
+  server.Get("/healthz", [](const auto&, auto& answer) {
+    answer.set_content("ok\n", "text/plain");
+  });
+  server.Get("/readyz", [this](const auto&, auto& answer) {
+    std::promise<bool> ready;
+    asio::post(io, [&] {
+      ready.set_value(configuration.is_ready() &&
+                      (!is_serving || is_serving()));
+    });
+    const bool yes = ready.get_future().get();
+    answer.status = yes ? 200 : 503;
+    answer.set_content(yes ? "ready\n" : "not_ready\n", "text/plain");
+  });
+  const auto local = link::address_from(settings.admin);
+  const int port =
+    local.port == 0
+      ? server.bind_to_any_port(local.ip.c_str())
+      : (server.bind_to_port(local.ip.c_str(), local.port) ? local.port : -1);
+  if (port < 0) {
+    return { error_kind::settings_invalid,
+             "key admin: " + settings.admin +
+               " cannot be bound; choose a free port" };
+  }
+  add_port("admin", static_cast<std::uint16_t>(port));
+  admin_->thread = std::thread{ [&server] { server.listen_after_bind(); } };
+  return {};
+}
+
+void
+daemon::add_port(const std::string& name, std::uint16_t port)
+{
+  ports_[name] = port;
+}
+
+void
+daemon::write_ports()
+{
+  timeline::log(timeline::event{ "process_started" }
+                  .with("data_centre", settings.data_centre)
+                  .with("incarnation", incarnation));
+  if (settings.ports_file.empty()) {
+    return;
+  }
+  // Renamed into place, so that a reader never sees half of it.
+  const auto part = settings.ports_file + ".part";
+  std::ofstream{ part } << nlohmann::json(ports_).dump() << "\n";
+  std::rename(part.c_str(), settings.ports_file.c_str());
+}
+
+void
+daemon::run(std::function<void()> on_leave)
+{
+  asio::signal_set signals{ io, SIGTERM, SIGINT };
+  signals.async_wait([&](asio::error_code ec, int) {
+    if (!ec) {
+      timeline::log(timeline::event{ "process_leaving" });
+      on_leave();
+    }
+  });
+  write_ports();
+  const auto keep = asio::make_work_guard(io);
+  io.run();
+  configuration.stop();
+  workers.stop();
+  workers.join();
+  timeline::log(timeline::event{ "process_stopped" });
+}
+
+void
+daemon::stop()
+{
+  io.stop();
+}
+
+void
+daemon::after(std::uint64_t delay_ms, std::function<void()> run)
+{
+  auto t = std::make_shared<asio::steady_timer>(
+    io, std::chrono::milliseconds{ delay_ms });
+  t->async_wait([t, run = std::move(run)](asio::error_code) { run(); });
+}
+
+std::uint64_t
+steady_ms()
+{
+  const auto now = std::chrono::steady_clock::now().time_since_epoch();
+  return static_cast<std::uint64_t>(
+    std::chrono::duration_cast<std::chrono::milliseconds>(now).count());
+}
+
+std::string
+new_id()
+{
+  static thread_local std::mt19937_64 random{ std::random_device{}() };
+  const auto ms = timeline::wall_ms();
+  const auto a = random();
+  const auto b = random();
+  std::array<char, 40> text{};
+  std::snprintf(text.data(),
+                text.size(),
+                "%08llx-%04llx-7%03llx-%04llx-%012llx",
+                static_cast<unsigned long long>((ms >> 16) & 0xffffffff),
+                static_cast<unsigned long long>(ms & 0xffff),
+                static_cast<unsigned long long>(a & 0xfff),
+                static_cast<unsigned long long>(0x8000 | ((a >> 12) & 0x3fff)),
+                static_cast<unsigned long long>(b & 0xffffffffffff));
+  return text.data();
+}
+
+std::uint64_t
+issue_time_of(std::string_view uuid)
+{
+  constexpr std::size_t uuid_size = 36;
+  if (uuid.size() != uuid_size || uuid[8] != '-' || uuid[13] != '-' ||
+      uuid[14] != '7') {
+    return 0;
+  }
+  const auto digits =
+    std::string{ uuid.substr(0, 8) } + std::string{ uuid.substr(9, 4) };
+  if (digits.find_first_not_of("0123456789abcdefABCDEF") !=
+      std::string::npos) {
+    return 0;
+  }
+  return std::stoull(digits, nullptr, 16);
+}
+
+std::string
+settings_path(int argc, char** argv, const char* about, int& exit_code)
+{
+  char* path = nullptr;
+  const std::array<poptOption, 3> options{
+    poptOption{ "settings",
+                's',
+                POPT_ARG_STRING,
+                static_cast<void*>(&path),
+                0,
+                "Settings in JSON; see docs/SETTINGS.md",
+                "FILE" },
+    poptOption POPT_AUTOHELP poptOption POPT_TABLEEND
+  };
+  auto* context = poptGetContext(
+    nullptr, argc, const_cast<const char**>(argv), options.data(), 0);
+  poptSetOtherOptionHelp(context, about);
+  const int rc = poptGetNextOpt(context);
+  exit_code = exit_settings;
+  if (rc < -1) {
+    std::cerr << poptBadOption(context, 0) << ": " << poptStrerror(rc)
+              << "; see --help\n";
+  } else if (path == nullptr) {
+    std::cerr << "--settings is missing; name the settings file\n";
+  } else {
+    exit_code = exit_ok;
+  }
+  std::string result = path == nullptr ? "" : path;
+  std::free(path);
+  poptFreeContext(context);
+  return exit_code == exit_ok ? result : std::string{};
+}
+
+} // namespace cactusford::process
--- /dev/null
+++ b/cactusford/rollout/client.cc
@@ -0,0 +1,181 @@
+#include "cactusford/rollout/client.h"
+
+#include "cactusford/process/daemon.h"
+#include "cactusford/rollout/rollout.grpc.pb.h"
+#include "cactusford/rollout/step.h"
+
+#include <grpcpp/grpcpp.h>
+
+#include <chrono>
+
+namespace cactusford::rollout {
+
+namespace {
+
+constexpr std::chrono::milliseconds call_margin{ 5000 };
+constexpr int max_message = 64 << 20;
+
+failure
+failure_from(const grpc::Status& s)
+{
+  const auto& kind = s.error_details();
+  return { kind.empty() ? error_kind::outcome_unknown : error_kind_from(kind),
+           s.error_message(),
+           200 };
+}
+
+} // namespace
+
+struct trainer_client::state
+{
+  builder options;
+  cursor at;
+  std::size_t turn = 0;
+  std::vector<std::unique_ptr<trainer_service::Stub>> stubs;
+  std::string publish_id;
+
+  trainer_service::Stub& stub() { return *stubs[turn % stubs.size()]; }
+};
+
+trainer_client::builder&
+trainer_client::builder::trainer(std::string name)
+{
+  name_ = std::move(name);
+  return *this;
+}
+
+trainer_client::builder&
+trainer_client::builder::entry(std::string address)
+{
+  entries_.push_back(std::move(address));
+  return *this;
+}
+
+trainer_client::builder&
+trainer_client::builder::start_at(cursor c)
+{
+  start_ = std::move(c);
+  return *this;
+}
+
+trainer_client::builder&
+trainer_client::builder::max_samples(std::uint32_t n)
+{
+  max_samples_ = n;
+  return *this;
+}
+
+trainer_client::builder&
+trainer_client::builder::wait_ms(std::uint32_t ms)
+{
+  wait_ms_ = ms;
+  return *this;
+}
+
+trainer_client
+trainer_client::builder::build() const
+{
+  auto s = std::make_unique<state>();
+  s->options = *this;
+  s->at = start_;
+  grpc::ChannelArguments arguments;
+  arguments.SetMaxReceiveMessageSize(max_message);
+  arguments.SetInt(GRPC_ARG_INITIAL_RECONNECT_BACKOFF_MS, 100);
+  arguments.SetInt(GRPC_ARG_MAX_RECONNECT_BACKOFF_MS, 1000);
+  for (const auto& address : entries_) {
+    s->stubs.push_back(trainer_service::NewStub(grpc::CreateCustomChannel(
+      address, grpc::InsecureChannelCredentials(), arguments)));
+  }
+  return trainer_client{ std::move(s) };
+}
+
+trainer_client::trainer_client(std::unique_ptr<state> s)
+  : state_{ std::move(s) }
+{
+}
+
+trainer_client::~trainer_client() = default;
+trainer_client::trainer_client(trainer_client&&) noexcept = default;
+
+// Exactly once rests here: the trainer names what it holds, refuses an owner
+// with an older fencing number, and takes each slot once. An answer that is
+// lost, repeated, or sent by an owner that woke up late changes nothing.
+result<batch>
+trainer_client::fetch()
+{
+  auto& s = *state_;
+  fetch_request request;
+  request.set_trainer(s.options.name_);
+  request.set_step(s.at.step);
+  request.set_received(s.at.received);
+  request.set_weight_version(s.at.weight_version);
+  request.set_fence(s.at.fence);
+  request.set_max_samples(s.options.max_samples_);
+  request.set_wait_ms(s.options.wait_ms_);
+  fetch_response response;
+  grpc::ClientContext context;
+  context.set_deadline(std::chrono::system_clock::now() + call_margin +
+                       std::chrono::milliseconds{ s.options.wait_ms_ });
+  const auto status = s.stub().fetch(&context, request, &response);
+  if (!status.ok()) {
+    ++s.turn;
+    return { {}, failure_from(status) };
+  }
+  if (response.fence() < s.at.fence) {
+    ++s.turn;
+    return { {}, { error_kind::fenced, "an older owner answered", 100 } };
+  }
+  s.at.fence = response.fence();
+  batch b;
+  b.step_size = response.step_size();
+  b.staleness_bound = response.staleness_bound();
+  for (auto& one : *response.mutable_samples()) {
+    const auto index = one.slot_index();
+    if (one.slot().step() != s.at.step || is_received(s.at.received, index)) {
+      continue;
+    }
+    set_received(s.at.received, index);
+    b.samples.push_back(std::move(one));
+  }
+  std::uint32_t held = 0;
+  for (std::uint32_t i = 0; i < b.step_size; ++i) {
+    held += is_received(s.at.received, i) ? 1 : 0;
+  }
+  b.step_whole = b.step_size > 0 && held == b.step_size;
+  return { std::move(b), {} };
+}
+
+failure
+trainer_client::publish(std::uint64_t weight_version)
+{
+  auto& s = *state_;
+  // The same id on every repeat, or a lost answer would look like a conflict.
+  if (s.publish_id.empty()) {
+    s.publish_id = process::new_id();
+  }
+  publish_request request;
+  request.set_trainer(s.options.name_);
+  request.set_weight_version(weight_version);
+  request.set_request_id(s.publish_id);
+  publish_response response;
+  grpc::ClientContext context;
+  context.set_deadline(std::chrono::system_clock::now() + call_margin);
+  const auto status = s.stub().publish(&context, request, &response);
+  if (!status.ok()) {
+    ++s.turn;
+    return failure_from(status);
+  }
+  s.publish_id.clear();
+  s.at.weight_version = weight_version;
+  ++s.at.step;
+  s.at.received.clear();
+  return {};
+}
+
+const cursor&
+trainer_client::position() const
+{
+  return state_->at;
+}
+
+} // namespace cactusford::rollout
--- /dev/null
+++ b/cactusford/rollout/client.h
@@ -0,0 +1,78 @@
+// The trainers' client: fetches samples, each exactly once, and publishes
+// weights. One thread a client.
+#pragma once
+
+#include "cactusford/error.h"
+#include "cactusford/rollout/rollout.pb.h"
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace cactusford::rollout {
+
+// What a trainer saves together with the samples that it has applied. With it
+// a restarted trainer goes on where it was.
+struct cursor
+{
+  std::uint64_t step = 1;
+  // Bit i: slot i of the step is held.
+  std::string received;
+  std::uint64_t weight_version = 1;
+  std::uint64_t fence = 0;
+
+  friend bool operator==(const cursor&, const cursor&) = default;
+};
+
+struct batch
+{
+  std::vector<sample> samples;
+  std::uint32_t step_size = 0;
+  std::uint32_t staleness_bound = 0;
+  bool step_whole = false;
+};
+
+class trainer_client
+{
+public:
+  class builder
+  {
+  public:
+    builder& trainer(std::string name);
+    // "ip:port" of an entry's RPC port. Several may be named.
+    builder& entry(std::string address);
+    builder& start_at(cursor c);
+    builder& max_samples(std::uint32_t n);
+    builder& wait_ms(std::uint32_t ms);
+    trainer_client build() const;
+
+  private:
+    friend class trainer_client;
+    std::string name_;
+    std::vector<std::string> entries_;
+    cursor start_;
+    std::uint32_t max_samples_ = 64;
+    std::uint32_t wait_ms_ = 1000;
+  };
+
+  ~trainer_client();
+  trainer_client(trainer_client&&) noexcept;
+
+  // New samples of the present step; none when the wait is over. What it
+  // returned counts as held from then on. Errors are temporary unless they say
+  // not_found or bad_request.
+  result<batch> fetch();
+
+  // Publishes the version and goes on to the next step.
+  failure publish(std::uint64_t weight_version);
+
+  const cursor& position() const;
+
+private:
+  struct state;
+  explicit trainer_client(std::unique_ptr<state> s);
+  std::unique_ptr<state> state_;
+};
+
+} // namespace cactusford::rollout
--- /dev/null
+++ b/cactusford/routing/choose.cc
@@ -0,0 +1,195 @@
+#include "cactusford/routing/choose.h"
+
+#include <algorithm>
+#include <array>
+#include <cmath>
+
+namespace cactusford::routing {
+
+namespace {
+
+// Reports lag and age: others' calls end, so an old report counts for less.
+constexpr double report_half_life_ms = 1000;
+constexpr std::uint64_t first_avoid_ms = 200;
+constexpr std::uint64_t max_avoid_ms = 5000;
+constexpr std::size_t random_probes = 2;
+constexpr std::size_t scan_limit = 64;
+
+bool
+is_usable(const pool_state& p,
+          std::uint32_t index,
+          std::span<const std::uint32_t> excluded,
+          std::uint64_t now_ms)
+{
+  const bool out =
+    std::find(excluded.begin(), excluded.end(), index) != excluded.end();
+  return !out && p.targets[index].avoid_until_ms <= now_ms;
+}
+
+std::uint32_t
+random_index(pool_state& p)
+{
+  // A Weyl sequence through a mixer: spread evenly, the same on every run.
+  auto x = (p.turn += 0x9e3779b97f4a7c15ULL);
+  x = (x ^ (x >> 30)) * 0xbf58476d1ce4e5b9ULL;
+  return static_cast<std::uint32_t>((x >> 32) % p.targets.size());
+}
+
+std::optional<std::uint32_t>
+round_robin(pool_state& p,
+            std::span<const std::uint32_t> excluded,
+            std::uint64_t now_ms)
+{
+  for (std::size_t i = 0; i < p.targets.size(); ++i) {
+    const auto index =
+      static_cast<std::uint32_t>(p.turn++ % p.targets.size());
+    if (is_usable(p, index, excluded, now_ms)) {
+      return index;
+    }
+  }
+  return std::nullopt;
+}
+
+// The last resort when candidates and probes are all avoided: the usable one
+// with the least load among a bounded number from a random start.
+std::optional<std::uint32_t>
+scan(pool_state& p,
+     std::span<const std::uint32_t> excluded,
+     std::uint64_t now_ms)
+{
+  std::optional<std::uint32_t> best;
+  const auto start = random_index(p);
+  std::size_t usable = 0;
+  for (std::size_t i = 0; i < p.targets.size() && usable < scan_limit; ++i) {
+    const auto index =
+      static_cast<std::uint32_t>((start + i) % p.targets.size());
+    if (!is_usable(p, index, excluded, now_ms)) {
+      continue;
+    }
+    ++usable;
+    if (!best || expected_load(p.targets[index], now_ms) <
+                   expected_load(p.targets[*best], now_ms)) {
+      best = index;
+    }
+  }
+  return best;
+}
+
+} // namespace
+
+pool_state
+make_pool(std::vector<target> targets)
+{
+  pool_state p;
+  std::vector<std::string> names;
+  names.reserve(targets.size());
+  for (const auto& t : targets) {
+    names.push_back(t.instance);
+    p.own_total += t.own;
+  }
+  p.by_hash = make_ring(names);
+  p.targets = std::move(targets);
+  return p;
+}
+
+double
+expected_load(const target& t, std::uint64_t now_ms)
+{
+  const auto age =
+    now_ms > t.reported_ms ? static_cast<double>(now_ms - t.reported_ms) : 0.0;
+  const auto others =
+    t.others > 0 ? t.others * std::exp2(-age / report_half_life_ms) : 0.0;
+  return (t.own + others) / t.slots;
+}
+
+std::optional<std::uint32_t>
+choose(pool_state& p,
+       std::uint64_t key,
+       std::span<const std::uint32_t> excluded,
+       const options& o,
+       std::uint64_t now_ms)
+{
+  if (p.targets.empty()) {
+    return std::nullopt;
+  }
+  if (!o.by_load) {
+    return round_robin(p, excluded, now_ms);
+  }
+  const auto mean = static_cast<double>(p.own_total) /
+                    static_cast<double>(p.targets.size()) /
+                    p.targets.front().slots;
+  std::optional<std::uint32_t> best;
+  double best_load = 0;
+  const auto consider = [&](std::uint32_t index) {
+    const auto load = expected_load(p.targets[index], now_ms);
+    if (!best || load < best_load) {
+      best = index;
+      best_load = load;
+    }
+    return load;
+  };
+  if (o.by_prefix) {
+    std::array<std::uint32_t, candidate_count> near{};
+    const auto count = candidates_of(p.by_hash, key, near);
+    for (std::size_t i = 0; i < count; ++i) {
+      const auto index = near.at(i);
+      if (!is_usable(p, index, excluded, now_ms)) {
+        continue;
+      }
+      // One call more must still fit under the bound, or a hot prefix would
+      // queue on its server while others idle.
+      const auto& t = p.targets[index];
+      const auto step = 1.0 / t.slots;
+      if (consider(index) + step <= o.bound * (mean + step)) {
+        return index;
+      }
+    }
+  }
+  for (std::size_t i = 0; i < random_probes; ++i) {
+    const auto index = random_index(p);
+    if (is_usable(p, index, excluded, now_ms)) {
+      consider(index);
+    }
+  }
+  return best ? best : scan(p, excluded, now_ms);
+}
+
+void
+sent(pool_state& p, std::uint32_t index)
+{
+  ++p.targets[index].own;
+  ++p.own_total;
+}
+
+void
+returned(pool_state& p, std::uint32_t index)
+{
+  auto& t = p.targets[index];
+  if (t.own > 0) {
+    --t.own;
+    --p.own_total;
+  }
+}
+
+void
+reported(target& t,
+         std::uint32_t busy,
+         std::uint32_t slots,
+         std::uint64_t now_ms)
+{
+  t.others = busy > t.own ? busy - t.own : 0;
+  t.slots = std::max<std::uint32_t>(slots, 1);
+  t.reported_ms = now_ms;
+  t.failures = 0;
+}
+
+void
+failed(target& t, std::uint64_t now_ms)
+{
+  const auto exponent = std::min<std::uint32_t>(t.failures, 10);
+  t.avoid_until_ms =
+    now_ms + std::min(first_avoid_ms << exponent, max_avoid_ms);
+  ++t.failures;
+}
+
+} // namespace cactusford::routing
--- /dev/null
+++ b/cactusford/settings/settings.h
@@ -0,0 +1,100 @@
+// Settings of a process: JSON, checked against a schema before the start.
+#pragma once
+
+#include "cactusford/error.h"
+
+#include <nlohmann/json_fwd.hpp>
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace cactusford::settings {
+
+enum class role
+{
+  entry,
+  sidecar,
+};
+
+enum class backend_kind
+{
+  engine,
+  service,
+};
+
+// Times are milliseconds, addresses "ip:port"; port 0 lets the kernel choose.
+struct process_settings
+{
+  std::string instance;
+  std::string region;
+  std::string data_centre;
+  std::string link;
+  std::string admin;
+  std::string platform;
+  std::string log;
+  // Written once with the bound addresses, as JSON.
+  std::string ports_file;
+  std::string data_folder;
+  // Link addresses asked for the configuration while the platform is down.
+  std::vector<std::string> peers;
+  std::uint32_t lease_ms = 10000;
+  std::uint32_t max_clock_skew_ms = 2000;
+  std::uint32_t drain_limit_ms = 600000;
+
+  friend bool operator==(const process_settings&,
+                         const process_settings&) = default;
+};
+
+struct entry_settings
+{
+  process_settings process;
+  std::string http;
+  std::string rpc;
+  std::uint32_t max_callers = 256;
+  std::uint32_t max_body_bytes = 1U << 20;
+  std::uint32_t default_deadline_ms = 60000;
+  std::uint32_t retry_budget_percent = 20;
+  // "cactusford" or "baseline"; see docs/ROUTING.md.
+  std::string policy = "cactusford";
+  std::vector<std::string> disabled;
+
+  friend bool operator==(const entry_settings&,
+                         const entry_settings&) = default;
+};
+
+struct sidecar_settings
+{
+  process_settings process;
+  std::string backend;
+  backend_kind kind = backend_kind::engine;
+  // Pool or service that the backend server belongs to.
+  std::string serves;
+  std::string weight_store;
+  std::uint32_t max_running = 16;
+  std::uint32_t max_queued = 256;
+  std::uint32_t record_limit = 100000;
+  std::uint32_t record_bytes = 64U << 20;
+  std::uint32_t record_window_ms = 600000;
+
+  friend bool operator==(const sidecar_settings&,
+                         const sidecar_settings&) = default;
+};
+
+// Errors name the key, what is wrong and the remedy.
+result<entry_settings>
+entry_settings_from(std::string_view json_text);
+
+result<sidecar_settings>
+sidecar_settings_from(std::string_view json_text);
+
+result<std::string>
+read_file(const std::string& path);
+
+// Checks `document` against a JSON schema. The error names the first key that
+// does not fit.
+failure
+check(const nlohmann::json& schema, const nlohmann::json& document);
+
+} // namespace cactusford::settings
--- /dev/null
+++ b/cactusford/sidecar/gate.cc
@@ -0,0 +1,604 @@
+#include "cactusford/sidecar/gate.h"
+
+#include "cactusford/calls/home.h"
+#include "cactusford/timeline/event.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+
+namespace cactusford::sidecar {
+
+namespace {
+
+using calls::call_request;
+
+constexpr double average_weight = 0.1;
+constexpr std::uint32_t leaving_retry_ms = 50;
+constexpr std::uint32_t stale_retry_ms = 200;
+
+const char*
+class_name(calls::call_class c)
+{
+  switch (c) {
+    case calls::check:
+      return "check";
+    case calls::booking:
+      return "booking";
+    case calls::rollout:
+      return "rollout";
+    default:
+      return "live";
+  }
+}
+
+std::uint64_t
+fingerprint_of(const call_request& r)
+{
+  const auto text = r.service().method() + "\n" + r.service().path() + "\n" +
+                    r.service().body();
+  return XXH3_64bits(text.data(), text.size());
+}
+
+void
+average(double& value, double sample)
+{
+  value = value == 0 ? sample : value + average_weight * (sample - value);
+}
+
+timeline::event
+event_of(std::string_view name, const call_request& r)
+{
+  return timeline::event{ name }
+    .with("request", r.request_id())
+    .with("attempt", r.attempt())
+    .with("class", class_name(r.call_class()));
+}
+
+} // namespace
+
+gate::gate(process::daemon& d,
+           const settings::sidecar_settings& s,
+           const weight_keeper& weights)
+  : daemon_{ d }
+  , settings_{ s }
+  , weights_{ weights }
+  , backend_{ s.backend }
+{
+  queue_.limit = s.max_queued;
+  record_.limits = { s.record_limit,
+                     s.record_bytes,
+                     s.record_window_ms,
+                     s.process.max_clock_skew_ms };
+  // The record of an earlier process is gone: keys issued before this start
+  // may have run under it.
+  record_.tenure_ms = d.incarnation;
+}
+
+void
+gate::accept(const link::stream_ptr& s)
+{
+  s->on_message = [this, s](std::string_view m) { on_request(s, m); };
+}
+
+void
+gate::on_request(const link::stream_ptr& s, std::string_view message)
+{
+  s->on_message = nullptr;
+  call_request r;
+  if (!r.ParseFromArray(message.data(), static_cast<int>(message.size()))) {
+    s->cancel();
+    return;
+  }
+  receiver to;
+  to.stream = s;
+  to.request_id = r.request_id();
+  to.attempt = r.attempt();
+  if (const auto why = judge(r)) {
+    refuse(to, why);
+    return;
+  }
+  if (!r.idempotency_key().empty() && !admit_keyed(r, to)) {
+    return;
+  }
+  enqueue(std::move(r), std::move(to));
+}
+
+failure
+gate::judge(const call_request& r) const
+{
+  if (leaving_) {
+    return { error_kind::leaving, settings_.process.instance,
+             leaving_retry_ms };
+  }
+  if (!daemon_.configuration.is_ready()) {
+    return { error_kind::not_ready, settings_.process.instance,
+             stale_retry_ms };
+  }
+  if (r.pool() != settings_.serves) {
+    return { error_kind::not_found,
+             "this backend server serves " + settings_.serves };
+  }
+  const bool wants_engine = r.has_completion();
+  const bool is_engine = settings_.kind == settings::backend_kind::engine;
+  if (wants_engine != is_engine || (!r.has_service() && !wants_engine)) {
+    return { error_kind::bad_request, "wrong kind of work for this pool" };
+  }
+  const auto least = r.completion().min_version();
+  if (wants_engine && least > 0 &&
+      weights_.serving(r.completion().model()) < least) {
+    return { error_kind::stale_version,
+             "weights " + std::to_string(least) + " are not active yet",
+             stale_retry_ms };
+  }
+  // A call that could not end in time only takes capacity from those that
+  // can: refused now, it truly does not run.
+  const auto wait = expected_wait_ms(r);
+  if (r.call_class() != calls::rollout && wait > r.deadline_ms()) {
+    return { error_kind::overloaded,
+             "the expected wait is " + std::to_string(wait) + " ms",
+             static_cast<std::uint32_t>(wait - r.deadline_ms()) };
+  }
+  return {};
+}
+
+std::uint64_t
+gate::expected_wait_ms(const call_request& r) const
+{
+  if (r.call_class() == calls::rollout ||
+      running_callers_ < settings_.max_running) {
+    return 0;
+  }
+  const auto ahead = static_cast<double>(queue_.callers.size() + 1);
+  return static_cast<std::uint64_t>(ahead * call_ms_ /
+                                    settings_.max_running);
+}
+
+// A key belongs to one home only. Running it on another backend server would
+// pass by the record and could run it twice.
+failure
+gate::judge_home(const call_request& r)
+{
+  const auto view = daemon_.configuration.current();
+  const auto map = view->home_maps->find(settings_.serves);
+  if (map == view->home_maps->end()) {
+    return { error_kind::not_home, "there is no home map yet",
+             stale_retry_ms };
+  }
+  const auto home = calls::home_of(map->second.value, r.idempotency_key());
+  if (home.instance != settings_.process.instance) {
+    return { error_kind::not_home, "the home is " + home.instance,
+             stale_retry_ms };
+  }
+  // A process cut off from the platform may hold an old map while the key has
+  // a new home. Within the lease no new home takes over yet.
+  if (daemon_.configuration.confirmed_age_ms() > settings_.process.lease_ms) {
+    return { error_kind::not_home, "the lease of the home map has lapsed",
+             stale_retry_ms };
+  }
+  record_.tenure_ms = std::max(daemon_.incarnation, home.tenure_ms);
+  return {};
+}
+
+bool
+gate::admit_keyed(const call_request& r, receiver& to)
+{
+  if (const auto why = judge_home(r)) {
+    refuse(to, why);
+    return false;
+  }
+  const auto decided =
+    calls::admit(record_,
+                 { r.idempotency_key(), r.key_issued_ms(), fingerprint_of(r) },
+                 timeline::wall_ms());
+  switch (decided.what) {
+    case calls::admission::run:
+      return true;
+    case calls::admission::running: {
+      const auto found = keyed_.find(r.idempotency_key());
+      calls_.at(found->second)->receivers.push_back(std::move(to));
+      return false;
+    }
+    case calls::admission::answered:
+      send_answer(to, *decided.answer, true);
+      return false;
+    case calls::admission::refused:
+    case calls::admission::unknown:
+      refuse(to, decided.why);
+      return false;
+  }
+  return false;
+}
+
+void
+gate::enqueue(call_request r, receiver to)
+{
+  const auto id = next_id_++;
+  admission::waiting_call waiting;
+  waiting.id = id;
+  waiting.cls = static_cast<admission::call_class>(r.call_class());
+  waiting.flow = r.trainer();
+  waiting.share = r.share() / 1000.0;
+  waiting.expected_tokens = r.completion().max_tokens();
+  if (!admission::push(queue_, waiting)) {
+    if (!r.idempotency_key().empty()) {
+      calls::withdraw(record_, r.idempotency_key());
+    }
+    refuse(to,
+           { error_kind::overloaded,
+             "the queue holds " + std::to_string(queue_.limit) + " calls",
+             static_cast<std::uint32_t>(
+               std::max<std::uint64_t>(50, expected_wait_ms(r))) });
+    return;
+  }
+  auto c = std::make_unique<call>();
+  c->id = id;
+  c->deadline = process::steady_ms() + r.deadline_ms();
+  if (!r.idempotency_key().empty()) {
+    keyed_[r.idempotency_key()] = id;
+  }
+  to.stream->on_close = [this, raw = to.stream.get(), id](std::error_code) {
+    on_closed(raw, id);
+  };
+  c->request = std::move(r);
+  c->receivers.push_back(std::move(to));
+  calls_[id] = std::move(c);
+  pump();
+}
+
+// Callers' requests may use every slot although rollouts hold some: the
+// engine's priorities then hold the rollouts back.
+void
+gate::pump()
+{
+  while (running_callers_ < settings_.max_running) {
+    const auto next = admission::pop_caller(queue_);
+    if (!next) {
+      break;
+    }
+    ++running_callers_;
+    begin(*calls_.at(next->id));
+  }
+  while (running_ < settings_.max_running) {
+    const auto next = admission::pop_rollout(queue_);
+    if (!next) {
+      break;
+    }
+    begin(*calls_.at(next->id));
+  }
+}
+
+void
+gate::begin(call& c)
+{
+  ++running_;
+  c.running = true;
+  c.begun = process::steady_ms();
+  const auto& key = c.request.idempotency_key();
+  auto e = event_of("call_started", c.request);
+  if (!key.empty()) {
+    e.with("key", key);
+  }
+  timeline::log(e);
+  for (auto& to : c.receivers) {
+    calls::call_frame frame;
+    frame.mutable_started();
+    send_frame(to, frame, true);
+  }
+  if (c.request.has_completion()) {
+    run_completion(c);
+  } else {
+    run_service(c);
+  }
+}
+
+void
+gate::run_completion(call& c)
+{
+  const auto& work = c.request.completion();
+  c.swap_epoch = weights_.swap_epoch(work.model());
+  c.version = weights_.serving(work.model());
+  const engine::generation g{
+    c.request.request_id(),
+    work.model(),
+    work.prompt(),
+    work.max_tokens(),
+    work.resume_from(),
+    work.resume_text(),
+    static_cast<std::uint32_t>(admission::tier_of(
+      static_cast<admission::call_class>(c.request.call_class())))
+  };
+  daemon_.work(
+    [this, id = c.id, g, cancelled = c.cancelled] {
+      return backend_.generate(
+        g, *cancelled, [this, id](const engine::token_chunk& chunk) {
+          asio::post(daemon_.io, [this, id, chunk] { on_chunk(id, chunk); });
+        });
+    },
+    [this, id = c.id](const engine::generation_end& end) {
+      on_generation_end(id, end);
+    });
+}
+
+void
+gate::run_service(call& c)
+{
+  const auto& work = c.request.service();
+  const auto& key = c.request.idempotency_key();
+  const engine::service_request r{ work.method(),
+                                   work.path(),
+                                   work.content_type(),
+                                   work.body(),
+                                   key.empty() ? c.request.request_id() : key };
+  const auto now = process::steady_ms();
+  const auto left =
+    static_cast<std::uint32_t>(c.deadline > now ? c.deadline - now : 1);
+  daemon_.work([this, r, left] { return backend_.call(r, left); },
+               [this, id = c.id](const result<engine::service_answer>& a) {
+                 on_answer(id, a);
+               });
+}
+
+// Engines that name the version with each run are taken at their word. For
+// the others the version is the one read back, and only while no swap began
+// or ended since the call did: else nobody knows which weights spoke.
+std::uint64_t
+gate::attribute(call& c, const engine::token_chunk& chunk)
+{
+  if (chunk.weight_version != 0) {
+    return chunk.weight_version;
+  }
+  const auto& model = c.request.completion().model();
+  const bool steady = weights_.swap_epoch(model) == c.swap_epoch;
+  if (!steady || c.version == 0) {
+    c.misattributed = true;
+  }
+  return c.version;
+}
+
+void
+gate::on_chunk(std::uint64_t id, const engine::token_chunk& chunk)
+{
+  const auto found = calls_.find(id);
+  if (found == calls_.end() || found->second->stopped) {
+    return;
+  }
+  auto& c = *found->second;
+  const auto version = attribute(c, chunk);
+  if (c.misattributed && c.request.call_class() == calls::rollout) {
+    stop_call(c,
+              { error_kind::stream_cut,
+                "the weights changed and the engine names no version" });
+    return;
+  }
+  c.tokens += chunk.count;
+  if (c.request.call_class() == calls::rollout) {
+    admission::charge(queue_, c.request.trainer(), chunk.count);
+  }
+  for (auto& to : c.receivers) {
+    calls::call_frame frame;
+    auto& run = *frame.mutable_tokens();
+    run.set_count(chunk.count);
+    run.set_text(chunk.text);
+    run.set_weight_version(version);
+    to.sum.add(chunk.text);
+    send_frame(to, frame, false);
+  }
+}
+
+void
+gate::on_generation_end(std::uint64_t id, const engine::generation_end& end)
+{
+  const auto found = calls_.find(id);
+  if (found == calls_.end()) {
+    return;
+  }
+  auto& c = *found->second;
+  const auto spent = static_cast<double>(process::steady_ms() - c.begun);
+  if (c.tokens > 0) {
+    average(token_us_, spent * 1000 / static_cast<double>(c.tokens));
+  }
+  if (c.request.call_class() != calls::rollout) {
+    average(call_ms_, spent);
+  }
+  auto e = event_of("call_ended", c.request);
+  e.with("tokens", c.tokens)
+    .with("error",
+          name_of(c.stopped ? c.stopped.kind : end.error.kind));
+  timeline::log(e);
+  if (!c.stopped) {
+    for (auto& to : c.receivers) {
+      if (end.error) {
+        refuse(to, end.error);
+      } else {
+        send_end(to, end.finish_reason);
+      }
+    }
+  }
+  end_call(id);
+}
+
+void
+gate::on_answer(std::uint64_t id, const result<engine::service_answer>& r)
+{
+  auto& c = *calls_.at(id);
+  const auto& key = c.request.idempotency_key();
+  average(call_ms_, static_cast<double>(process::steady_ms() - c.begun));
+  timeline::log(event_of("call_ended", c.request)
+                  .with("error", name_of(r.error.kind)));
+  const auto answer = std::make_shared<const calls::kept_answer>(
+    calls::kept_answer{ r.value.status, r.value.content_type, r.value.body });
+  if (!key.empty()) {
+    if (r) {
+      calls::answered(record_, key, answer);
+    } else if (is_not_run(r.error.kind)) {
+      calls::withdraw(record_, key);
+    } else {
+      calls::failed(record_, key);
+    }
+  }
+  for (auto& to : c.receivers) {
+    if (r) {
+      send_answer(to, *answer, false);
+    } else {
+      refuse(to, r.error);
+    }
+  }
+  end_call(id);
+}
+
+// The entry went away or gave up. An idempotent call stops, since nobody waits
+// for it; one with a key goes on, since its repeat will ask for the answer.
+void
+gate::on_closed(link::stream* s, std::uint64_t id)
+{
+  const auto found = calls_.find(id);
+  if (found == calls_.end()) {
+    return;
+  }
+  auto& c = *found->second;
+  std::erase_if(c.receivers,
+                [s](const receiver& r) { return r.stream.get() == s; });
+  if (!c.receivers.empty() ||
+      (c.running && !c.request.idempotency_key().empty())) {
+    return;
+  }
+  stop_call(c, { error_kind::cancelled, "nobody waits for it" });
+}
+
+void
+gate::stop_call(call& c, const failure& why)
+{
+  c.stopped = why;
+  *c.cancelled = true;
+  for (auto& to : c.receivers) {
+    refuse(to, why);
+  }
+  c.receivers.clear();
+  if (!c.running && admission::remove(queue_, c.id)) {
+    if (!c.request.idempotency_key().empty()) {
+      calls::withdraw(record_, c.request.idempotency_key());
+    }
+    end_call(c.id);
+  }
+}
+
+void
+gate::end_call(std::uint64_t id)
+{
+  const auto found = calls_.find(id);
+  const auto& c = *found->second;
+  if (c.running) {
+    --running_;
+    if (c.request.call_class() == calls::rollout) {
+      admission::finished(queue_, c.request.trainer());
+    } else {
+      --running_callers_;
+    }
+  }
+  const auto& key = c.request.idempotency_key();
+  if (!key.empty()) {
+    keyed_.erase(key);
+  }
+  calls_.erase(found);
+  pump();
+}
+
+void
+gate::tick()
+{
+  const auto now = process::steady_ms();
+  std::vector<std::uint64_t> late;
+  for (const auto& [id, c] : calls_) {
+    const bool service = c->request.has_service();
+    if (now >= c->deadline && !c->stopped && !(c->running && service)) {
+      late.push_back(id);
+    }
+  }
+  for (const auto id : late) {
+    auto& c = *calls_.at(id);
+    const auto kind =
+      c.running ? error_kind::stream_cut : error_kind::deadline_exceeded;
+    stop_call(c, { kind, "the deadline has passed" });
+  }
+  calls::expire(record_, timeline::wall_ms());
+  daemon_.metrics.set("queued", static_cast<double>(admission::size(queue_)));
+  daemon_.metrics.set("running", running_);
+}
+
+void
+gate::leave()
+{
+  leaving_ = true;
+  for (auto& [id, c] : calls_) {
+    for (auto& to : c->receivers) {
+      calls::call_frame frame;
+      frame.set_leaving(true);
+      send_frame(to, frame, true);
+    }
+  }
+}
+
+void
+gate::send_frame(receiver& to, calls::call_frame& frame, bool with_load)
+{
+  frame.set_request_id(to.request_id);
+  frame.set_attempt(to.attempt);
+  frame.set_sequence(to.sequence++);
+  if (with_load) {
+    auto& load = *frame.mutable_load();
+    load.set_running(running_);
+    load.set_queued(static_cast<std::uint32_t>(admission::size(queue_)));
+    load.set_slots(settings_.max_running);
+    load.set_incarnation(daemon_.incarnation);
+    load.set_token_us(static_cast<std::uint32_t>(token_us_));
+  }
+  to.stream->send(frame.SerializeAsString());
+}
+
+void
+gate::send_end(receiver& to, std::string_view reason)
+{
+  calls::call_frame frame;
+  auto& end = *frame.mutable_end();
+  end.set_frames(to.sequence);
+  end.set_checksum(to.sum.value());
+  end.set_finish_reason(std::string{ reason });
+  send_frame(to, frame, true);
+  to.stream->finish();
+}
+
+void
+gate::send_answer(receiver& to, const calls::kept_answer& a, bool repeated)
+{
+  calls::call_frame frame;
+  auto& answer = *frame.mutable_answer();
+  answer.set_status(a.status);
+  answer.set_content_type(a.content_type);
+  answer.set_body(a.body);
+  answer.set_repeated(repeated);
+  to.sum.add(a.body);
+  send_frame(to, frame, false);
+  send_end(to, "answered");
+}
+
+void
+gate::refuse(receiver& to, const failure& why)
+{
+  timeline::log(timeline::event{ "call_refused" }
+                  .with("request", to.request_id)
+                  .with("attempt", to.attempt)
+                  .with("error", name_of(why.kind))
+                  .with("detail", why.detail));
+  daemon_.metrics.add("refusals_total",
+                      { { "kind", std::string{ name_of(why.kind) } } });
+  calls::call_frame frame;
+  auto& refusal = *frame.mutable_refusal();
+  refusal.set_kind(std::string{ name_of(why.kind) });
+  refusal.set_message(why.detail);
+  refusal.set_retry_after_ms(why.retry_after_ms);
+  send_frame(to, frame, true);
+  to.stream->finish();
+}
+
+} // namespace cactusford::sidecar
--- /dev/null
+++ b/cactusford/testing/section.h
@@ -0,0 +1,36 @@
+// Nested sections for Criterion's tests: each names itself in the output, so
+// that a run reads as a story.
+#pragma once
+
+#include <cstdio>
+#include <string>
+
+namespace cactusford::testing {
+
+class section
+{
+public:
+  explicit section(const char* name)
+  {
+    std::printf("%s%s\n", std::string(2UL * depth(), ' ').c_str(), name);
+    std::fflush(stdout);
+    ++depth();
+  }
+  ~section() { --depth(); }
+  section(const section&) = delete;
+  section& operator=(const section&) = delete;
+  explicit operator bool() const { return true; }
+
+private:
+  static int& depth()
+  {
+    static int value = 1;
+    return value;
+  }
+};
+
+} // namespace cactusford::testing
+
+// SECTION("what holds here") { ... }
+#define SECTION(name)                                                          \
+  if (const ::cactusford::testing::section section_guard{ name }; section_guard)
--- /dev/null
+++ b/cactusford/timeline/history.cc
@@ -0,0 +1,478 @@
+#include "cactusford/timeline/history.h"
+
+#include <algorithm>
+#include <filesystem>
+#include <fstream>
+#include <map>
+#include <set>
+#include <sstream>
+
+namespace cactusford::timeline {
+
+namespace {
+
+struct token_run
+{
+  std::uint64_t version = 0;
+  std::uint64_t tokens = 0;
+
+  friend bool operator==(const token_run&, const token_run&) = default;
+};
+
+using runs = std::vector<token_run>;
+
+void
+add(runs& r, std::uint64_t version, std::uint64_t tokens)
+{
+  if (tokens == 0) {
+    return;
+  }
+  if (!r.empty() && r.back().version == version) {
+    r.back().tokens += tokens;
+  } else {
+    r.push_back({ version, tokens });
+  }
+}
+
+// "version:tokens,version:tokens".
+runs
+runs_from(const std::string& text)
+{
+  runs r;
+  std::istringstream in{ text };
+  std::string part;
+  while (std::getline(in, part, ',')) {
+    const auto colon = part.find(':');
+    if (colon != std::string::npos) {
+      add(r, std::stoull(part), std::stoull(part.substr(colon + 1)));
+    }
+  }
+  return r;
+}
+
+std::uint64_t
+total_of(const runs& r)
+{
+  std::uint64_t total = 0;
+  for (const auto& run : r) {
+    total += run.tokens;
+  }
+  return total;
+}
+
+// What engines say they produced for one request: the version from each
+// position on. A later attempt takes over from where it was resumed.
+class truth
+{
+public:
+  void on_run(std::uint64_t from, std::uint64_t version)
+  {
+    from_.erase(from_.lower_bound(from), from_.end());
+    from_[from] = version;
+  }
+
+  runs first(std::uint64_t tokens) const
+  {
+    runs r;
+    for (auto i = from_.begin(); i != from_.end() && i->first < tokens; ++i) {
+      const auto next = std::next(i);
+      const auto end = next == from_.end() ? tokens : next->first;
+      add(r, i->second, std::min(end, tokens) - i->first);
+    }
+    return r;
+  }
+
+private:
+  std::map<std::uint64_t, std::uint64_t> from_;
+};
+
+void
+fail(promise_result& r, const record& at, const std::string& what)
+{
+  r.violations.push_back("hlc=" + to_string(at.at) + " process=" + at.process +
+                         " " + what);
+}
+
+// The engine logs each run when it begins, so the order by time is enough:
+// what an attempt produced after it was cut is overwritten by the next one.
+promise_result
+check_attribution(const std::vector<record>& records)
+{
+  promise_result r{ "attribution", 0, {} };
+  std::map<std::string, truth> made;
+  for (const auto& e : records) {
+    if (e.name == "engine_run") {
+      made[e.value("request")].on_run(e.number("from"),
+                                      e.number("weight_version"));
+    }
+  }
+  for (const auto& e : records) {
+    if (e.name != "sample_received") {
+      continue;
+    }
+    ++r.checked;
+    const auto named = runs_from(e.value("runs"));
+    const auto real = made[e.value("sample")].first(total_of(named));
+    if (named.empty() || named != real) {
+      fail(r, e, "sample " + e.value("sample") + " names " + e.value("runs"));
+    }
+  }
+  return r;
+}
+
+promise_result
+check_staleness(const std::vector<record>& records)
+{
+  promise_result r{ "staleness", 0, {} };
+  for (const auto& e : records) {
+    if (e.name != "sample_received") {
+      continue;
+    }
+    ++r.checked;
+    auto oldest = UINT64_MAX;
+    for (const auto& run : runs_from(e.value("runs"))) {
+      oldest = std::min(oldest, run.version);
+    }
+    if (oldest == UINT64_MAX ||
+        oldest + e.number("bound") < e.number("version")) {
+      fail(r, e, "sample " + e.value("sample") + " is too old");
+    }
+  }
+  return r;
+}
+
+promise_result
+check_exactly_once(const std::vector<record>& records)
+{
+  promise_result r{ "exactly_once", 0, {} };
+  std::map<std::string, std::set<std::uint64_t>> held;
+  for (const auto& e : records) {
+    const auto step = e.value("trainer") + "/" + e.value("step");
+    if (e.name == "sample_received") {
+      ++r.checked;
+      if (!held[step].insert(e.number("slot")).second) {
+        fail(r, e, "slot " + e.value("slot") + " of " + step + " came twice");
+      }
+    } else if (e.name == "step_completed" &&
+               held[step].size() != e.number("size")) {
+      fail(r, e, step + " lacks samples");
+    }
+  }
+  return r;
+}
+
+promise_result
+check_whole(const std::vector<record>& records)
+{
+  promise_result r{ "whole_answer", 0, {} };
+  for (const auto& e : records) {
+    if (e.name != "answer_received") {
+      continue;
+    }
+    ++r.checked;
+    if (e.value("outcome") == "answered" && e.value("whole") != "1") {
+      fail(r, e, "request " + e.value("request") + " got a part or another's");
+    }
+  }
+  return r;
+}
+
+// The id that the service sees: the key of a non-idempotent call, else the
+// request's.
+std::string
+id_of(const record& e)
+{
+  const auto& key = e.value("key");
+  return key.empty() ? e.value("request") : key;
+}
+
+promise_result
+check_not_run(const std::vector<record>& records)
+{
+  promise_result r{ "not_run", 0, {} };
+  std::map<std::string, const record*> executed;
+  std::set<std::string> other;
+  for (const auto& e : records) {
+    if (e.name == "service_executed" || e.name == "engine_run") {
+      const auto& id =
+        e.name == "engine_run" ? e.value("request") : e.value("id");
+      executed.emplace(id, &e);
+    } else if (e.name == "answer_received" &&
+               e.value("outcome") != "not_run") {
+      other.insert(id_of(e));
+    }
+  }
+  for (const auto& e : records) {
+    if (e.name != "answer_received" || e.value("outcome") != "not_run") {
+      continue;
+    }
+    ++r.checked;
+    const auto id = id_of(e);
+    const auto ran = executed.find(id);
+    if (ran != executed.end() && !other.contains(id)) {
+      fail(r, e, "request " + id + " ran");
+    }
+  }
+  return r;
+}
+
+promise_result
+check_at_most_once(const std::vector<record>& records)
+{
+  promise_result r{ "at_most_once", 0, {} };
+  std::set<std::string> keys;
+  for (const auto& e : records) {
+    if (e.name == "answer_received" && !e.value("key").empty()) {
+      keys.insert(e.value("key"));
+    }
+    // A caller that died has no answer, but its key was sent.
+    if (e.name == "request_accepted" && !e.value("key").empty()) {
+      keys.insert(e.value("key"));
+    }
+  }
+  r.checked = keys.size();
+  std::map<std::string, std::uint64_t> runs;
+  for (const auto& e : records) {
+    if (e.name == "service_executed" && keys.contains(e.value("id")) &&
+        ++runs[e.value("id")] > 1) {
+      fail(r, e, "key " + e.value("id") + " ran twice");
+    }
+  }
+  return r;
+}
+
+promise_result
+check_leaving(const std::vector<record>& records, const history_limits& l)
+{
+  promise_result r{ "leaving", 0, {} };
+  std::map<std::string, std::uint64_t> since;
+  for (const auto& e : records) {
+    if (e.name == "process_started") {
+      since.erase(e.process);
+    } else if (e.name == "process_leaving") {
+      since[e.process] = e.at.ms;
+      ++r.checked;
+    } else if (e.name == "call_started" && since.contains(e.process) &&
+               e.at.ms > since[e.process] + l.leaving_ms) {
+      fail(r, e, "request " + e.value("request") + " began");
+    }
+  }
+  return r;
+}
+
+// What a process has begun and not ended, by request and attempt.
+promise_result
+check_graceful(const std::vector<record>& records)
+{
+  promise_result r{ "graceful", 0, {} };
+  std::map<std::string, std::map<std::string, const record*>> open;
+  for (const auto& e : records) {
+    auto& mine = open[e.process];
+    const auto id = e.value("request") + "#" + e.value("attempt");
+    if (e.name == "process_started") {
+      mine.clear();
+    } else if (e.name == "call_started" || e.name == "request_accepted") {
+      mine[id] = &e;
+    } else if (e.name == "call_ended" || e.name == "request_ended") {
+      mine.erase(id);
+    } else if (e.name == "process_stopped") {
+      ++r.checked;
+      for (const auto& [request, began] : mine) {
+        fail(r, *began, "request " + request + " was cut off");
+      }
+      mine.clear();
+    }
+  }
+  return r;
+}
+
+bool
+is_exit(const record& e)
+{
+  return e.name == "process_stopped" || e.name == "process_killed" ||
+         e.name == "process_paused";
+}
+
+// When each process was up without a break: from its readiness to its end.
+struct life
+{
+  std::uint64_t from = 0;
+  std::uint64_t to = UINT64_MAX;
+};
+
+std::map<std::string, std::vector<life>>
+lives_of(const std::vector<record>& records)
+{
+  std::map<std::string, std::vector<life>> lives;
+  for (const auto& e : records) {
+    const auto& named = e.value("target");
+    auto& mine = lives[named.empty() ? e.process : named];
+    if (e.name == "configuration_ready" || e.name == "process_resumed") {
+      mine.push_back({ e.at.ms, UINT64_MAX });
+    } else if ((is_exit(e) || e.name == "process_leaving") && !mine.empty()) {
+      mine.back().to = std::min(mine.back().to, e.at.ms);
+    }
+  }
+  return lives;
+}
+
+using applied = std::map<std::pair<std::string, std::string>,
+                         std::map<std::uint64_t, std::uint64_t>>;
+
+std::string
+object_of(const record& e)
+{
+  return e.value("kind") + "/" + e.value("name");
+}
+
+// For each process and object: version -> when it came into force.
+applied
+applied_of(const std::vector<record>& records)
+{
+  applied all;
+  for (const auto& e : records) {
+    if (e.name == "configuration_in_force") {
+      all[{ e.process, object_of(e) }].emplace(e.number("version"), e.at.ms);
+    }
+  }
+  return all;
+}
+
+// Time until the process held the version or a newer one; UINT64_MAX if never.
+std::uint64_t
+delay_of(const applied& all, const std::string& process, const record& accepted)
+{
+  const auto mine = all.find({ process, object_of(accepted) });
+  if (mine == all.end()) {
+    return UINT64_MAX;
+  }
+  auto best = UINT64_MAX;
+  for (auto v = mine->second.lower_bound(accepted.number("version"));
+       v != mine->second.end();
+       ++v) {
+    best = std::min(best, v->second);
+  }
+  if (best == UINT64_MAX) {
+    return best;
+  }
+  return best > accepted.at.ms ? best - accepted.at.ms : 0;
+}
+
+bool
+was_up(const std::vector<life>& lives, std::uint64_t from, std::uint64_t to)
+{
+  return std::any_of(lives.begin(), lives.end(), [&](const auto& one) {
+    return one.from <= from && one.to >= to;
+  });
+}
+
+promise_result
+check_configuration(const std::vector<record>& records,
+                    const history_limits& l)
+{
+  promise_result r{ "configuration", 0, {} };
+  const auto all = applied_of(records);
+  const auto lives = lives_of(records);
+  const auto last = records.empty() ? 0 : records.back().at.ms;
+  std::map<std::pair<std::string, std::string>, std::uint64_t> held;
+  for (const auto& e : records) {
+    if (e.name == "process_started") {
+      std::erase_if(held,
+                    [&](const auto& h) { return h.first.first == e.process; });
+    } else if (e.name == "configuration_in_force") {
+      ++r.checked;
+      auto& version = held[{ e.process, object_of(e) }];
+      if (e.number("version") <= version) {
+        fail(r, e, object_of(e) + " went back to " + e.value("version"));
+      }
+      version = std::max(version, e.number("version"));
+    } else if (e.name == "configuration_accepted") {
+      for (const auto& [process, spans] : lives) {
+        if (was_up(spans, e.at.ms, e.at.ms + l.in_force_ms) &&
+            e.at.ms + l.in_force_ms <= last &&
+            delay_of(all, process, e) > l.in_force_ms) {
+          fail(r,
+               e,
+               object_of(e) + " version " + e.value("version") +
+                 " is not in force on " + process);
+        }
+      }
+    }
+  }
+  return r;
+}
+
+} // namespace
+
+std::vector<record>
+read_logs(const std::string& folder)
+{
+  std::vector<record> records;
+  for (const auto& file :
+       std::filesystem::recursive_directory_iterator{ folder }) {
+    if (file.path().extension() != ".log") {
+      continue;
+    }
+    std::ifstream in{ file.path() };
+    std::string line;
+    while (std::getline(in, line)) {
+      if (auto r = parse(line)) {
+        records.push_back(std::move(*r));
+      }
+    }
+  }
+  sort_records(records);
+  return records;
+}
+
+void
+sort_records(std::vector<record>& records)
+{
+  std::stable_sort(
+    records.begin(), records.end(), [](const auto& a, const auto& b) {
+      return std::tie(a.at, a.process) < std::tie(b.at, b.process);
+    });
+}
+
+std::vector<promise_result>
+check_history(const std::vector<record>& records, const history_limits& l)
+{
+  return { check_attribution(records),
+           check_staleness(records),
+           check_exactly_once(records),
+           check_whole(records),
+           check_not_run(records),
+           check_at_most_once(records),
+           check_leaving(records, l),
+           check_graceful(records),
+           check_configuration(records, l) };
+}
+
+std::string
+to_string(const promise_result& r)
+{
+  return "promise=" + r.promise + " checked=" + std::to_string(r.checked) +
+         " violations=" + std::to_string(r.violations.size());
+}
+
+std::uint64_t
+longest_in_force_ms(const std::vector<record>& records)
+{
+  const auto all = applied_of(records);
+  const auto lives = lives_of(records);
+  std::uint64_t longest = 0;
+  for (const auto& e : records) {
+    if (e.name != "configuration_accepted") {
+      continue;
+    }
+    for (const auto& [process, spans] : lives) {
+      const auto delay = delay_of(all, process, e);
+      if (delay != UINT64_MAX && was_up(spans, e.at.ms, e.at.ms + delay)) {
+        longest = std::max(longest, delay);
+      }
+    }
+  }
+  return longest;
+}
+
+} // namespace cactusford::timeline
--- /dev/null
+++ b/cactusford/weights/machine.cc
@@ -0,0 +1,132 @@
+#include "cactusford/weights/machine.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace cactusford::weights {
+
+namespace {
+
+constexpr std::uint64_t first_retry_ms = 100;
+constexpr std::uint64_t max_retry_ms = 2000;
+
+void
+back_off(machine& m, std::uint64_t now_ms)
+{
+  const auto exponent = std::min<std::uint32_t>(m.failures, 5);
+  m.not_before_ms =
+    now_ms + std::min(first_retry_ms << exponent, max_retry_ms);
+  ++m.failures;
+}
+
+} // namespace
+
+void
+want(machine& m,
+     std::uint64_t version,
+     std::uint64_t fence,
+     std::uint64_t swap_not_before_ms)
+{
+  if (fence <= m.fence) {
+    return;
+  }
+  m.wanted = version;
+  m.fence = fence;
+  m.failures = 0;
+  m.not_before_ms = 0;
+  m.swap_not_before_ms = swap_not_before_ms;
+}
+
+action
+begin(machine& m, std::uint64_t now_ms)
+{
+  if (now_ms < m.not_before_ms) {
+    return action::none;
+  }
+  if (m.now == phase::unknown) {
+    m.now = phase::reading;
+    return action::read_back;
+  }
+  const bool can_order = m.now == phase::idle || m.now == phase::staged;
+  if (!can_order || m.wanted == 0 || m.wanted == m.active) {
+    return action::none;
+  }
+  if (m.staged != m.wanted) {
+    m.now = phase::staging;
+    return action::stage;
+  }
+  if (now_ms < m.swap_not_before_ms) {
+    return action::none;
+  }
+  m.now = phase::swapping;
+  ++m.swap_epoch;
+  return action::swap;
+}
+
+void
+on_read(machine& m, const result<engine::versions>& r, std::uint64_t now_ms)
+{
+  if (!r) {
+    m.now = phase::unknown;
+    back_off(m, now_ms);
+    return;
+  }
+  if (m.active != r.value.active) {
+    ++m.swap_epoch;
+  }
+  m.active = r.value.active;
+  m.staged = r.value.staged;
+  m.now = phase::idle;
+}
+
+// An order whose answer is lost may or may not have taken effect. Guessing
+// would name the wrong version for the tokens that follow, so the machine
+// reads back first.
+void
+on_order(machine& m,
+         engine::order_kind kind,
+         std::uint64_t version,
+         const failure& f,
+         std::uint64_t now_ms)
+{
+  if (kind == engine::order_kind::swap) {
+    ++m.swap_epoch;
+  }
+  if (f) {
+    m.now = phase::unknown;
+    back_off(m, now_ms);
+    return;
+  }
+  m.failures = 0;
+  if (kind == engine::order_kind::stage) {
+    m.staged = version;
+    m.now = phase::staged;
+  } else {
+    m.active = version;
+    m.staged = 0;
+    m.now = phase::idle;
+  }
+}
+
+std::uint64_t
+serving(const machine& m)
+{
+  const bool known = m.now == phase::idle || m.now == phase::staging ||
+                     m.now == phase::staged;
+  return known ? m.active : 0;
+}
+
+std::uint64_t
+wave_delay_ms(std::size_t position,
+              std::size_t count,
+              double max_swapping_share,
+              std::uint64_t swap_ms)
+{
+  const auto per_wave = std::max<std::size_t>(
+    1,
+    static_cast<std::size_t>(
+      std::floor(static_cast<double>(count) * max_swapping_share)));
+  return (position / per_wave) * swap_ms;
+}
+
+} // namespace cactusford::weights
--- /dev/null
+++ b/standins/fleet.cc
@@ -0,0 +1,539 @@
+#include "standins/fleet.h"
+
+#include "cactusford/link/link.h"
+#include "cactusford/process/daemon.h"
+#include "cactusford/timeline/event.h"
+
+#include <httplib.h>
+
+#include <fcntl.h>
+#include <spawn.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <array>
+#include <chrono>
+#include <csignal>
+#include <filesystem>
+#include <fstream>
+#include <thread>
+
+extern char** environ;
+
+namespace cactusford::standins {
+
+namespace {
+
+using nlohmann::json;
+namespace fs = std::filesystem;
+
+constexpr std::uint32_t start_limit_ms = 20000;
+constexpr std::uint32_t stop_limit_ms = 15000;
+
+void
+rest(std::uint32_t ms)
+{
+  std::this_thread::sleep_for(std::chrono::milliseconds{ ms });
+}
+
+json
+read_json(const fs::path& path)
+{
+  std::ifstream in{ path };
+  return json::parse(in, nullptr, false, true);
+}
+
+pid_t
+spawn_program(const std::vector<std::string>& words, const std::string& output)
+{
+  std::vector<char*> arguments;
+  for (const auto& w : words) {
+    arguments.push_back(const_cast<char*>(w.c_str()));
+  }
+  arguments.push_back(nullptr);
+  posix_spawn_file_actions_t actions;
+  posix_spawn_file_actions_init(&actions);
+  posix_spawn_file_actions_addopen(
+    &actions, 1, output.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
+  posix_spawn_file_actions_adddup2(&actions, 1, 2);
+  pid_t pid = 0;
+  const int rc = posix_spawn(
+    &pid, words[0].c_str(), &actions, nullptr, arguments.data(), environ);
+  posix_spawn_file_actions_destroy(&actions);
+  return rc == 0 ? pid : 0;
+}
+
+std::string
+read_text(const fs::path& path)
+{
+  std::ifstream in{ path };
+  return { std::istreambuf_iterator<char>{ in }, {} };
+}
+
+} // namespace
+
+fleet::fleet(fleet_options o)
+  : options_{ std::move(o) }
+{
+  std::signal(SIGPIPE, SIG_IGN);
+  fs::remove_all(options_.folder);
+  fs::create_directories(options_.folder);
+  deployment_ = read_json(options_.deployment + "/deployment.json");
+  deployment_.merge_patch(options_.deployment_settings);
+}
+
+// Daemons first, or they would report the end of the stand-ins as failures.
+fleet::~fleet()
+{
+  std::vector<std::string> standins;
+  std::vector<std::string> daemons;
+  for (const auto& [name, p] : processes_) {
+    auto& group = p.listed.is_null() ? standins : daemons;
+    group.push_back(name);
+  }
+  for (const auto* group : { &daemons, &standins }) {
+    for (const auto& name : *group) {
+      if (is_running(name)) {
+        kill(processes_[name].pid, SIGCONT);
+        kill(processes_[name].pid, SIGTERM);
+      }
+    }
+    for (const auto& name : *group) {
+      if (wait_exit(name, stop_limit_ms) < 0) {
+        signal(name, SIGKILL);
+      }
+    }
+  }
+}
+
+json
+fleet::common(const std::string& name, std::size_t number) const
+{
+  const auto& centres = deployment_.at("data_centres");
+  return { { "instance", name },
+           { "region", deployment_.at("region") },
+           { "data_centre", centres[number % centres.size()] },
+           { "link", "127.0.0.1:0" },
+           { "admin", "127.0.0.1:0" },
+           { "platform", address("platform", "platform") },
+           { "log", options_.folder + "/" + name + ".log" },
+           { "ports_file", options_.folder + "/" + name + ".ports" } };
+}
+
+std::string
+fleet::spawn(const std::string& name)
+{
+  auto& p = processes_.at(name);
+  const auto base = options_.folder + "/" + name;
+  fs::remove(base + ".ports");
+  std::ofstream{ base + ".json" } << p.settings.dump(2) << "\n";
+  p.pid = spawn_program({ options_.programs + "/" + p.program,
+                          "--settings",
+                          base + ".json" },
+                        base + ".out");
+  return wait_ports(name) ? std::string{}
+                          : name + " did not start: " + read_text(base + ".out");
+}
+
+bool
+fleet::wait_ports(const std::string& name)
+{
+  auto& p = processes_.at(name);
+  const auto path = options_.folder + "/" + name + ".ports";
+  for (std::uint32_t waited = 0; waited < start_limit_ms; waited += 10) {
+    if (fs::exists(path)) {
+      p.ports.clear();
+      const auto bound = read_json(path);
+      for (const auto& [port, number] : bound.items()) {
+        p.ports[port] = number;
+      }
+      return true;
+    }
+    if (!is_running(name)) {
+      return false;
+    }
+    rest(10);
+  }
+  return false;
+}
+
+std::string
+fleet::address(const std::string& name, const std::string& port) const
+{
+  return "127.0.0.1:" + std::to_string(processes_.at(name).ports.at(port));
+}
+
+std::string
+fleet::address_of_backend(const std::string& backend) const
+{
+  return address(hosts_.at(backend), backend);
+}
+
+void
+fleet::add_backends()
+{
+  json shared{ { "role", "backends" },
+               { "instance", "backends" },
+               { "engines", json::array() },
+               { "services", json::array() } };
+  const auto place = [&](const std::string& name,
+                         const char* group,
+                         const json& settings) {
+    hosts_[name] = options_.split_backends ? name : "backends";
+    if (!options_.split_backends) {
+      shared[group].push_back(settings);
+      return;
+    }
+    processes_[name] = { "cactusford-standin",
+                         { { "role", "backends" },
+                           { "instance", name },
+                           { group, json::array({ settings }) } },
+                         nullptr,
+                         0,
+                         {} };
+  };
+  for (const auto& e : deployment_.value("engines", json::array())) {
+    for (int i = 0; i < e.at("count"); ++i) {
+      auto settings = e.value("settings", json::object());
+      settings.merge_patch(options_.engine_settings);
+      const auto name =
+        "engine-" + e.at("pool").get<std::string>() + "-" + std::to_string(i);
+      settings["name"] = name;
+      place(name, "engines", settings);
+    }
+  }
+  for (const auto& s : deployment_.value("services", json::array())) {
+    for (int i = 0; i < s.at("count"); ++i) {
+      auto settings = s.value("settings", json::object());
+      const auto name = "server-" + s.at("service").get<std::string>() + "-" +
+                        std::to_string(i);
+      settings["name"] = name;
+      place(name, "services", settings);
+    }
+  }
+  if (!options_.split_backends) {
+    processes_["backends"] = {
+      "cactusford-standin", shared, nullptr, 0, {}
+    };
+  }
+  for (auto& [name, p] : processes_) {
+    p.settings["log"] = options_.folder + "/" + name + ".log";
+    p.settings["ports_file"] = options_.folder + "/" + name + ".ports";
+  }
+}
+
+void
+fleet::add_sidecar(const std::string& name,
+                   const std::string& kind,
+                   const std::string& serves,
+                   const std::string& backend,
+                   std::size_t number)
+{
+  auto s = common(name, number);
+  s["backend"] = address_of_backend(backend);
+  s["kind"] = kind;
+  s["serves"] = serves;
+  s.merge_patch(options_.sidecar_settings);
+  json listed{ { "id", name },
+               { "role", "sidecar" },
+               { "region", s["region"] },
+               { "data_centre", s["data_centre"] },
+               { "serves", serves },
+               { "state", "live" } };
+  processes_[name] = { "cactusford-sidecar", s, listed, 0, {} };
+  sidecars_[serves].push_back(name);
+}
+
+std::string
+fleet::start()
+{
+  json s{ { "role", "platform" }, { "instance", "platform" } };
+  s.merge_patch(options_.platform_settings);
+  processes_["platform"] = { "cactusford-standin", s, nullptr, 0, {} };
+  add_backends();
+  std::vector<std::string> names;
+  for (const auto& [name, p] : processes_) {
+    names.push_back(name);
+  }
+  for (const auto& name : names) {
+    if (const auto wrong = spawn(name); !wrong.empty()) {
+      return wrong;
+    }
+  }
+  std::vector<std::string> listed;
+  std::size_t number = 0;
+  for (int i = 0; i < deployment_.value("entries", 2); ++i) {
+    const auto name = "entry-" + std::to_string(i);
+    auto e = common(name, number++);
+    e["http"] = "127.0.0.1:0";
+    e["rpc"] = "127.0.0.1:0";
+    e.merge_patch(options_.entry_settings);
+    json line{ { "id", name },
+               { "role", "entry" },
+               { "region", e["region"] },
+               { "data_centre", e["data_centre"] },
+               { "state", "live" } };
+    processes_[name] = { "cactusford-entry", e, line, 0, {} };
+    listed.push_back(name);
+  }
+  for (const auto& e : deployment_.value("engines", json::array())) {
+    for (int i = 0; i < e.at("count"); ++i) {
+      const std::string pool = e.at("pool");
+      const auto n = pool + "-" + std::to_string(i);
+      add_sidecar(n, "engine", pool, "engine-" + n, number++);
+      listed.push_back(n);
+    }
+  }
+  for (const auto& e : deployment_.value("services", json::array())) {
+    for (int i = 0; i < e.at("count"); ++i) {
+      const std::string service = e.at("service");
+      const auto n = service + "-" + std::to_string(i);
+      add_sidecar(n, "service", service, "server-" + n, number++);
+      listed.push_back(n);
+    }
+  }
+  for (const auto& name : listed) {
+    if (const auto wrong = spawn(name); !wrong.empty()) {
+      return wrong;
+    }
+  }
+  list(listed);
+  for (const auto& name : listed) {
+    if (!wait_ready(name, start_limit_ms)) {
+      return name + " is not ready";
+    }
+  }
+  return {};
+}
+
+bool
+fleet::post(const std::string& address,
+            const std::string& path,
+            const json& body) const
+{
+  const auto a = link::address_from(address);
+  httplib::Client c{ a.ip, a.port };
+  c.set_read_timeout(std::chrono::seconds{ 5 });
+  const auto r = c.Post(path.c_str(), body.dump(), "application/json");
+  return r && r->status == 200;
+}
+
+void
+fleet::list(const std::vector<std::string>& names)
+{
+  auto lines = json::array();
+  for (const auto& name : names) {
+    auto& p = processes_.at(name);
+    p.listed["link"] = address(name, "link");
+    lines.push_back(p.listed);
+  }
+  post(address("platform", "platform"), "/control/instances", lines);
+}
+
+void
+fleet::mark_leaving(const std::string& name)
+{
+  processes_.at(name).listed["state"] = "leaving";
+  list({ name });
+}
+
+void
+fleet::mark_gone(const std::string& name)
+{
+  post(address("platform", "platform"),
+       "/control/instances",
+       json::array({ { { "id", name }, { "gone", true } } }));
+}
+
+bool
+fleet::wait_ready(const std::string& name, std::uint32_t limit_ms)
+{
+  const auto a = link::address_from(address(name, "admin"));
+  const auto end = cactusford::process::steady_ms() + limit_ms;
+  while (cactusford::process::steady_ms() < end && is_running(name)) {
+    httplib::Client c{ a.ip, a.port };
+    const auto r = c.Get("/readyz");
+    if (r && r->status == 200) {
+      return true;
+    }
+    rest(20);
+  }
+  return false;
+}
+
+bool
+fleet::is_running(const std::string& name)
+{
+  auto& p = processes_.at(name);
+  if (p.pid == 0) {
+    return false;
+  }
+  int status = 0;
+  if (waitpid(p.pid, &status, WNOHANG) == p.pid) {
+    p.pid = 0;
+    return false;
+  }
+  return true;
+}
+
+void
+fleet::signal(const std::string& name, int number)
+{
+  auto& p = processes_.at(name);
+  if (p.pid == 0) {
+    return;
+  }
+  const auto* what = number == SIGKILL   ? "process_killed"
+                     : number == SIGSTOP ? "process_paused"
+                     : number == SIGCONT ? "process_resumed"
+                                         : "process_signalled";
+  timeline::log(timeline::event{ what }.with("target", name));
+  kill(p.pid, number);
+  if (number == SIGKILL) {
+    int status = 0;
+    waitpid(p.pid, &status, 0);
+    p.pid = 0;
+  }
+}
+
+int
+fleet::wait_exit(const std::string& name, std::uint32_t limit_ms)
+{
+  auto& p = processes_.at(name);
+  for (std::uint32_t waited = 0; p.pid != 0 && waited < limit_ms;
+       waited += 10) {
+    int status = 0;
+    if (waitpid(p.pid, &status, WNOHANG) == p.pid) {
+      p.pid = 0;
+      return WIFEXITED(status) ? WEXITSTATUS(status) : 128;
+    }
+    rest(10);
+  }
+  return p.pid == 0 ? 0 : -1;
+}
+
+std::string
+fleet::respawn(const std::string& name)
+{
+  auto wrong = spawn(name);
+  auto& p = processes_.at(name);
+  if (wrong.empty() && !p.listed.is_null()) {
+    p.listed["state"] = "live";
+    list({ name });
+  }
+  return wrong;
+}
+
+std::string
+fleet::restart(const std::string& name)
+{
+  auto wrong = respawn(name);
+  const bool daemon = !processes_.at(name).listed.is_null();
+  if (wrong.empty() && daemon && !wait_ready(name, start_limit_ms)) {
+    wrong = name + " is not ready";
+  }
+  return wrong;
+}
+
+void
+fleet::platform_fault(const json& faults)
+{
+  post(address("platform", "platform"), "/control/faults", faults);
+}
+
+void
+fleet::backend_fault(const std::string& backend, const json& faults)
+{
+  post(address_of_backend(backend), "/control/faults", faults);
+}
+
+std::vector<std::string>
+fleet::entries() const
+{
+  std::vector<std::string> names;
+  for (const auto& [name, p] : processes_) {
+    if (p.program == "cactusford-entry") {
+      names.push_back(name);
+    }
+  }
+  return names;
+}
+
+std::vector<std::string>
+fleet::sidecars(const std::string& serves) const
+{
+  const auto found = sidecars_.find(serves);
+  return found == sidecars_.end() ? std::vector<std::string>{}
+                                  : found->second;
+}
+
+std::pair<int, std::string>
+fleet::operate(const std::vector<std::string>& words)
+{
+  std::vector<std::string> line{ options_.programs + "/cactusford" };
+  for (const auto& e : entries()) {
+    if (is_running(e)) {
+      line.push_back("--entry=" + address(e, "rpc"));
+    }
+  }
+  line.insert(line.end(), words.begin(), words.end());
+  const auto output = options_.folder + "/operator-" +
+                      cactusford::process::new_id() + ".out";
+  const auto pid = spawn_program(line, output);
+  int status = 0;
+  waitpid(pid, &status, 0);
+  auto text = read_text(output);
+  fs::remove(output);
+  return { WIFEXITED(status) ? WEXITSTATUS(status) : 128, text };
+}
+
+std::string
+fleet::apply_declarations()
+{
+  const auto [code, text] =
+    operate({ "apply", "-f", options_.deployment + "/declarations" });
+  return code == 0 ? std::string{} : "apply: " + text;
+}
+
+std::string
+fleet::apply(const std::string& kind,
+             const std::string& name,
+             const json& spec)
+{
+  const auto path =
+    options_.folder + "/declare-" + kind + "-" + name + ".json";
+  std::ofstream{ path } << json{ { "kind", kind },
+                                 { "name", name },
+                                 { "spec", spec } };
+  const auto [code, text] = operate({ "apply", "-f", path });
+  return code == 0 ? std::string{} : "apply: " + text;
+}
+
+void
+fleet::start_trainers(std::uint64_t steps)
+{
+  auto lines = deployment_.value("trainers", json::array());
+  for (auto& line : lines) {
+    line["steps"] = steps;
+    line["entries"] = json::array();
+    line["state_file"] =
+      options_.folder + "/" + line.at("name").get<std::string>() + ".state";
+    for (const auto& e : entries()) {
+      line["entries"].push_back(address(e, "rpc"));
+    }
+  }
+  processes_["trainers"] = {
+    "cactusford-standin",
+    { { "role", "trainers" },
+      { "instance", "trainers" },
+      { "trainers", lines },
+      { "log", options_.folder + "/trainers.log" },
+      { "ports_file", options_.folder + "/trainers.ports" } },
+    nullptr,
+    0,
+    {}
+  };
+  spawn("trainers");
+}
+
+} // namespace cactusford::standins
--- /dev/null
+++ b/standins/server.cc
@@ -0,0 +1,41 @@
+#include "standins/server.h"
+
+#include "cactusford/link/link.h"
+
+namespace cactusford::standins {
+
+server::server(std::size_t threads)
+{
+  http.new_task_queue = [threads] { return new httplib::ThreadPool(threads); };
+  http.set_tcp_nodelay(true);
+  http.set_keep_alive_max_count(1000000);
+}
+
+server::~server()
+{
+  stop();
+}
+
+int
+server::start(const std::string& address)
+{
+  const auto a = link::address_from(address);
+  const int port =
+    a.port == 0 ? http.bind_to_any_port(a.ip.c_str())
+                : (http.bind_to_port(a.ip.c_str(), a.port) ? a.port : 0);
+  if (port > 0) {
+    thread_ = std::thread{ [this] { http.listen_after_bind(); } };
+  }
+  return port;
+}
+
+void
+server::stop()
+{
+  http.stop();
+  if (thread_.joinable()) {
+    thread_.join();
+  }
+}
+
+} // namespace cactusford::standins
--- /dev/null
+++ b/tests/path-test.cc
@@ -0,0 +1,239 @@
+// The whole path, as real processes on loopback.
+
+#include "bench/load.h"
+#include "cactusford/link/link.h"
+#include "cactusford/process/daemon.h"
+#include "cactusford/testing/section.h"
+#include "cactusford/timeline/history.h"
+#include "standins/fleet.h"
+
+#include <criterion/criterion.h>
+#include <httplib.h>
+
+#include <csignal>
+#include <fstream>
+
+using namespace cactusford;
+using nlohmann::json;
+
+namespace {
+
+standins::fleet_options
+small(const std::string& name)
+{
+  standins::fleet_options o;
+  o.deployment = std::string{ CACTUSFORD_SOURCE } + "/deployments/tregaron";
+  o.folder = std::string{ CACTUSFORD_BINARY } + "/tests/" + name;
+  o.programs = std::string{ CACTUSFORD_BINARY } + "/bin";
+  o.sidecar_settings = { { "max_clock_skew_ms", 0 } };
+  o.deployment_settings = {
+    { "engines",
+      json::array({ { { "pool", "planner-lm" }, { "count", 2 } } }) },
+    { "services",
+      json::array({ { { "service", "orders-app" }, { "count", 2 } },
+                    { { "service", "scorer" }, { "count", 1 } } }) },
+  };
+  return o;
+}
+
+void
+start(standins::fleet& fleet)
+{
+  auto wrong = fleet.start();
+  cr_assert(wrong.empty(), "%s", wrong.c_str());
+  wrong = fleet.apply_declarations();
+  cr_assert(wrong.empty(), "%s", wrong.c_str());
+}
+
+httplib::Client
+client_of(const standins::fleet& fleet, const std::string& entry)
+{
+  const auto a = link::address_from(fleet.address(entry, "http"));
+  httplib::Client c{ a.ip, a.port };
+  c.set_read_timeout(std::chrono::seconds{ 20 });
+  return c;
+}
+
+json
+post(httplib::Client& c, const char* path, const json& body, int& status)
+{
+  const auto r = c.Post(path, body.dump(), "application/json");
+  status = r ? r->status : 0;
+  return r ? json::parse(r->body, nullptr, false) : json{};
+}
+
+// Until the weights are read and the home map has come round.
+void
+wait_served(standins::fleet& fleet)
+{
+  auto c = client_of(fleet, "entry-0");
+  for (int i = 0; i < 200; ++i) {
+    const auto r =
+      c.Post("/service/orders-app/warm",
+             { { "Idempotency-Key", process::new_id() } },
+             "x",
+             "text/plain");
+    if (r && r->status == 200) {
+      return;
+    }
+    std::this_thread::sleep_for(std::chrono::milliseconds{ 50 });
+  }
+  cr_assert_fail("the service is not served");
+}
+
+} // namespace
+
+Test(path, a_request_is_served_end_to_end, .timeout = 120)
+{
+  standins::fleet fleet{ small("path") };
+  start(fleet);
+  wait_served(fleet);
+  auto c = client_of(fleet, "entry-0");
+  int status = 0;
+  SECTION("a completion comes whole")
+  {
+    const auto j = post(c,
+                        "/v1/completions",
+                        { { "model", "planner-lm" },
+                          { "prompt", "cut list" },
+                          { "max_tokens", 12 } },
+                        status);
+    cr_assert_eq(status, 200);
+    cr_assert_eq(j["usage"]["completion_tokens"], 12);
+    cr_assert_eq(j["choices"][0]["weight_version"], 1);
+  }
+  SECTION("and as a stream")
+  {
+    const auto r = c.Post("/v1/completions",
+                          json{ { "model", "planner-lm" },
+                                { "prompt", "cut list" },
+                                { "max_tokens", 12 },
+                                { "stream", true } }
+                            .dump(),
+                          "application/json");
+    cr_assert(r && r->status == 200);
+    cr_assert(r->body.ends_with("data: [DONE]\n\n"));
+  }
+  SECTION("a booking repeated through the other entry runs once")
+  {
+    const httplib::Headers key{ { "Idempotency-Key", process::new_id() } };
+    const auto first =
+      c.Post("/service/orders-app/book", key, "beef", "text/plain");
+    auto other = client_of(fleet, "entry-1");
+    const auto second =
+      other.Post("/service/orders-app/book", key, "beef", "text/plain");
+    cr_assert(first && second);
+    cr_assert_eq(first->status, 200);
+    cr_assert(first->body == second->body);
+    cr_assert(second->get_header_value("Idempotent-Replayed") == "true");
+  }
+  SECTION("bad input gets a typed error that says not run")
+  {
+    const auto bad = post(c, "/v1/completions", { { "model", 7 } }, status);
+    cr_assert_eq(status, 400);
+    cr_assert_eq(bad["error"]["kind"], "bad_request");
+    cr_assert_eq(bad["error"]["outcome"], "not_run");
+    post(c,
+         "/v1/completions",
+         { { "model", "none" }, { "prompt", "x" } },
+         status);
+    cr_assert_eq(status, 404);
+    const auto r = c.Post("/service/orders-app/book",
+                          { { "Idempotency-Key", "no-time" } },
+                          "x",
+                          "text/plain");
+    cr_assert(r && r->status == 400);
+    const auto nowhere = c.Get("/nowhere");
+    cr_assert(nowhere && nowhere->status == 404);
+  }
+  SECTION("a step is delivered, and its weights go out")
+  {
+    fleet.start_trainers(1);
+    cr_assert_eq(fleet.wait_exit("trainers", 60000), 0);
+    const auto [code, text] = fleet.operate({ "get", "weights" });
+    cr_assert_eq(code, 0);
+    cr_assert(text.find(R"("version":2)") != std::string::npos,
+              "%s",
+              text.c_str());
+  }
+  SECTION("the operator sees all processes")
+  {
+    const auto [code, text] = fleet.operate({ "status" });
+    cr_assert_eq(code, 0);
+    cr_assert(text.find("in force on 7 of 7") != std::string::npos,
+              "%s",
+              text.c_str());
+  }
+}
+
+// Two operators change the same object. The second builds on a version that
+// is no longer the newest: applying it would silently undo the first.
+Test(path, racing_operators_get_a_conflict, .timeout = 120)
+{
+  standins::fleet fleet{ small("race") };
+  start(fleet);
+  const json spec{ { "model", "planner-lm" }, { "share", 0.5 } };
+  cr_assert(fleet.apply("trainer", "plans", spec).empty());
+  const auto file = fleet.folder() + "/declare-trainer-plans.json";
+  std::ofstream{ file } << json{ { "kind", "trainer" },
+                                 { "name", "plans" },
+                                 { "spec", { { "model", "x" } } } };
+  const auto [code, text] =
+    fleet.operate({ "apply", "-f", file, "--expected-version", "1" });
+  cr_assert_eq(code, 3, "%s", text.c_str());
+  cr_assert(text.find("conflict") != std::string::npos);
+  cr_assert(text.find("cactusford get") != std::string::npos);
+}
+
+Test(settings, a_wrong_file_ends_the_start_with_one_line, .timeout = 60)
+{
+  const auto folder = std::string{ CACTUSFORD_BINARY } + "/tests";
+  const auto program =
+    std::string{ CACTUSFORD_BINARY } + "/bin/cactusford-entry";
+  const auto run = [&](const std::string& text) {
+    std::ofstream{ folder + "/wrong.json" } << text;
+    const auto command = program + " --settings " + folder +
+                         "/wrong.json 2>" + folder + "/wrong.out";
+    const int status = std::system(command.c_str());
+    std::ifstream in{ folder + "/wrong.out" };
+    std::string line;
+    std::getline(in, line);
+    return std::pair{ WEXITSTATUS(status), line };
+  };
+  const auto whole = [](const std::string& extra) {
+    return R"({"instance":"e","data_centre":"d","link":"127.0.0.1:0",
+      "admin":"127.0.0.1:0","platform":"127.0.0.1:1","http":"127.0.0.1:0",
+      "rpc":"127.0.0.1:0")" +
+           extra + "}";
+  };
+  SECTION("not JSON")
+  {
+    const auto [code, line] = run("{");
+    cr_assert_eq(code, 2);
+    cr_assert(line.find("not JSON") != std::string::npos, "%s", line.c_str());
+  }
+  SECTION("an unknown key is named")
+  {
+    const auto [code, line] = run(whole(R"(,"lease_s":5)"));
+    cr_assert_eq(code, 2);
+    cr_assert(line.find("lease_s") != std::string::npos, "%s", line.c_str());
+  }
+  SECTION("a wrong unit is named")
+  {
+    const auto [code, line] = run(whole(R"(,"lease_ms":"5s")"));
+    cr_assert_eq(code, 2);
+    cr_assert(line.find("lease_ms") != std::string::npos, "%s", line.c_str());
+  }
+  SECTION("a port in use is named")
+  {
+    asio::io_context io;
+    link::endpoint taken{ io, {} };
+    link::address bound;
+    taken.listen({ "127.0.0.1", 0 }, [](const auto&) {}, bound);
+    auto text = whole("");
+    text.replace(text.find("127.0.0.1:0"), 11, link::to_string(bound));
+    const auto [code, line] = run(text);
+    cr_assert_eq(code, 2);
+    cr_assert(line.find("key link") != std::string::npos, "%s", line.c_str());
+  }
+}
