--- a/bench/load.cc
+++ b/bench/load.cc
@@ -10,6 +10,7 @@
 
 #include <algorithm>
 #include <array>
+#include <cmath>
 #include <cstdio>
 #include <mutex>
 #include <random>
@@ -152,7 +153,7 @@
   }
   std::sort(values.begin(), values.end());
   const auto last = static_cast<double>(values.size() - 1);
-  return values[static_cast<std::size_t>(p * last + 0.5)];
+  return values[static_cast<std::size_t>(std::lround(p * last))];
 }
 
 load::load(load_options o)
@@ -201,10 +202,10 @@
 namespace {
 
 // One caller: keeps its connection to an entry until that fails.
-class connection
+class caller_link
 {
 public:
-  explicit connection(std::uint64_t turn)
+  explicit caller_link(std::uint64_t turn)
     : turn_{ turn }
   {
   }
@@ -270,7 +271,7 @@
 load::live_caller(std::uint64_t number)
 {
   std::mt19937_64 random{ options_.seed * 1000 + number };
-  connection to{ number };
+  caller_link to{ number };
   while (!shared_->stopped) {
     const auto prompt = "lookup " + std::to_string(random() % 1000);
     const json body{ { "model", options_.model },
@@ -317,7 +318,7 @@
 void
 load::service_caller(std::uint64_t number, bool booking)
 {
-  connection to{ number };
+  caller_link to{ number };
   std::uint64_t turn = 0;
   while (!shared_->stopped) {
     const auto key = booking ? process::new_id() : std::string{};
@@ -340,7 +341,7 @@
       const auto path =
         "/service/" + options_.service + (booking ? "/book" : "/check");
       const auto began = clock_type::now();
-      const auto r = c->Post(path.c_str(), headers, text, "text/plain");
+      const auto r = c->Post(path, headers, text, "text/plain");
       const auto ms = ms_since(began);
       outcome o;
       if (r && r->status == 200) {
--- a/cactusford/engine/client.cc
+++ b/cactusford/engine/client.cc
@@ -202,7 +202,7 @@
 client::read_versions(const std::string& model)
 {
   const auto path = "/versions?model=" + model;
-  const auto answer = state_->connect(milliseconds{ 2000 }).Get(path.c_str());
+  const auto answer = state_->connect(milliseconds{ 2000 }).Get(path);
   if (!answer || answer->status != ok) {
     return { {}, { error_kind::backend_failed, "versions cannot be read" } };
   }
--- a/cactusford/entry/http.cc
+++ b/cactusford/entry/http.cc
@@ -493,7 +493,7 @@
       if (answer.repeated()) {
         out.set_header("Idempotent-Replayed", "true");
       }
-      out.set_content(answer.body(), answer.content_type().c_str());
+      out.set_content(answer.body(), answer.content_type());
       return;
     }
   }
@@ -537,8 +537,8 @@
     const auto local = link::address_from(settings.http);
     const int port =
       local.port == 0
-        ? server.bind_to_any_port(local.ip.c_str())
-        : (server.bind_to_port(local.ip.c_str(), local.port) ? local.port : -1);
+        ? server.bind_to_any_port(local.ip)
+        : (server.bind_to_port(local.ip, local.port) ? local.port : -1);
     if (port < 0) {
       return { error_kind::settings_invalid,
                "key http: " + settings.http +
--- a/cactusford/platform/client.cc
+++ b/cactusford/platform/client.cc
@@ -96,7 +96,7 @@
 client::get(const std::string& kind, const std::string& name)
 {
   ++state_->calls;
-  const auto answer = state_->connect(0)->Get(path_of(kind, name).c_str());
+  const auto answer = state_->connect(0)->Get(path_of(kind, name));
   if (!answer || (answer->status != ok && answer->status != not_found)) {
     return { {}, unavailable("get " + kind + "/" + name) };
   }
@@ -126,8 +126,7 @@
                     "&wait_ms=" + std::to_string(wait_ms) +
                     "&exclude=lease,ledger";
   const auto answer =
-    state_->connect(wait_ms + (wait_ms > 0 ? watch_margin_ms : 0))
-      ->Get(path.c_str());
+    state_->connect(wait_ms + (wait_ms > 0 ? watch_margin_ms : 0))->Get(path);
   if (!answer || answer->status != ok) {
     return { {}, unavailable("changes") };
   }
@@ -158,7 +157,7 @@
                    { "request_id", w.request_id },
                    { "deleted", w.remove } };
   const auto answer = state_->connect(0)->Put(
-    path_of(w.kind, w.name).c_str(), body.dump(), "application/json");
+    path_of(w.kind, w.name), body.dump(), "application/json");
   if (answer && answer->status == ok) {
     const auto reply = json::parse(answer->body, nullptr, false);
     return { reply.at("version").get<std::uint64_t>(), {} };
--- a/cactusford/process/daemon.cc
+++ b/cactusford/process/daemon.cc
@@ -94,8 +94,8 @@
   const auto local = link::address_from(settings.admin);
   const int port =
     local.port == 0
-      ? server.bind_to_any_port(local.ip.c_str())
-      : (server.bind_to_port(local.ip.c_str(), local.port) ? local.port : -1);
+      ? server.bind_to_any_port(local.ip)
+      : (server.bind_to_port(local.ip, local.port) ? local.port : -1);
   if (port < 0) {
     return { error_kind::settings_invalid,
              "key admin: " + settings.admin +
--- a/standins/fleet.cc
+++ b/standins/fleet.cc
@@ -311,7 +311,7 @@
   const auto a = link::address_from(address);
   httplib::Client c{ a.ip, a.port };
   c.set_read_timeout(std::chrono::seconds{ 5 });
-  const auto r = c.Post(path.c_str(), body.dump(), "application/json");
+  const auto r = c.Post(path, body.dump(), "application/json");
   return r && r->status == 200;
 }
 
--- a/standins/server.cc
+++ b/standins/server.cc
@@ -20,9 +20,8 @@
 server::start(const std::string& address)
 {
   const auto a = link::address_from(address);
-  const int port = a.port == 0
-                     ? http.bind_to_any_port(a.ip.c_str())
-                     : (http.bind_to_port(a.ip.c_str(), a.port) ? a.port : 0);
+  const int port = a.port == 0 ? http.bind_to_any_port(a.ip)
+                               : (http.bind_to_port(a.ip, a.port) ? a.port : 0);
   if (port > 0) {
     thread_ = std::thread{ [this] { http.listen_after_bind(); } };
   }
