At most once across home changes: handover, quorums, tenure by incarnation

Cause: a home map that only named members let a new home run keys that the old one had run, or refuse all keys of a restarted instance as unknown.

--- a/cactusford/calls/home_plan.cc
+++ b/cactusford/calls/home_plan.cc
@@ -4,35 +4,57 @@
 
 namespace cactusford::calls {
 
-configuration::home_map
+namespace {
+
+using configuration::home_map;
+
+std::vector<std::string>
+peers_of(const home_map& map, const std::string& instance)
+{
+  std::vector<std::string> peers;
+  for (const auto& m : map.members) {
+    if (m.instance != instance) {
+      peers.push_back(m.instance);
+    }
+  }
+  return peers;
+}
+
+bool
+has_member(const home_map& map, const std::string& instance)
+{
+  return std::any_of(map.members.begin(),
+                     map.members.end(),
+                     [&](const auto& m) { return m.instance == instance; });
+}
+
+} // namespace
+
+home_map
 plan_homes(const plan_input& in)
 {
-  configuration::home_map next = in.held;
-  const auto is_live = [&](const auto& m) {
-    return std::find(in.live.begin(), in.live.end(), m.instance) !=
-           in.live.end();
-  };
-  // The member that is gone may be cut off and still running keys: until its
+  home_map next = in.held;
+  // A member that is gone may be cut off and still running keys: until its
   // lease has lapsed, keys that it could have run are not run elsewhere.
   for (const auto& m : in.held.members) {
-    if (!is_live(m)) {
-      next.former.push_back({ m.instance, in.now_ms + in.lease_ms });
+    if (!in.live.contains(m.instance)) {
+      next.former.push_back(
+        { m.instance, in.now_ms + in.lease_ms, peers_of(in.held, m.instance) });
     }
   }
-  std::erase_if(next.members, [&](const auto& m) { return !is_live(m); });
-  for (const auto& name : in.live) {
-    const auto known =
-      std::any_of(next.members.begin(), next.members.end(), [&](const auto& m) {
-        return m.instance == name;
-      });
-    if (!known) {
-      // The very first members have no predecessor that could have run keys.
-      const auto since = in.held.members.empty() && in.held.former.empty()
-                           ? 0
-                           : in.now_ms + in.lease_ms;
-      next.members.push_back({ name, since });
+  std::erase_if(next.members,
+                [&](const auto& m) { return !in.live.contains(m.instance); });
+  // The very first members have no predecessor that could have run keys.
+  const bool first = in.held.members.empty() && in.held.former.empty();
+  for (const auto& [name, incarnation] : in.live) {
+    if (!has_member(next, name)) {
+      next.members.push_back(
+        { name, first ? 0 : in.now_ms + in.lease_ms, incarnation });
     }
   }
+  std::erase_if(next.former, [&](const auto& f) {
+    return in.handed_over.contains({ f.instance, f.until_ms });
+  });
   if (next == in.held) {
     return next;
   }
--- a/cactusford/calls/record-test.cc
+++ b/cactusford/calls/record-test.cc
@@ -148,14 +148,14 @@
 Test(home, only_moved_keys_get_a_later_tenure)
 {
   plan_input in;
-  in.live = { "a", "b", "c" };
+  in.live = { { "a", 1 }, { "b", 1 }, { "c", 1 } };
   in.now_ms = start;
   in.lease_ms = 500;
   in.window_ms = 60000;
   in.held = plan_homes(in);
   cr_assert_eq(in.held.members.size(), 3);
   auto after = in;
-  after.live = { "a", "c" };
+  after.live = { { "a", 1 }, { "c", 1 } };
   after.now_ms = start + 1000;
   const auto next = plan_homes(after);
   int moved = 0;
--- a/cactusford/calls/record.cc
+++ b/cactusford/calls/record.cc
@@ -150,6 +150,21 @@
   }
 }
 
+void
+import_key(record& r, const keyed_call& call, kept_answer_ptr answer)
+{
+  if (r.entries.contains(call.key)) {
+    return;
+  }
+  record_entry e{ answer ? entry_state::answered : entry_state::failed,
+                  call.issued_ms,
+                  call.fingerprint,
+                  std::move(answer) };
+  r.bytes += size_of(call.key, e);
+  r.entries.emplace(call.key, std::move(e));
+  r.order.push_back(call.key);
+}
+
 void
 expire(record& r, std::uint64_t now_ms)
 {
--- a/cactusford/calls/record.h
+++ b/cactusford/calls/record.h
@@ -108,6 +108,11 @@
 void
 withdraw(record& r, const std::string& key);
 
+// A key that an earlier home ran, with its answer or of unknown outcome. It is
+// taken even by a full record: the alternative is to forget that it ran.
+void
+import_key(record& r, const keyed_call& call, kept_answer_ptr answer);
+
 // Entries whose window has passed. A key is refused by age from then on.
 void
 expire(record& r, std::uint64_t now_ms);
--- a/cactusford/configuration/declaration.cc
+++ b/cactusford/configuration/declaration.cc
@@ -201,11 +201,13 @@
   home_map m;
   for (const auto& item : j.value("members", json::array())) {
     m.members.push_back({ item.value("instance", std::string{}),
-                          item.value("since_ms", std::uint64_t{ 0 }) });
+                          item.value("since_ms", std::uint64_t{ 0 }),
+                          item.value("incarnation", std::uint64_t{ 0 }) });
   }
   for (const auto& item : j.value("former", json::array())) {
     m.former.push_back({ item.value("instance", std::string{}),
-                         item.value("until_ms", std::uint64_t{ 0 }) });
+                         item.value("until_ms", std::uint64_t{ 0 }),
+                         item.value("peers", std::vector<std::string>{}) });
   }
   return m;
 }
@@ -221,13 +223,15 @@
 {
   auto members = json::array();
   for (const auto& member : m.members) {
-    members.push_back(
-      { { "instance", member.instance }, { "since_ms", member.since_ms } });
+    members.push_back({ { "instance", member.instance },
+                        { "since_ms", member.since_ms },
+                        { "incarnation", member.incarnation } });
   }
   auto former = json::array();
   for (const auto& f : m.former) {
-    former.push_back(
-      { { "instance", f.instance }, { "until_ms", f.until_ms } });
+    former.push_back({ { "instance", f.instance },
+                       { "until_ms", f.until_ms },
+                       { "peers", f.peers } });
   }
   return json{ { "members", members }, { "former", former } }.dump();
 }
--- a/cactusford/configuration/declaration.h
+++ b/cactusford/configuration/declaration.h
@@ -92,6 +92,8 @@
   std::string instance;
   // Keys issued before this moment may have run at an earlier home.
   std::uint64_t since_ms = 0;
+  // The process that joined. A later one has lost its record.
+  std::uint64_t incarnation = 0;
 
   friend bool operator==(const home_member&, const home_member&) = default;
 };
@@ -102,6 +104,9 @@
   std::string instance;
   // It may have run keys up to this moment: its lease had lapsed by then.
   std::uint64_t until_ms = 0;
+  // The other members at that time: enough of them must know of its end
+  // before its keys may run elsewhere.
+  std::vector<std::string> peers;
 
   friend bool operator==(const former_member&, const former_member&) = default;
 };
--- a/cactusford/entry/entry.cc
+++ b/cactusford/entry/entry.cc
@@ -62,10 +62,10 @@
   {
     if (s->path().starts_with("/rollout/")) {
       rpc_.serve(s);
-    } else if (s->path() == "/membership/leaving") {
+    } else if (s->path().starts_with("/membership/")) {
       s->on_message = [this, s](std::string_view m) {
         s->on_message = nullptr;
-        homes_.on_leaving(std::string{ m });
+        homes_.on_word(s->path(), std::string{ m });
         link::reply(*s, "noted");
       };
     } else {
--- a/cactusford/entry/home_keeper.cc
+++ b/cactusford/entry/home_keeper.cc
@@ -4,13 +4,15 @@
 #include "cactusford/membership/rendezvous.h"
 #include "cactusford/timeline/event.h"
 
+#include <algorithm>
+#include <charconv>
+
 namespace cactusford::entry {
 
 namespace {
 
 constexpr std::uint64_t record_window_ms = 600000;
-constexpr std::uint64_t retry_ms = 500;
-constexpr std::uint64_t leaving_memory_ms = 60000;
+constexpr std::uint64_t retry_ms = 200;
 
 std::vector<std::string>
 live_entries(const configuration::snapshot& view)
@@ -25,6 +27,14 @@
   return names;
 }
 
+bool
+is_member(const configuration::home_map& map, const std::string& name)
+{
+  return std::any_of(map.members.begin(),
+                     map.members.end(),
+                     [&](const auto& m) { return m.instance == name; });
+}
+
 } // namespace
 
 home_keeper::home_keeper(process::daemon& d)
@@ -33,9 +43,24 @@
 }
 
 void
-home_keeper::on_leaving(const std::string& instance)
+home_keeper::on_word(const std::string& path, const std::string& message)
 {
-  leaving_[instance] = process::steady_ms() + leaving_memory_ms;
+  const auto blank = message.find(' ');
+  std::uint64_t number = 0;
+  if (blank == std::string::npos ||
+      std::from_chars(
+        message.data() + blank + 1, message.data() + message.size(), number)
+          .ec != std::errc{}) {
+    return;
+  }
+  const auto instance = message.substr(0, blank);
+  if (path == "/membership/live") {
+    live_[instance] = std::max(live_[instance], number);
+  } else if (path == "/membership/leaving") {
+    leaving_[instance] = std::max(leaving_[instance], number);
+  } else if (path == "/membership/handed_over") {
+    handed_over_.emplace(instance, number);
+  }
 }
 
 // The first entry of the rendezvous order writes. Should two think that they
@@ -45,8 +70,7 @@
 {
   const auto view = daemon_.configuration.current();
   const auto entries = live_entries(*view);
-  const auto now = process::steady_ms();
-  std::erase_if(leaving_, [now](const auto& l) { return l.second < now; });
+  forget_unlisted(*view);
   for (const auto& [service, declared] : *view->services) {
     const auto first = membership::first_of(entries, "home_map/" + service);
     if (first == daemon_.settings.instance) {
@@ -55,6 +79,27 @@
   }
 }
 
+// What instances said that are gone from the list would otherwise stay for
+// ever.
+void
+home_keeper::forget_unlisted(const configuration::snapshot& view)
+{
+  const auto gone = [&](const auto& said) {
+    return !view.instances->contains(said.first);
+  };
+  std::erase_if(live_, gone);
+  std::erase_if(leaving_, gone);
+  std::erase_if(handed_over_, [&](const auto& said) {
+    return std::none_of(
+      view.home_maps->begin(), view.home_maps->end(), [&](const auto& map) {
+        const auto& former = map.second.value.former;
+        return std::any_of(former.begin(), former.end(), [&](const auto& f) {
+          return f.instance == said.first && f.until_ms == said.second;
+        });
+      });
+  });
+}
+
 void
 home_keeper::keep(const configuration::snapshot& view,
                   const std::string& service)
@@ -64,22 +109,29 @@
     return;
   }
   calls::plan_input in;
-  for (const auto& [name, i] : *view.instances) {
-    const bool serves = i.value.role == "sidecar" && i.value.serves == service;
-    if (serves && i.value.state == configuration::instance_state::live &&
-        !leaving_.contains(name)) {
-      in.live.push_back(name);
-    }
-  }
   std::uint64_t version = 0;
   const auto held = view.home_maps->find(service);
   if (held != view.home_maps->end()) {
     in.held = held->second.value;
     version = held->second.version;
   }
+  for (const auto& [name, i] : *view.instances) {
+    const bool serves = i.value.role == "sidecar" && i.value.serves == service;
+    const bool listed =
+      serves && i.value.state == configuration::instance_state::live;
+    const auto announced = live_.find(name);
+    const auto leaving = leaving_.find(name);
+    const auto incarnation = announced == live_.end() ? 0 : announced->second;
+    const bool leaves =
+      leaving != leaving_.end() && leaving->second >= incarnation;
+    if (listed && !leaves && (incarnation > 0 || is_member(in.held, name))) {
+      in.live[name] = incarnation;
+    }
+  }
   in.now_ms = timeline::wall_ms();
   in.lease_ms = daemon_.settings.lease_ms;
   in.window_ms = record_window_ms;
+  in.handed_over = handed_over_;
   const auto next = calls::plan_homes(in);
   if (!in.live.empty() && next != in.held) {
     p.busy = true;
@@ -102,6 +154,7 @@
       p.busy = false;
       p.not_before_ms = process::steady_ms() + retry_ms;
       if (r) {
+
         timeline::log(timeline::event{ "home_map_written" }
                         .with("service", service)
                         .with("version", r.value)
--- a/cactusford/entry/home_keeper.h
+++ b/cactusford/entry/home_keeper.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <set>
 #include <string>
+#include <utility>
 
 namespace cactusford::entry {
 
@@ -16,8 +17,9 @@
 
   void tick();
 
-  // The sidecar itself says that it leaves, before the platform's list does.
-  void on_leaving(const std::string& instance);
+  // What a sidecar says of itself, before the platform's list does: the path
+  // and the message of a "/membership/..." stream.
+  void on_word(const std::string& path, const std::string& message);
 
 private:
   struct progress
@@ -26,6 +28,7 @@
     std::uint64_t not_before_ms = 0;
   };
 
+  void forget_unlisted(const configuration::snapshot& view);
   void keep(const configuration::snapshot& view, const std::string& service);
   void write(const std::string& service,
              std::uint64_t version,
@@ -33,7 +36,10 @@
 
   process::daemon& daemon_;
   std::map<std::string, progress> services_;
+  // The newest incarnation that each has announced as live, or as leaving.
+  std::map<std::string, std::uint64_t> live_;
   std::map<std::string, std::uint64_t> leaving_;
+  std::set<std::pair<std::string, std::uint64_t>> handed_over_;
 };
 
 } // namespace cactusford::entry
--- a/cactusford/sidecar/gate.cc
+++ b/cactusford/sidecar/gate.cc
@@ -1,6 +1,5 @@
 #include "cactusford/sidecar/gate.h"
 
-#include "cactusford/calls/home.h"
 #include "cactusford/timeline/event.h"
 
 #include <xxhash.h>
@@ -64,6 +63,9 @@
   , settings_{ s }
   , weights_{ weights }
   , backend_{ s.backend }
+  , guard_{ d, s, record_, [this](const std::string& key) {
+             return keyed_.contains(key);
+           } }
 {
   queue_.limit = s.max_queued;
   record_.limits = { s.record_limit,
@@ -155,37 +157,12 @@
   return static_cast<std::uint64_t>(ahead * call_ms_ / settings_.max_running);
 }
 
-// A key belongs to one home only. Running it on another backend server would
-// pass by the record and could run it twice.
-failure
-gate::judge_home(const call_request& r)
-{
-  const auto view = daemon_.configuration.current();
-  const auto map = view->home_maps->find(settings_.serves);
-  if (map == view->home_maps->end()) {
-    return { error_kind::not_home, "there is no home map yet", stale_retry_ms };
-  }
-  const auto home = calls::home_of(map->second.value, r.idempotency_key());
-  if (home.instance != settings_.process.instance) {
-    return { error_kind::not_home,
-             "the home is " + home.instance,
-             stale_retry_ms };
-  }
-  // A process cut off from the platform may hold an old map while the key has
-  // a new home. Within the lease no new home takes over yet.
-  if (daemon_.configuration.confirmed_age_ms() > settings_.process.lease_ms) {
-    return { error_kind::not_home,
-             "the lease of the home map has lapsed",
-             stale_retry_ms };
-  }
-  record_.tenure_ms = std::max(daemon_.incarnation, home.tenure_ms);
-  return {};
-}
-
 bool
 gate::admit_keyed(const call_request& r, receiver& to)
 {
-  if (const auto why = judge_home(r)) {
+  // A key belongs to one home only. Running it on another backend server
+  // would pass by the record and could run it twice.
+  if (const auto why = guard_.judge(r.idempotency_key())) {
     refuse(to, why);
     return false;
   }
@@ -523,6 +500,7 @@
     stop_call(c, { kind, "the deadline has passed" });
   }
   calls::expire(record_, timeline::wall_ms());
+  guard_.tick();
   daemon_.metrics.set("queued", static_cast<double>(admission::size(queue_)));
   daemon_.metrics.set("running", running_);
 }
@@ -531,6 +509,7 @@
 gate::leave()
 {
   leaving_ = true;
+  guard_.leave();
   for (auto& [id, c] : calls_) {
     for (auto& to : c->receivers) {
       calls::call_frame frame;
--- a/cactusford/sidecar/gate.h
+++ b/cactusford/sidecar/gate.h
@@ -7,6 +7,7 @@
 #include "cactusford/calls/calls.pb.h"
 #include "cactusford/calls/record.h"
 #include "cactusford/process/daemon.h"
+#include "cactusford/sidecar/home_guard.h"
 #include "cactusford/sidecar/weight_keeper.h"
 
 #include <atomic>
@@ -31,8 +32,11 @@
 
   bool is_leaving() const { return leaving_; }
 
-  // True when nothing runs or waits.
-  bool is_idle() const { return calls_.empty(); }
+  // True when nothing runs or waits, here or of what must be handed over.
+  bool is_idle() const { return calls_.empty() && guard_.is_handed_over(); }
+  bool has_calls() const { return !calls_.empty(); }
+
+  home_guard& homes() { return guard_; }
 
   // Refuses what waited past its deadline.
   void tick();
@@ -67,7 +71,6 @@
 
   void on_request(const link::stream_ptr& s, std::string_view message);
   failure judge(const calls::call_request& r) const;
-  failure judge_home(const calls::call_request& r);
   bool admit_keyed(const calls::call_request& r, receiver& to);
   void enqueue(calls::call_request r, receiver to);
   void pump();
@@ -93,6 +96,7 @@
   engine::client backend_;
   admission::queue queue_;
   calls::record record_;
+  home_guard guard_;
   std::unordered_map<std::uint64_t, std::unique_ptr<call>> calls_;
   // Calls with an idempotency key that wait or run.
   std::unordered_map<std::string, std::uint64_t> keyed_;
--- a/cactusford/sidecar/sidecar.cc
+++ b/cactusford/sidecar/sidecar.cc
@@ -17,6 +17,9 @@
 // A leaving sidecar goes on refusing for this long, so that entries which
 // have not heard of it yet get "not run" and not a dead port.
 constexpr std::uint64_t refuse_ms = 1000;
+// How long it waits for the new homes of its keys. They cannot come while the
+// platform is down; its keys are then of unknown outcome, never run twice.
+constexpr std::uint64_t handover_ms = 5000;
 
 // Ticks the gate and the weight keeper, and ends the process when the last
 // call has.
@@ -36,8 +39,10 @@
     weights_.tick();
     const auto now = process::steady_ms();
     const auto left = leaving_since_ != 0 ? now - leaving_since_ : 0;
-    const bool idle = gate_.is_idle() && left >= refuse_ms;
-    if (idle || left > daemon_.settings.drain_limit_ms + refuse_ms) {
+    const bool waited = left >= refuse_ms + handover_ms;
+    const bool idle = gate_.is_idle() || (!gate_.has_calls() && waited);
+    if ((idle && left >= refuse_ms) ||
+        left > daemon_.settings.drain_limit_ms + refuse_ms) {
       daemon_.links.stop_listening();
       daemon_.after(tick_ms * 5, [this] { daemon_.stop(); });
       return;
@@ -72,6 +77,8 @@
   const auto wrong = daemon.start([&](const link::stream_ptr& stream) {
     if (stream->path() == "/calls") {
       calls.accept(stream);
+    } else if (stream->path().starts_with("/calls/")) {
+      calls.homes().serve(stream);
     } else {
       stream->cancel();
     }
@@ -84,6 +91,7 @@
   daemon.configuration.start(
     [&](const configuration::snapshot_ptr& view, const auto&) {
       weights.on_configuration(view);
+      calls.homes().on_configuration(view);
     });
   runner r{ daemon, calls, weights };
   r.tick();
--- /dev/null
+++ b/cactusford/timeline/history-test.cc
@@ -0,0 +1,208 @@
+#include "cactusford/timeline/history.h"
+
+#include "cactusford/testing/section.h"
+#include "cactusford/timeline/merge.h"
+
+#include <criterion/criterion.h>
+
+using namespace cactusford::timeline;
+
+namespace {
+
+std::vector<record>
+records_of(const std::vector<std::string>& lines)
+{
+  std::vector<record> records;
+  std::uint64_t ms = 1000;
+  for (const auto& line : lines) {
+    // A line may name its own time, to stand far behind the one before.
+    const auto at = line.starts_with("hlc=")
+                      ? line
+                      : "hlc=" + std::to_string(++ms) + ".0 " + line;
+    auto r = parse(at);
+    cr_assert(r.has_value(), "%s", line.c_str());
+    records.push_back(std::move(*r));
+  }
+  sort_records(records);
+  return records;
+}
+
+const std::vector<std::string> good{
+  "process=e event=process_started",
+  "process=e event=configuration_ready version=0",
+  "process=s event=process_started",
+  "process=e event=configuration_accepted kind=pool name=p version=1",
+  "process=e event=configuration_in_force kind=pool name=p version=1",
+  "process=s event=call_started request=s1 attempt=1",
+  "process=b event=engine_run request=s1 from=0 weight_version=1",
+  "process=b event=engine_run request=s1 from=10 weight_version=2",
+  "process=s event=call_ended request=s1 attempt=1",
+  "process=t event=sample_received trainer=t step=1 slot=0 sample=s1 "
+  "runs=1:10,2:5 bound=1 version=2",
+  "process=t event=step_completed trainer=t step=1 size=1",
+  "process=b event=service_executed id=k1",
+  "process=l event=answer_received request=q1 key=k1 outcome=answered "
+  "whole=1",
+  "process=l event=answer_received request=q2 outcome=not_run whole=0",
+  "process=s event=process_leaving",
+  "process=s event=process_stopped",
+  "hlc=60000.0 process=l event=end",
+};
+
+// The promises that break when the lines are put behind the good ones.
+std::string
+broken_by(const std::vector<std::string>& more)
+{
+  auto lines = good;
+  lines.insert(lines.end() - 1, more.begin(), more.end());
+  std::string names;
+  for (const auto& r : check_history(records_of(lines), {})) {
+    if (!r.violations.empty()) {
+      names += (names.empty() ? "" : " ") + r.promise;
+    }
+  }
+  return names;
+}
+
+} // namespace
+
+// A checker that never fails proves nothing: each promise is broken once on
+// purpose, and the checker must name that promise and no other.
+Test(history, names_each_broken_promise)
+{
+  cr_assert_eq(broken_by({}), "");
+  SECTION("a sample names a version that did not produce it")
+  {
+    cr_assert_eq(
+      broken_by({ "process=b event=engine_run request=s2 from=0 "
+                  "weight_version=1",
+                  "process=t event=sample_received trainer=t step=2 slot=0 "
+                  "sample=s2 runs=2:10 bound=1 version=2" }),
+      "attribution");
+  }
+  SECTION("what a cut attempt produced does not count")
+  {
+    cr_assert_eq(
+      broken_by({ "process=b event=engine_run request=s2 from=0 "
+                  "weight_version=1",
+                  "process=c event=engine_run request=s2 from=4 "
+                  "weight_version=2",
+                  "process=t event=sample_received trainer=t step=2 slot=0 "
+                  "sample=s2 runs=1:4,2:6 bound=1 version=2" }),
+      "");
+  }
+  SECTION("a sample is older than its bound")
+  {
+    cr_assert_eq(
+      broken_by({ "process=b event=engine_run request=s2 from=0 "
+                  "weight_version=1",
+                  "process=t event=sample_received trainer=t step=2 slot=0 "
+                  "sample=s2 runs=1:10 bound=1 version=3" }),
+      "staleness");
+  }
+  SECTION("a slot comes twice")
+  {
+    cr_assert_eq(
+      broken_by({ "process=t event=sample_received trainer=t step=1 slot=0 "
+                  "sample=s1 runs=1:10,2:5 bound=1 version=2" }),
+      "exactly_once");
+  }
+  SECTION("a step is called whole and is not")
+  {
+    cr_assert_eq(
+      broken_by({ "process=t event=step_completed trainer=t step=2 size=1" }),
+      "exactly_once");
+  }
+  SECTION("a part of an answer, or another's, is taken for whole")
+  {
+    cr_assert_eq(
+      broken_by({ "process=l event=answer_received request=q3 "
+                  "outcome=answered whole=0" }),
+      "whole_answer");
+  }
+  SECTION("a request said to be not run ran")
+  {
+    cr_assert_eq(
+      broken_by({ "process=b event=service_executed id=q2" }), "not_run");
+  }
+  SECTION("a key runs twice")
+  {
+    cr_assert_eq(
+      broken_by({ "process=b event=service_executed id=k1" }),
+      "at_most_once");
+  }
+  SECTION("a leaving backend server gets work after the limit")
+  {
+    cr_assert_eq(
+      broken_by({ "process=d event=process_started",
+                  "process=d event=process_leaving",
+                  "hlc=9000.0 process=d event=call_started request=x",
+                  "hlc=9001.0 process=d event=call_ended request=x" }),
+      "leaving");
+  }
+  SECTION("a graceful stop cuts a request off")
+  {
+    cr_assert_eq(
+      broken_by({ "process=d event=process_started",
+                  "process=d event=request_accepted request=x",
+                  "process=d event=process_leaving",
+                  "process=d event=process_stopped" }),
+      "graceful");
+  }
+  SECTION("a configuration goes back")
+  {
+    cr_assert_eq(
+      broken_by({ "process=e event=configuration_in_force kind=pool name=p "
+                  "version=3",
+                  "process=e event=configuration_in_force kind=pool name=p "
+                  "version=2" }),
+      "configuration");
+  }
+  SECTION("an accepted configuration does not come into force")
+  {
+    cr_assert_eq(
+      broken_by({ "process=x event=configuration_accepted kind=pool name=q "
+                  "version=9" }),
+      "configuration");
+  }
+}
+
+Test(timeline, a_line_survives_the_way_into_the_log_and_back)
+{
+  const auto e = event{ "x" }.with("text", "a \"b\" = c\\d").with("n", 7);
+  const auto r = parse("hlc=5.2 process=p" + e.text());
+  cr_assert(r.has_value());
+  cr_assert_eq(r->value("text"), "a \"b\" = c\\d");
+  cr_assert_eq(r->number("n"), 7);
+  cr_assert(!parse("hlc=5.2 process=p event=x text=\"cut").has_value());
+  cr_assert(!parse("half a li").has_value());
+}
+
+// A message from a process whose clock is ahead: what follows from it must
+// still stand behind it in the merged order.
+Test(timeline, a_cause_stands_before_its_effect)
+{
+  cactusford::timeline::clock behind{ [] { return std::uint64_t{ 1000 }; } };
+  cactusford::timeline::clock ahead{ [] { return std::uint64_t{ 5000 }; } };
+  const auto cause = ahead.now();
+  behind.observe(cause);
+  const auto effect = behind.now();
+  cr_assert(cause < effect);
+  cr_assert(unpack(pack(effect)) == effect);
+  SECTION("a clock that is wrong by years drags nobody along")
+  {
+    behind.observe({ 99'000'000'000'000ULL, 0 });
+    cr_assert_lt(behind.now().ms, 99'000'000'000'000ULL);
+  }
+}
+
+Test(timeline, shows_spans_and_events)
+{
+  const auto records = records_of(good);
+  const auto chosen = select(records, "", "s1");
+  cr_assert_eq(chosen.size(), 5);
+  cr_assert(to_text(chosen).find("engine_run") != std::string::npos);
+  cr_assert(to_trace(records).find(R"("ph":"b")") != std::string::npos);
+  auto hostile = records_of({ "process=p event=x text=\"</script>\"" });
+  cr_assert(to_html(hostile).find("</script>\"") == std::string::npos);
+}
