--- a/bench/main.cc
+++ b/bench/main.cc
@@ -1,18 +1,115 @@
 // cactusford-bench: the demo, load, experiments and measurements.
 
 #include "bench/demo.h"
+#include "bench/faults.h"
 
+#include <popt.h>
+
+#include <array>
+#include <cstdlib>
 #include <iostream>
 #include <string>
-#include <vector>
+
+namespace {
+
+constexpr int exit_usage = 2;
+constexpr const char* usage =
+  "COMMAND [OPTIONS]\n\n"
+  "  demo      a deployment, judged by its event logs\n"
+  "  faults    random failures on real processes";
+
+struct arguments
+{
+  long seed = 1;
+  long runs = 1;
+  std::string json;
+  std::string deployment;
+  std::string command;
+};
+
+std::string
+take(char* text)
+{
+  std::string s = text == nullptr ? "" : text;
+  std::free(text);
+  return s;
+}
+
+int
+faults(const arguments& a)
+{
+  cactusford::bench::faults_options o;
+  o.seed = static_cast<std::uint64_t>(a.seed);
+  o.runs = static_cast<std::uint32_t>(a.runs);
+  o.json = a.json;
+  if (!a.deployment.empty()) {
+    o.deployments = { "deployments/" + a.deployment };
+  }
+  return cactusford::bench::run_faults(o);
+}
+
+int
+demo(const arguments& a)
+{
+  cactusford::bench::demo_options o;
+  if (!a.deployment.empty()) {
+    o.deployment = "deployments/" + a.deployment;
+  }
+  return cactusford::bench::run_demo(o);
+}
+
+// Returns what is wrong, or nothing.
+std::string
+read_arguments(int argc, char** argv, arguments& a)
+{
+  char* json = nullptr;
+  char* deployment = nullptr;
+  const std::array<poptOption, 6> table{
+    poptOption{
+      "seed", 0, POPT_ARG_LONG, &a.seed, 0, "Seed of the first run", "N" },
+    poptOption{ "runs", 0, POPT_ARG_LONG, &a.runs, 0, "How many runs", "N" },
+    poptOption{
+      "json", 0, POPT_ARG_STRING, &json, 0, "Where results go", "FILE" },
+    poptOption{ "deployment",
+                0,
+                POPT_ARG_STRING,
+                &deployment,
+                0,
+                "kingston or tregaron",
+                "NAME" },
+    poptOption POPT_AUTOHELP poptOption POPT_TABLEEND
+  };
+  auto* context = poptGetContext(
+    "cactusford-bench", argc, const_cast<const char**>(argv), table.data(), 0);
+  poptSetOtherOptionHelp(context, usage);
+  const int rc = poptGetNextOpt(context);
+  std::string wrong;
+  if (rc < -1) {
+    wrong = std::string{ poptBadOption(context, 0) } + ": " + poptStrerror(rc);
+  }
+  if (const char* word = poptGetArg(context)) {
+    a.command = word;
+  }
+  poptFreeContext(context);
+  a.json = take(json);
+  a.deployment = take(deployment);
+  return wrong;
+}
+
+} // namespace
 
 int
 main(int argc, char** argv)
 {
-  const std::vector<std::string> words{ argv + 1, argv + argc };
-  if (!words.empty() && words[0] == "demo") {
-    return cactusford::bench::run_demo({});
+  arguments a;
+  const auto wrong = read_arguments(argc, argv, a);
+  if (wrong.empty() && a.command == "demo") {
+    return demo(a);
+  }
+  if (wrong.empty() && a.command == "faults") {
+    return faults(a);
   }
-  std::cerr << "usage: cactusford-bench demo\n";
-  return 2;
+  std::cerr << (wrong.empty() ? "'" + a.command + "' is no command" : wrong)
+            << "; see cactusford-bench --help\n";
+  return exit_usage;
 }
--- a/cactusford/calls/tenure-test.cc
+++ b/cactusford/calls/tenure-test.cc
@@ -120,8 +120,7 @@
         import_key(a.r, { key, e.issued_ms, e.fingerprint }, e.answer);
       }
     }
-    on_handover(
-      a.t, b.t.self, b.t.map_version, true, own_floor(b.t), now);
+    on_handover(a.t, b.t.self, b.t.map_version, true, own_floor(b.t), now);
   }
 
   void confirm(node& a)
@@ -318,11 +317,10 @@
 void
 print(const std::vector<world_move>& moves)
 {
-  static const char* names[] = {
-    "time",      "lease",    "map",       "ask",    "confirm",
-    "keep",      "crash",    "start",     "no_platform", "no_peers",
-    "unlist",    "leave",    "handed",    "stop"
-  };
+  static const char* names[] = { "time",        "lease",    "map",    "ask",
+                                 "confirm",     "keep",     "crash",  "start",
+                                 "no_platform", "no_peers", "unlist", "leave",
+                                 "handed",      "stop" };
   for (const auto& m : moves) {
     std::printf("  %s %c %c\n", names[m.what], 'a' + m.who, 'a' + m.other);
   }
--- a/cactusford/calls/tenure.cc
+++ b/cactusford/calls/tenure.cc
@@ -16,10 +16,9 @@
 const home_member*
 member_of(const tenure& t, const std::string& name)
 {
-  const auto found =
-    std::find_if(t.map.members.begin(), t.map.members.end(), [&](auto& m) {
-      return m.instance == name;
-    });
+  const auto found = std::find_if(t.map.members.begin(),
+                                  t.map.members.end(),
+                                  [&](auto& m) { return m.instance == name; });
   return found == t.map.members.end() ? nullptr : &*found;
 }
 
@@ -56,8 +55,7 @@
   const auto* me = member_of(t, t.self);
   const auto* next = next_home(t, key);
   const auto mine = weight_of(t.self, key);
-  const auto next_weight =
-    next == nullptr ? 0 : weight_of(next->instance, key);
+  const auto next_weight = next == nullptr ? 0 : weight_of(next->instance, key);
   const auto since = me == nullptr ? 0 : me->since_ms;
   for (const auto& f : t.map.former) {
     const auto w = weight_of(f.instance, key);
@@ -79,8 +77,8 @@
            const std::string& absent,
            const std::vector<std::string>& peers)
 {
-  const auto known = std::count_if(
-    peers.begin(), peers.end(), [&](const auto& p) {
+  const auto known =
+    std::count_if(peers.begin(), peers.end(), [&](const auto& p) {
       const bool self = p == t.self;
       return p != absent &&
              (self || (member_of(t, p) != nullptr && !t.pending.contains(p)));
@@ -209,8 +207,8 @@
   for (const auto& s : sources_of(t, key)) {
     if (!t.pending.contains(s.instance)) {
       const auto floor = t.floors.find(s.instance);
-      j.tenure_ms = std::max(
-        j.tenure_ms, floor == t.floors.end() ? 0 : floor->second);
+      j.tenure_ms =
+        std::max(j.tenure_ms, floor == t.floors.end() ? 0 : floor->second);
       continue;
     }
     const auto quorum = t.quorum_wall_ms.find(s.instance);
@@ -221,8 +219,8 @@
       return j;
     }
     // It cannot be heard: whatever it may have run is of unknown outcome.
-    j.tenure_ms = std::max(
-      { j.tenure_ms, s.until_ms, quorum->second + t.lease_ms });
+    j.tenure_ms =
+      std::max({ j.tenure_ms, s.until_ms, quorum->second + t.lease_ms });
   }
   return j;
 }
--- a/cactusford/calls/tenure.h
+++ b/cactusford/calls/tenure.h
@@ -1,6 +1,7 @@
 // What a home must know before it runs a key: that no earlier home ran it, or
 // may still run it. Pure; `wall` times are milliseconds since 1970, `steady`
-// times those of this process. The protocol and its proof: docs/AT-MOST-ONCE.md.
+// times those of this process. The protocol and its proof:
+// docs/AT-MOST-ONCE.md.
 #pragma once
 
 #include "cactusford/calls/home.h"
--- a/cactusford/engine/client.cc
+++ b/cactusford/engine/client.cc
@@ -95,12 +95,15 @@
                  const std::atomic<bool>& cancelled,
                  const std::function<void(const token_chunk&)>& take)
 {
-  const json body{
-    { "request_id", g.request_id },   { "model", g.model },
-    { "prompt", g.prompt },           { "max_tokens", g.max_tokens },
-    { "resume_from", g.resume_from }, { "resume_text", g.resume_text },
-    { "priority", g.priority },       { "stream", true }
-  };
+  const json body{ { "request_id", g.request_id },
+                   { "attempt", g.attempt },
+                   { "model", g.model },
+                   { "prompt", g.prompt },
+                   { "max_tokens", g.max_tokens },
+                   { "resume_from", g.resume_from },
+                   { "resume_text", g.resume_text },
+                   { "priority", g.priority },
+                   { "stream", true } };
   generation_end end;
   event_reader reader;
   int status = 0;
--- a/cactusford/engine/client.h
+++ b/cactusford/engine/client.h
@@ -15,6 +15,7 @@
 struct generation
 {
   std::string request_id;
+  std::uint32_t attempt = 0;
   std::string model;
   std::string prompt;
   std::uint32_t max_tokens = 0;
--- a/cactusford/sidecar/gate.cc
+++ b/cactusford/sidecar/gate.cc
@@ -279,6 +279,7 @@
   c.version = weights_.serving(work.model());
   const engine::generation g{
     c.request.request_id(),
+    c.request.attempt(),
     work.model(),
     work.prompt(),
     work.max_tokens(),
--- a/cactusford/sidecar/home_guard.cc
+++ b/cactusford/sidecar/home_guard.cc
@@ -151,10 +151,8 @@
   for (const auto& k : reply.keys()) {
     calls::kept_answer_ptr answer;
     if (k.has_answer()) {
-      answer = std::make_shared<const calls::kept_answer>(
-        calls::kept_answer{ k.answer().status(),
-                            k.answer().content_type(),
-                            k.answer().body() });
+      answer = std::make_shared<const calls::kept_answer>(calls::kept_answer{
+        k.answer().status(), k.answer().content_type(), k.answer().body() });
     }
     calls::import_key(
       record_, { k.key(), k.issued_ms(), k.fingerprint() }, answer);
@@ -294,14 +292,15 @@
     return false;
   }
   // Taken off the list of former members: the keeper knows that all have it.
-  const bool former = std::any_of(
-    tenure_.map.former.begin(), tenure_.map.former.end(), [&](const auto& f) {
-      return f.instance == tenure_.self;
-    });
-  return !former || std::all_of(
-    tenure_.map.members.begin(),
-    tenure_.map.members.end(),
-    [&](const auto& m) { return served_.contains(m.instance); });
+  const bool former =
+    std::any_of(tenure_.map.former.begin(),
+                tenure_.map.former.end(),
+                [&](const auto& f) { return f.instance == tenure_.self; });
+  return !former || std::all_of(tenure_.map.members.begin(),
+                                tenure_.map.members.end(),
+                                [&](const auto& m) {
+                                  return served_.contains(m.instance);
+                                });
 }
 
 void
--- a/cactusford/timeline/event.cc
+++ b/cactusford/timeline/event.cc
@@ -174,6 +174,7 @@
     appender = std::make_shared<log4cxx::FileAppender>(layout, path, true);
   }
   logger()->setAdditivity(false);
+  logger()->removeAllAppenders();
   logger()->addAppender(appender);
   logger()->setLevel(log4cxx::Level::getInfo());
 }
--- a/cactusford/timeline/event.h
+++ b/cactusford/timeline/event.h
@@ -46,7 +46,7 @@
 parse(std::string_view line);
 
 // Opens the log of this process. An empty `path` writes to standard error.
-// Call once, before the first event.
+// Call it before the first event; a later call changes to another file.
 void
 open_log(const std::string& path, const std::string& process);
 
--- a/cactusford/timeline/history-test.cc
+++ b/cactusford/timeline/history-test.cc
@@ -34,8 +34,9 @@
   "process=e event=configuration_accepted kind=pool name=p version=1",
   "process=e event=configuration_in_force kind=pool name=p version=1",
   "process=s event=call_started request=s1 attempt=1",
-  "process=b event=engine_run request=s1 from=0 weight_version=1",
-  "process=b event=engine_run request=s1 from=10 weight_version=2",
+  "process=e event=call_sent request=s1 attempt=1 resume_from=0",
+  "process=b event=engine_run request=s1 attempt=1 from=0 weight_version=1",
+  "process=b event=engine_run request=s1 attempt=1 from=10 weight_version=2",
   "process=s event=call_ended request=s1 attempt=1",
   "process=t event=sample_received trainer=t step=1 slot=0 sample=s1 "
   "runs=1:10,2:5 bound=1 version=2",
@@ -74,7 +75,8 @@
   SECTION("a sample names a version that did not produce it")
   {
     cr_assert_eq(
-      broken_by({ "process=b event=engine_run request=s2 from=0 "
+      broken_by({ "process=e event=call_sent request=s2 attempt=1",
+                  "process=b event=engine_run request=s2 attempt=1 from=0 "
                   "weight_version=1",
                   "process=t event=sample_received trainer=t step=2 slot=0 "
                   "sample=s2 runs=2:10 bound=1 version=2" }),
@@ -83,18 +85,24 @@
   SECTION("what a cut attempt produced does not count")
   {
     cr_assert_eq(
-      broken_by({ "process=b event=engine_run request=s2 from=0 "
-                  "weight_version=1",
-                  "process=c event=engine_run request=s2 from=4 "
-                  "weight_version=2",
-                  "process=t event=sample_received trainer=t step=2 slot=0 "
-                  "sample=s2 runs=1:4,2:6 bound=1 version=2" }),
+      broken_by(
+        { "process=e event=call_sent request=s2 attempt=1",
+          "process=b event=engine_run request=s2 attempt=1 from=0 "
+          "weight_version=1",
+          "process=e event=call_sent request=s2 attempt=2 resume_from=4",
+          "process=c event=engine_run request=s2 attempt=2 from=4 "
+          "weight_version=2",
+          "process=b event=engine_run request=s2 attempt=1 from=7 "
+          "weight_version=3",
+          "process=t event=sample_received trainer=t step=2 slot=0 "
+          "sample=s2 runs=1:4,2:6 bound=1 version=2" }),
       "");
   }
   SECTION("a sample is older than its bound")
   {
     cr_assert_eq(
-      broken_by({ "process=b event=engine_run request=s2 from=0 "
+      broken_by({ "process=e event=call_sent request=s2 attempt=1",
+                  "process=b event=engine_run request=s2 attempt=1 from=0 "
                   "weight_version=1",
                   "process=t event=sample_received trainer=t step=2 slot=0 "
                   "sample=s2 runs=1:10 bound=1 version=3" }),
@@ -115,21 +123,19 @@
   }
   SECTION("a part of an answer, or another's, is taken for whole")
   {
-    cr_assert_eq(
-      broken_by({ "process=l event=answer_received request=q3 "
-                  "outcome=answered whole=0" }),
-      "whole_answer");
+    cr_assert_eq(broken_by({ "process=l event=answer_received request=q3 "
+                             "outcome=answered whole=0" }),
+                 "whole_answer");
   }
   SECTION("a request said to be not run ran")
   {
-    cr_assert_eq(
-      broken_by({ "process=b event=service_executed id=q2" }), "not_run");
+    cr_assert_eq(broken_by({ "process=b event=service_executed id=q2" }),
+                 "not_run");
   }
   SECTION("a key runs twice")
   {
-    cr_assert_eq(
-      broken_by({ "process=b event=service_executed id=k1" }),
-      "at_most_once");
+    cr_assert_eq(broken_by({ "process=b event=service_executed id=k1" }),
+                 "at_most_once");
   }
   SECTION("a leaving backend server gets work after the limit")
   {
@@ -142,12 +148,11 @@
   }
   SECTION("a graceful stop cuts a request off")
   {
-    cr_assert_eq(
-      broken_by({ "process=d event=process_started",
-                  "process=d event=request_accepted request=x",
-                  "process=d event=process_leaving",
-                  "process=d event=process_stopped" }),
-      "graceful");
+    cr_assert_eq(broken_by({ "process=d event=process_started",
+                             "process=d event=request_accepted request=x",
+                             "process=d event=process_leaving",
+                             "process=d event=process_stopped" }),
+                 "graceful");
   }
   SECTION("a configuration goes back")
   {
@@ -200,7 +205,7 @@
 {
   const auto records = records_of(good);
   const auto chosen = select(records, "", "s1");
-  cr_assert_eq(chosen.size(), 5);
+  cr_assert_eq(chosen.size(), 6);
   cr_assert(to_text(chosen).find("engine_run") != std::string::npos);
   cr_assert(to_trace(records).find(R"("ph":"b")") != std::string::npos);
   auto hostile = records_of({ "process=p event=x text=\"</script>\"" });
--- a/cactusford/timeline/history.cc
+++ b/cactusford/timeline/history.cc
@@ -60,30 +60,51 @@
   return total;
 }
 
-// What engines say they produced for one request: the version from each
-// position on. A later attempt takes over from where it was resumed.
+// What is known of one request: from which token on each attempt ran, as its
+// entry logged it, and the version from each token on, as the engine of each
+// attempt logged it. A cut attempt may go on unheard on its engine: only what
+// stands before the next attempt's first token counts.
 class truth
 {
 public:
-  void on_run(std::uint64_t from, std::uint64_t version)
+  void on_sent(std::uint64_t attempt, std::uint64_t from)
   {
-    from_.erase(from_.lower_bound(from), from_.end());
-    from_[from] = version;
+    sent_[attempt] = from;
+  }
+
+  void on_run(std::uint64_t attempt, std::uint64_t from, std::uint64_t version)
+  {
+    made_[attempt][from] = version;
   }
 
   runs first(std::uint64_t tokens) const
   {
     runs r;
-    for (auto i = from_.begin(); i != from_.end() && i->first < tokens; ++i) {
-      const auto next = std::next(i);
-      const auto end = next == from_.end() ? tokens : next->first;
-      add(r, i->second, std::min(end, tokens) - i->first);
+    for (auto a = sent_.begin(); a != sent_.end(); ++a) {
+      const auto next = std::next(a);
+      const auto end = next == sent_.end() ? tokens : next->second;
+      add_attempt(r, a->first, std::min(end, tokens));
     }
     return r;
   }
 
 private:
-  std::map<std::uint64_t, std::uint64_t> from_;
+  void add_attempt(runs& r, std::uint64_t attempt, std::uint64_t end) const
+  {
+    const auto found = made_.find(attempt);
+    if (found == made_.end()) {
+      return;
+    }
+    const auto& from = found->second;
+    for (auto i = from.begin(); i != from.end() && i->first < end; ++i) {
+      const auto next = std::next(i);
+      const auto stop = next == from.end() ? end : next->first;
+      add(r, i->second, std::min(stop, end) - i->first);
+    }
+  }
+
+  std::map<std::uint64_t, std::uint64_t> sent_;
+  std::map<std::uint64_t, std::map<std::uint64_t, std::uint64_t>> made_;
 };
 
 void
@@ -93,8 +114,6 @@
                          " " + what);
 }
 
-// The engine logs each run when it begins, so the order by time is enough:
-// what an attempt produced after it was cut is overwritten by the next one.
 promise_result
 check_attribution(const std::vector<record>& records)
 {
@@ -102,8 +121,11 @@
   std::map<std::string, truth> made;
   for (const auto& e : records) {
     if (e.name == "engine_run") {
-      made[e.value("request")].on_run(e.number("from"),
-                                      e.number("weight_version"));
+      made[e.value("request")].on_run(
+        e.number("attempt"), e.number("from"), e.number("weight_version"));
+    } else if (e.name == "call_sent") {
+      made[e.value("request")].on_sent(e.number("attempt"),
+                                       e.number("resume_from"));
     }
   }
   for (const auto& e : records) {
@@ -373,7 +395,16 @@
   const auto lives = lives_of(records);
   const auto last = records.empty() ? 0 : records.back().at.ms;
   std::map<std::pair<std::string, std::string>, std::uint64_t> held;
+  std::map<std::string, std::uint64_t> newest;
   for (const auto& e : records) {
+    if (e.name == "configuration_ready" &&
+        e.number("version") < newest[e.process]) {
+      fail(r, e, "it started with an older configuration than it had");
+    }
+    if (e.name == "configuration_in_force") {
+      auto& most = newest[e.process];
+      most = std::max(most, e.number("version"));
+    }
     if (e.name == "process_started") {
       std::erase_if(held,
                     [&](const auto& h) { return h.first.first == e.process; });
--- a/standins/engine.cc
+++ b/standins/engine.cc
@@ -141,6 +141,7 @@
 {
   auto s = std::make_shared<sequence>();
   s->request = body.value("request_id", std::string{});
+  s->attempt = body.value("attempt", 0U);
   s->model = body.value("model", std::string{});
   s->priority = body.value("priority", 0U);
   s->next = body.value("resume_from", 0U);
@@ -298,6 +299,7 @@
       timeline::log(timeline::event{ "engine_run" }
                       .with("engine", settings_.name)
                       .with("request", s->request)
+                      .with("attempt", s->attempt)
                       .with("from", s->next)
                       .with("weight_version", version));
     }
--- a/standins/engine.h
+++ b/standins/engine.h
@@ -62,6 +62,7 @@
   struct sequence
   {
     std::string request;
+    std::uint32_t attempt = 0;
     std::string model;
     std::string mark;
     std::uint32_t priority = 0;
--- a/standins/fleet.cc
+++ b/standins/fleet.cc
@@ -342,6 +342,27 @@
        json::array({ { { "id", name }, { "gone", true } } }));
 }
 
+void
+fleet::mark_live(const std::string& name)
+{
+  if (is_running(name)) {
+    processes_.at(name).listed["state"] = "live";
+    list({ name });
+  }
+}
+
+void
+fleet::restart_backend(const std::string& name)
+{
+  auto& p = processes_.at(name);
+  for (const auto* group : { "engines", "services" }) {
+    if (p.settings.contains(group)) {
+      p.settings[group][0]["address"] = address(name, name);
+    }
+  }
+  spawn(name);
+}
+
 bool
 fleet::wait_ready(const std::string& name, std::uint32_t limit_ms)
 {
@@ -409,11 +430,33 @@
   return p.pid == 0 ? 0 : -1;
 }
 
+// Where a process that starts while the platform is down can ask.
+std::vector<std::string>
+fleet::some_links(const std::string& but)
+{
+  constexpr std::size_t enough = 4;
+  std::vector<std::string> links;
+  for (const auto& [name, p] : processes_) {
+    if (name != but && !p.listed.is_null() && links.size() < enough &&
+        is_running(name)) {
+      links.push_back(address(name, "link"));
+    }
+  }
+  return links;
+}
+
 std::string
 fleet::respawn(const std::string& name)
 {
-  auto wrong = spawn(name);
   auto& p = processes_.at(name);
+  if (!p.listed.is_null()) {
+    p.settings["peers"] = some_links(name);
+  }
+  // Trainers know entries by address, as if behind the balancer.
+  if (p.ports.contains("rpc")) {
+    p.settings["rpc"] = address(name, "rpc");
+  }
+  auto wrong = spawn(name);
   if (wrong.empty() && !p.listed.is_null()) {
     p.listed["state"] = "live";
     list({ name });
@@ -492,9 +535,13 @@
 }
 
 std::string
-fleet::apply(const std::string& kind, const std::string& name, const json& spec)
+fleet::apply(const std::string& kind,
+             const std::string& name,
+             const json& spec,
+             const std::string& operator_name)
 {
-  const auto path = options_.folder + "/declare-" + kind + "-" + name + ".json";
+  const auto path = options_.folder + "/declare-" + kind + "-" + name + "-" +
+                    operator_name + ".json";
   std::ofstream{ path } << json{ { "kind", kind },
                                  { "name", name },
                                  { "spec", spec } };
@@ -509,8 +556,6 @@
   for (auto& line : lines) {
     line["steps"] = steps;
     line["entries"] = json::array();
-    line["state_file"] =
-      options_.folder + "/" + line.at("name").get<std::string>() + ".state";
     for (const auto& e : entries()) {
       line["entries"].push_back(address(e, "rpc"));
     }
--- a/standins/fleet.h
+++ b/standins/fleet.h
@@ -50,7 +50,8 @@
   // Writes and applies one declaration.
   std::string apply(const std::string& kind,
                     const std::string& name,
-                    const nlohmann::json& spec);
+                    const nlohmann::json& spec,
+                    const std::string& operator_name = "a");
 
   void start_trainers(std::uint64_t steps);
 
@@ -62,12 +63,15 @@
   std::string restart(const std::string& name);
   // Starts it without waiting for readiness.
   std::string respawn(const std::string& name);
+  // Starts a killed backend server on its old port.
+  void restart_backend(const std::string& name);
   bool wait_ready(const std::string& name, std::uint32_t limit_ms);
   bool is_running(const std::string& name);
 
   // Marks an instance as leaving in the platform's list, or takes it out.
   void mark_leaving(const std::string& name);
   void mark_gone(const std::string& name);
+  void mark_live(const std::string& name);
 
   void platform_fault(const nlohmann::json& faults);
   void backend_fault(const std::string& backend, const nlohmann::json& faults);
@@ -103,6 +107,7 @@
                    std::size_t number);
   std::string address_of_backend(const std::string& backend) const;
   void list(const std::vector<std::string>& names);
+  std::vector<std::string> some_links(const std::string& but);
   nlohmann::json common(const std::string& name, std::size_t number) const;
   bool post(const std::string& address,
             const std::string& path,
--- a/standins/main.cc
+++ b/standins/main.cc
@@ -136,7 +136,7 @@
     read_key(item, "entries", s.entries);
     read_key(item, "steps", s.steps);
     read_key(item, "train_ms", s.train_ms);
-    read_key(item, "state_file", s.state_file);
+    s.log = j.value("log", std::string{});
     threads.emplace_back([s] { standins::run_trainer(s, stopped); });
   }
   write_ports(j, json::object());
--- a/standins/trainer.cc
+++ b/standins/trainer.cc
@@ -2,12 +2,10 @@
 
 #include "cactusford/process/daemon.h"
 #include "cactusford/rollout/client.h"
+#include "cactusford/rollout/step.h"
 #include "cactusford/timeline/event.h"
 
-#include <nlohmann/json.hpp>
-
 #include <chrono>
-#include <cstdio>
 #include <fstream>
 #include <thread>
 
@@ -15,8 +13,6 @@
 
 namespace {
 
-using nlohmann::json;
-
 void
 rest(std::uint64_t ms)
 {
@@ -34,44 +30,32 @@
   return text;
 }
 
+// Its event log is what it holds: a sample counts as applied once its line is
+// written. A line that a crash has cut was not applied and is fetched again.
 rollout::cursor
-load_cursor(const std::string& path)
+load_cursor(const trainer_settings& s)
 {
   rollout::cursor c;
-  std::ifstream in{ path };
-  if (path.empty() || !in) {
-    return c;
-  }
-  const auto j = json::parse(in, nullptr, false);
-  if (j.is_object()) {
-    c.step = j.value("step", c.step);
-    c.weight_version = j.value("weight_version", c.weight_version);
-    c.fence = j.value("fence", c.fence);
-    for (const int byte : j.value("received", json::array())) {
-      c.received += static_cast<char>(byte);
+  std::ifstream in{ s.log };
+  std::string line;
+  while (std::getline(in, line)) {
+    const auto r = timeline::parse(line);
+    if (!r || r->value("trainer") != s.name) {
+      continue;
+    }
+    if (r->name == "trainer_published") {
+      c.step = r->number("step") + 1;
+      c.weight_version = r->number("version");
+      c.received.clear();
+    } else if (r->name == "sample_received" && r->number("step") == c.step) {
+      rollout::set_received(c.received,
+                            static_cast<std::uint32_t>(r->number("slot")));
+      c.fence = std::max(c.fence, r->number("fence"));
     }
   }
   return c;
 }
 
-void
-save_cursor(const std::string& path, const rollout::cursor& c)
-{
-  if (path.empty()) {
-    return;
-  }
-  json bytes = json::array();
-  for (const char byte : c.received) {
-    bytes.push_back(static_cast<unsigned char>(byte));
-  }
-  const auto part = path + ".part";
-  std::ofstream{ part } << json{ { "step", c.step },
-                                 { "weight_version", c.weight_version },
-                                 { "fence", c.fence },
-                                 { "received", bytes } };
-  std::rename(part.c_str(), path.c_str());
-}
-
 void
 log_sample(const trainer_settings& s,
            const rollout::sample& one,
@@ -87,6 +71,7 @@
                   .with("oldest", one.oldest_version())
                   .with("version", at.weight_version)
                   .with("bound", b.staleness_bound)
+                  .with("fence", at.fence)
                   .with("runs", runs_text(one)));
 }
 
@@ -96,7 +81,7 @@
 run_trainer(const trainer_settings& s, const std::atomic<bool>& stopped)
 {
   rollout::trainer_client::builder builder;
-  builder.trainer(s.name).start_at(load_cursor(s.state_file)).wait_ms(500);
+  builder.trainer(s.name).start_at(load_cursor(s)).wait_ms(500);
   for (const auto& e : s.entries) {
     builder.entry(e);
   }
@@ -111,12 +96,9 @@
       continue;
     }
     for (const auto& one : b.value.samples) {
-      log_sample(s, one, b.value, at);
+      log_sample(s, one, b.value, client.position());
       ++samples;
     }
-    if (!b.value.samples.empty()) {
-      save_cursor(s.state_file, client.position());
-    }
     if (!b.value.step_whole) {
       continue;
     }
@@ -134,7 +116,12 @@
     while (!stopped && client.publish(at.weight_version + 1)) {
       rest(100);
     }
-    save_cursor(s.state_file, client.position());
+    if (!stopped) {
+      timeline::log(timeline::event{ "trainer_published" }
+                      .with("trainer", s.name)
+                      .with("step", at.step)
+                      .with("version", at.weight_version + 1));
+    }
   }
 }
 
--- a/standins/trainer.h
+++ b/standins/trainer.h
@@ -14,8 +14,8 @@
   std::vector<std::string> entries;
   std::uint64_t steps = 1;
   std::uint32_t train_ms = 500;
-  // Where it keeps what it holds, so that a restart goes on from there.
-  std::string state_file;
+  // Its event log, from which a restarted trainer goes on.
+  std::string log;
 };
 
 // Returns when all steps are done, or `stopped`.
--- a/tests/path-test.cc
+++ b/tests/path-test.cc
@@ -169,7 +169,7 @@
   start(fleet);
   const json spec{ { "model", "planner-lm" }, { "share", 0.5 } };
   cr_assert(fleet.apply("trainer", "plans", spec).empty());
-  const auto file = fleet.folder() + "/declare-trainer-plans.json";
+  const auto file = fleet.folder() + "/declare-trainer-plans-a.json";
   std::ofstream{ file } << json{ { "kind", "trainer" },
                                  { "name", "plans" },
                                  { "spec", { { "model", "x" } } } };
