--- a/cactusford/calls/tenure-test.cc
+++ b/cactusford/calls/tenure-test.cc
@@ -397,9 +397,13 @@
 // not run a's keys: no more than itself knows that a is out.
 Test(tenure, a_takeover_needs_a_quorum)
 {
-  const std::vector<world_move> moves{ { 8, 0, 0 },  { 8, 1, 0 }, { 8, 2, 0 },
-                                       { 10, 0, 0 }, { 5, 0, 0 }, { 2, 3, 0 },
-                                       { 1, 0, 0 },  { 2, 3, 0 }, { 4, 0, 0 } };
+  std::vector<world_move> moves{ { 8, 0, 0 },  { 8, 1, 0 }, { 8, 2, 0 },
+                                 { 10, 0, 0 }, { 5, 0, 0 }, { 2, 3, 0 } };
+  // Keys are new with each round: some of them are a's and then d's.
+  for (int round = 0; round < 8; ++round) {
+    const std::vector<world_move> more{ { 1, 0, 0 }, { 2, 3, 0 }, { 4, 0, 0 } };
+    moves.insert(moves.end(), more.begin(), more.end());
+  }
   cr_assert(!play(moves, defect::no_quorum).empty());
   cr_assert(play(moves, defect::none).empty());
 }
