--- a/bench/main.cc
+++ b/bench/main.cc
@@ -2,12 +2,14 @@
 
 #include "bench/demo.h"
 #include "bench/faults.h"
+#include "bench/rollout.h"
 
 #include <popt.h>
 
 #include <array>
 #include <cstdlib>
 #include <iostream>
+#include <sstream>
 #include <string>
 
 namespace {
@@ -16,7 +18,8 @@
 constexpr const char* usage =
   "COMMAND [OPTIONS]\n\n"
   "  demo      a deployment, judged by its event logs\n"
-  "  faults    random failures on real processes";
+  "  faults    random failures on real processes\n"
+  "  rollout   idle time and staleness under each policy";
 
 struct arguments
 {
@@ -24,6 +27,8 @@
   long runs = 1;
   std::string json;
   std::string deployment;
+  std::string policies;
+  std::string scenario;
   std::string command;
 };
 
@@ -48,6 +53,29 @@
   return cactusford::bench::run_faults(o);
 }
 
+int
+rollout(const arguments& a)
+{
+  cactusford::bench::rollout_options o;
+  o.seed = static_cast<std::uint64_t>(a.seed);
+  o.json = a.json;
+  if (!a.deployment.empty()) {
+    o.deployment = "deployments/" + a.deployment;
+  }
+  if (!a.scenario.empty()) {
+    o.scenario = a.scenario;
+  }
+  if (!a.policies.empty()) {
+    o.policies.clear();
+    std::istringstream in{ a.policies };
+    std::string one;
+    while (std::getline(in, one, ',')) {
+      o.policies.push_back(one);
+    }
+  }
+  return cactusford::bench::run_rollout(o);
+}
+
 int
 demo(const arguments& a)
 {
@@ -64,7 +92,9 @@
 {
   char* json = nullptr;
   char* deployment = nullptr;
-  const std::array<poptOption, 6> table{
+  char* policies = nullptr;
+  char* scenario = nullptr;
+  const std::array<poptOption, 8> table{
     poptOption{
       "seed", 0, POPT_ARG_LONG, &a.seed, 0, "Seed of the first run", "N" },
     poptOption{ "runs", 0, POPT_ARG_LONG, &a.runs, 0, "How many runs", "N" },
@@ -77,6 +107,20 @@
                 0,
                 "kingston or tregaron",
                 "NAME" },
+    poptOption{ "policy",
+                0,
+                POPT_ARG_STRING,
+                &policies,
+                0,
+                "cactusford, baseline, no-prefix, no-resume, no-run_ahead",
+                "LIST" },
+    poptOption{ "scenario",
+                0,
+                POPT_ARG_STRING,
+                &scenario,
+                0,
+                "calm, burst or death",
+                "NAME" },
     poptOption POPT_AUTOHELP poptOption POPT_TABLEEND
   };
   auto* context = poptGetContext(
@@ -93,6 +137,8 @@
   poptFreeContext(context);
   a.json = take(json);
   a.deployment = take(deployment);
+  a.policies = take(policies);
+  a.scenario = take(scenario);
   return wrong;
 }
 
@@ -109,6 +155,9 @@
   if (wrong.empty() && a.command == "faults") {
     return faults(a);
   }
+  if (wrong.empty() && a.command == "rollout") {
+    return rollout(a);
+  }
   std::cerr << (wrong.empty() ? "'" + a.command + "' is no command" : wrong)
             << "; see cactusford-bench --help\n";
   return exit_usage;
--- a/cactusford/entry/caller.cc
+++ b/cactusford/entry/caller.cc
@@ -15,14 +15,6 @@
 constexpr std::uint64_t deadline_grace_ms = 150;
 constexpr std::uint64_t leaving_avoid_ms = 30000;
 
-bool
-is_disabled(const settings::entry_settings& s, std::string_view what)
-{
-  return s.policy == "baseline" ||
-         std::find(s.disabled.begin(), s.disabled.end(), what) !=
-           s.disabled.end();
-}
-
 } // namespace
 
 struct caller::call
@@ -49,8 +41,8 @@
   , random_{ std::random_device{}() }
 {
   routing_.by_load = s.policy != "baseline";
-  routing_.by_prefix = !is_disabled(s, "prefix");
-  may_resume_ = !is_disabled(s, "resume");
+  routing_.by_prefix = settings::is_enabled(s, "prefix");
+  may_resume_ = settings::is_enabled(s, "resume");
   budget_.ratio = s.retry_budget_percent / 100.0;
 }
 
--- a/cactusford/entry/owner.cc
+++ b/cactusford/entry/owner.cc
@@ -326,6 +326,13 @@
                              : 1;
 }
 
+double
+owner::run_ahead_of(const session& s) const
+{
+  return settings::is_enabled(settings_, "run_ahead") ? s.declared.run_ahead
+                                                      : 0;
+}
+
 void
 owner::fill(const session_ptr& s)
 {
@@ -338,7 +345,7 @@
   while (more && s->in_flight < window) {
     more = start_from(s, s->current);
     for (std::uint64_t ahead = 1;
-         !more && static_cast<double>(ahead) < s->declared.run_ahead + 1 &&
+         !more && static_cast<double>(ahead) < run_ahead_of(*s) + 1 &&
          s->current + ahead <= s->job.steps;
          ++ahead) {
       more = start_from(s, s->current + ahead);
@@ -359,7 +366,7 @@
   auto& step = step_of(*s, number);
   const auto ahead = static_cast<double>(number - s->current);
   const auto allowed =
-    ahead == 0 ? 1.0 : std::min(1.0, s->declared.run_ahead - (ahead - 1));
+    ahead == 0 ? 1.0 : std::min(1.0, run_ahead_of(*s) - (ahead - 1));
   const auto started = step.slots.size() - step.waiting;
   if (static_cast<double>(started) >=
       allowed * static_cast<double>(step.slots.size())) {
--- a/cactusford/entry/owner.h
+++ b/cactusford/entry/owner.h
@@ -69,6 +69,7 @@
   void cancel_calls(session& s, std::uint64_t step, std::uint32_t index);
   void write_ledger(const session_ptr& s);
   bool owns(const session& s) const;
+  double run_ahead_of(const session& s) const;
 
   process::daemon& daemon_;
   settings::entry_settings settings_;
--- a/cactusford/settings/settings.cc
+++ b/cactusford/settings/settings.cc
@@ -6,6 +6,7 @@
 #include <valijson/schema_parser.hpp>
 #include <valijson/validator.hpp>
 
+#include <algorithm>
 #include <fstream>
 #include <sstream>
 
@@ -45,7 +46,7 @@
   "retry_budget_percent": {"type": "integer", "minimum": 0, "maximum": 100},
   "policy": {"type": "string", "enum": ["cactusford", "baseline"]},
   "disabled": {"type": "array", "items": {"type": "string", "enum":
-    ["prefix", "duplicates", "resume", "longest_first", "run_ahead"]}}
+    ["prefix", "resume", "run_ahead"]}}
 )";
 
 constexpr std::string_view sidecar_properties = R"(
@@ -154,6 +155,14 @@
 
 } // namespace
 
+bool
+is_enabled(const entry_settings& s, std::string_view mechanism)
+{
+  const auto& off = s.disabled;
+  return s.policy != "baseline" &&
+         std::find(off.begin(), off.end(), mechanism) == off.end();
+}
+
 failure
 check(const json& schema, const json& document)
 {
--- a/cactusford/settings/settings.h
+++ b/cactusford/settings/settings.h
@@ -56,7 +56,7 @@
   std::uint32_t max_body_bytes = 1U << 20;
   std::uint32_t default_deadline_ms = 60000;
   std::uint32_t retry_budget_percent = 20;
-  // "cactusford" or "baseline"; see docs/ROUTING.md.
+  // "cactusford" or "baseline"; see docs/ROLLOUT.md.
   std::string policy = "cactusford";
   std::vector<std::string> disabled;
 
@@ -82,6 +82,10 @@
                          const sidecar_settings&) = default;
 };
 
+// Whether the policy has a mechanism: prefix, resume or run_ahead.
+bool
+is_enabled(const entry_settings& s, std::string_view mechanism);
+
 // Errors name the key, what is wrong and the remedy.
 result<entry_settings>
 entry_settings_from(std::string_view json_text);
