Decisions that cost the same at any fleet size; traffic counters; fresh weights below run_ahead 1

Cause: an entry scanned all targets of a pool for each frame and rebuilt all pools for each configuration change (quadratic in the fleet).

Conclusion: look-ups by name, pools rebuilt only when the list changes.

--- /dev/null
+++ b/bench/capacity.h
@@ -0,0 +1,24 @@
+// What control costs a process at rest, by the size of the fleet.
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace cactusford::bench {
+
+struct capacity_options
+{
+  std::string deployment = "deployments/tregaron";
+  std::string folder = "build/capacity";
+  std::string programs = "build/bin";
+  // Sidecars of the fleets that are measured.
+  std::vector<int> sizes{ 10, 50, 100, 200 };
+  std::uint32_t seconds = 10;
+  std::string json;
+};
+
+int
+run_capacity(const capacity_options& o);
+
+} // namespace cactusford::bench
--- a/bench/main.cc
+++ b/bench/main.cc
@@ -1,5 +1,6 @@
 // cactusford-bench: the demo, load, experiments and measurements.
 
+#include "bench/capacity.h"
 #include "bench/demo.h"
 #include "bench/faults.h"
 #include "bench/rollout.h"
@@ -19,7 +20,8 @@
   "COMMAND [OPTIONS]\n\n"
   "  demo      a deployment, judged by its event logs\n"
   "  faults    random failures on real processes\n"
-  "  rollout   idle time and staleness under each policy";
+  "  rollout   idle time and staleness under each policy\n"
+  "  capacity  what control costs a process, by the size of the fleet";
 
 struct arguments
 {
@@ -61,6 +63,7 @@
   o.json = a.json;
   if (!a.deployment.empty()) {
     o.deployment = "deployments/" + a.deployment;
+    o.folder += "-" + a.deployment;
   }
   if (!a.scenario.empty()) {
     o.scenario = a.scenario;
@@ -158,6 +161,9 @@
   if (wrong.empty() && a.command == "rollout") {
     return rollout(a);
   }
+  if (wrong.empty() && a.command == "capacity") {
+    return cactusford::bench::run_capacity({ .json = a.json });
+  }
   std::cerr << (wrong.empty() ? "'" + a.command + "' is no command" : wrong)
             << "; see cactusford-bench --help\n";
   return exit_usage;
--- a/bench/rollout.cc
+++ b/bench/rollout.cc
@@ -128,10 +128,7 @@
     return f;
   }
 
-  std::string pool() const
-  {
-    return fleet_.deployment()["engines"][0]["pool"];
-  }
+  std::string pool() const { return fleet_.deployment()["engines"][0]["pool"]; }
 
   void widen_job()
   {
@@ -141,7 +138,7 @@
                  { { "trainer", trainer },
                    { "pool", pool() },
                    { "scorer", "scorer" },
-                   { "steps", 1000000 },
+                   { "steps", options_.steps },
                    { "groups", groups },
                    { "group_size", 8 },
                    { "max_tokens", 600 } });
@@ -196,9 +193,8 @@
 
   static double share(std::uint64_t part, std::uint64_t whole)
   {
-    return whole == 0
-             ? 0
-             : static_cast<double>(part) / static_cast<double>(whole);
+    return whole == 0 ? 0
+                      : static_cast<double>(part) / static_cast<double>(whole);
   }
 
   // The first step has nothing ahead of it, so it is left out.
@@ -258,9 +254,9 @@
     j["staleness_mean_seconds"] = seconds / n;
     j["samples"] = behind.size();
     j["wasted_token_share"] =
-      made > tokens ? static_cast<double>(made - tokens) /
-                        static_cast<double>(made)
-                    : 0.0;
+      made > tokens
+        ? static_cast<double>(made - tokens) / static_cast<double>(made)
+        : 0.0;
     add_bound(tokens / std::max<std::uint64_t>(steps, 1), j);
   }
 
--- a/cactusford/configuration/declaration.h
+++ b/cactusford/configuration/declaration.h
@@ -38,7 +38,8 @@
   // Most versions that a sample may lie behind at delivery.
   std::uint32_t staleness_bound = 1;
   // Part of the next step that may start before its weights are published,
-  // 0 to staleness_bound: more cuts idle time, less cuts staleness.
+  // 0 to staleness_bound: more cuts idle time, less cuts staleness. Below 1
+  // the samples of the present step also wait for the newest weights.
   double run_ahead = 0;
 
   friend bool operator==(const trainer&, const trainer&) = default;
--- a/cactusford/entry/caller.cc
+++ b/cactusford/entry/caller.cc
@@ -51,6 +51,12 @@
 void
 caller::on_configuration(const configuration::snapshot_ptr& view)
 {
+  // Most changes are of other kinds; rebuilding the pools for each of them
+  // would cost milliseconds at full size.
+  if (view->instances == instances_) {
+    return;
+  }
+  instances_ = view->instances;
   std::map<std::string, std::vector<routing::target>> found;
   for (const auto& [name, i] : *view->instances) {
     const auto& v = i.value;
@@ -61,30 +67,16 @@
       found[v.serves].push_back(std::move(t));
     }
   }
-  for (auto& [pool, held] : pools_) {
-    auto& next = found[pool];
-    for (auto& t : next) {
-      const auto known = std::find_if(
-        held.targets.begin(), held.targets.end(), [&](const auto& old) {
-          return old.instance == t.instance && old.link == t.link;
-        });
-      if (known != held.targets.end()) {
-        t = *known;
+  for (const auto& [pool, held] : pools_) {
+    for (auto& t : found[pool]) {
+      const auto known = routing::find(held, t.instance);
+      if (known && held.targets[*known].link == t.link) {
+        t = held.targets[*known];
       }
     }
   }
   for (auto& [pool, targets] : found) {
-    const auto known = pools_.find(pool);
-    if (known == pools_.end() ||
-        known->second.targets.size() != targets.size() ||
-        !std::equal(targets.begin(),
-                    targets.end(),
-                    known->second.targets.begin(),
-                    [](const auto& a, const auto& b) {
-                      return a.instance == b.instance && a.link == b.link;
-                    })) {
-      pools_[pool] = routing::make_pool(std::move(targets));
-    }
+    pools_[pool] = routing::make_pool(std::move(targets));
   }
 }
 
@@ -146,12 +138,8 @@
   if (pool == pools_.end()) {
     return nullptr;
   }
-  for (auto& t : pool->second.targets) {
-    if (t.instance == c.instance) {
-      return &t;
-    }
-  }
-  return nullptr;
+  const auto index = routing::find(pool->second, c.instance);
+  return index ? &pool->second.targets[*index] : nullptr;
 }
 
 std::optional<std::uint32_t>
@@ -164,12 +152,7 @@
   }
   const auto home =
     calls::home_of(map->second.value, c.spec.request.idempotency_key());
-  for (std::uint32_t i = 0; i < p.targets.size(); ++i) {
-    if (p.targets[i].instance == home.instance) {
-      return i;
-    }
-  }
-  return std::nullopt;
+  return routing::find(p, home.instance);
 }
 
 std::optional<std::uint32_t>
@@ -179,13 +162,14 @@
     return home(c, p);
   }
   std::vector<std::uint32_t> excluded;
-  for (std::uint32_t i = 0; i < p.targets.size(); ++i) {
-    const auto& name = p.targets[i].instance;
-    if (name == c.spec.not_on ||
-        std::find(c.refused_by.begin(), c.refused_by.end(), name) !=
-          c.refused_by.end()) {
-      excluded.push_back(i);
+  const auto exclude = [&](const std::string& name) {
+    if (const auto index = routing::find(p, name)) {
+      excluded.push_back(*index);
     }
+  };
+  exclude(c.spec.not_on);
+  for (const auto& name : c.refused_by) {
+    exclude(name);
   }
   const auto now = process::steady_ms();
   auto chosen = routing::choose(p, c.spec.affinity, excluded, routing_, now);
@@ -390,11 +374,8 @@
   if (pool == pools_.end()) {
     return;
   }
-  auto& targets = pool->second.targets;
-  for (std::uint32_t i = 0; i < targets.size(); ++i) {
-    if (targets[i].instance == c.instance) {
-      routing::returned(pool->second, i);
-    }
+  if (const auto index = routing::find(pool->second, c.instance)) {
+    routing::returned(pool->second, *index);
   }
 }
 
@@ -414,7 +395,10 @@
                                                    : 0);
   const bool stranded = c->tokens > 0 && !(c->spec.may_resume && may_resume_);
   // Given up on now: the answer goes out at once, not at the deadline.
-  if (stranded || c->attempts >= max_attempts || now + wait >= c->deadline ||
+  // Waiting for a swap is no failing attempt.
+  const bool exhausted = c->attempts >= max_attempts &&
+                         why.kind != error_kind::stale_version;
+  if (stranded || exhausted || now + wait >= c->deadline ||
       (counts_against_budget && !admission::take_retry(budget_))) {
     finish(c, why);
     return;
--- a/cactusford/entry/caller.h
+++ b/cactusford/entry/caller.h
@@ -90,6 +90,8 @@
   bool may_resume_ = true;
   admission::retry_budget budget_;
   std::map<std::string, routing::pool_state> pools_;
+  std::shared_ptr<const configuration::table<configuration::instance>>
+    instances_;
   std::unordered_map<std::uint64_t, std::shared_ptr<call>> calls_;
   std::uint64_t next_handle_ = 1;
   std::mt19937_64 random_;
--- a/cactusford/entry/home_keeper.cc
+++ b/cactusford/entry/home_keeper.cc
@@ -13,6 +13,7 @@
 
 constexpr std::uint64_t record_window_ms = 600000;
 constexpr std::uint64_t retry_ms = 200;
+constexpr std::uint64_t look_interval_ms = 500;
 
 std::vector<std::string>
 live_entries(const configuration::snapshot& view)
@@ -54,6 +55,7 @@
     return;
   }
   const auto instance = message.substr(0, blank);
+  heard_ = true;
   if (path == "/membership/live") {
     live_[instance] = std::max(live_[instance], number);
   } else if (path == "/membership/leaving") {
@@ -69,6 +71,14 @@
 home_keeper::tick()
 {
   const auto view = daemon_.configuration.current();
+  const auto now = process::steady_ms();
+  // Each look goes over the whole list; nothing to see until something is new.
+  if (view == seen_ && !heard_ && now < next_look_ms_) {
+    return;
+  }
+  seen_ = view;
+  heard_ = false;
+  next_look_ms_ = now + look_interval_ms;
   const auto entries = live_entries(*view);
   forget_unlisted(*view);
   for (const auto& [service, declared] : *view->services) {
--- a/cactusford/entry/home_keeper.h
+++ b/cactusford/entry/home_keeper.h
@@ -40,6 +40,9 @@
   std::map<std::string, std::uint64_t> live_;
   std::map<std::string, std::uint64_t> leaving_;
   std::set<std::pair<std::string, std::uint64_t>> handed_over_;
+  configuration::snapshot_ptr seen_;
+  bool heard_ = false;
+  std::uint64_t next_look_ms_ = 0;
 };
 
 } // namespace cactusford::entry
--- a/cactusford/entry/owner.cc
+++ b/cactusford/entry/owner.cc
@@ -316,10 +316,16 @@
 }
 
 // A sample of a later step is delivered under the version that the trainer
-// will have by then, so its weights must be newer by as many.
+// will have by then, so its weights must be newer by as many. A trainer that
+// weighs staleness more waits for the swap; with samples of whole steps ahead
+// there is no such wait, since they are of older weights anyway.
 std::uint64_t
 owner::least_version(const session& s, std::uint64_t number) const
 {
+  if (number == s.current && settings_.policy != "baseline" &&
+      run_ahead_of(s) < 1) {
+    return std::max<std::uint64_t>(s.version, 1);
+  }
   const auto at_delivery = s.version + (number - s.current);
   const auto bound = s.declared.staleness_bound;
   return at_delivery > bound ? std::max<std::uint64_t>(at_delivery - bound, 1)
--- a/cactusford/link/link.cc
+++ b/cactusford/link/link.cc
@@ -9,6 +9,7 @@
 #include <nghttp2/nghttp2.h>
 
 #include <array>
+#include <atomic>
 #include <charconv>
 #include <chrono>
 #include <cstring>
@@ -30,6 +31,9 @@
 constexpr std::size_t read_size = 64 << 10;
 constexpr std::size_t write_batch = 256 << 10;
 
+std::atomic<std::uint64_t> sent_bytes{ 0 };
+std::atomic<std::uint64_t> received_bytes{ 0 };
+
 class category : public std::error_category
 {
 public:
@@ -112,6 +116,12 @@
   return a;
 }
 
+traffic
+total_traffic() noexcept
+{
+  return { sent_bytes, received_bytes };
+}
+
 std::string
 to_string(const address& a)
 {
@@ -526,6 +536,7 @@
         return;
       }
       me->last_heard_ = steady::now();
+      received_bytes += n;
       const auto used =
         nghttp2_session_mem_recv(me->session_, me->read_buffer_.data(), n);
       if (used < 0) {
@@ -578,8 +589,9 @@
   asio::async_write(
     socket,
     asio::buffer(write_buffer_),
-    [me = shared_from_this()](asio::error_code ec, std::size_t) {
+    [me = shared_from_this()](asio::error_code ec, std::size_t n) {
       me->writing_ = false;
+      sent_bytes += n;
       if (ec) {
         me->close(link_error::cut);
       } else {
--- a/cactusford/link/link.h
+++ b/cactusford/link/link.h
@@ -83,6 +83,18 @@
 using stream_ptr = std::shared_ptr<stream>;
 using accept_handler = std::function<void(stream_ptr)>;
 
+// Bytes of all links of this process since its start.
+struct traffic
+{
+  std::uint64_t sent = 0;
+  std::uint64_t received = 0;
+
+  friend bool operator==(const traffic&, const traffic&) = default;
+};
+
+traffic
+total_traffic() noexcept;
+
 // Listens, dials on demand, and keeps one connection for each peer.
 class endpoint
 {
--- a/cactusford/process/daemon.cc
+++ b/cactusford/process/daemon.cc
@@ -76,6 +76,10 @@
   auto& server = admin_->server;
   server.new_task_queue = [] { return new httplib::ThreadPool(2); };
   server.Get("/metrics", [this](const auto&, auto& answer) {
+    const auto bytes = link::total_traffic();
+    metrics.set("link_sent_bytes", static_cast<double>(bytes.sent));
+    metrics.set("link_received_bytes", static_cast<double>(bytes.received));
+    metrics.set("platform_calls", static_cast<double>(platform.calls()));
     answer.set_content(metrics.text(), "text/plain; version=0.0.4");
   });
   server.Get("/healthz", [](const auto&, auto& answer) {
--- a/cactusford/routing/choose.cc
+++ b/cactusford/routing/choose.cc
@@ -83,6 +83,7 @@
   std::vector<std::string> names;
   names.reserve(targets.size());
   for (const auto& t : targets) {
+    p.by_name.emplace(t.instance, static_cast<std::uint32_t>(names.size()));
     names.push_back(t.instance);
     p.own_total += t.own;
   }
@@ -91,6 +92,14 @@
   return p;
 }
 
+std::optional<std::uint32_t>
+find(const pool_state& p, const std::string& instance)
+{
+  const auto found = p.by_name.find(instance);
+  return found == p.by_name.end() ? std::nullopt
+                                  : std::optional{ found->second };
+}
+
 double
 expected_load(const target& t, std::uint64_t now_ms)
 {
--- a/cactusford/routing/choose.h
+++ b/cactusford/routing/choose.h
@@ -8,6 +8,7 @@
 #include <optional>
 #include <span>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 namespace cactusford::routing {
@@ -47,6 +48,7 @@
 {
   std::vector<target> targets;
   ring by_hash;
+  std::unordered_map<std::string, std::uint32_t> by_name;
   // Sum of `own`, kept with it.
   std::uint64_t own_total = 0;
   std::uint64_t turn = 0;
@@ -57,6 +59,9 @@
 pool_state
 make_pool(std::vector<target> targets);
 
+std::optional<std::uint32_t>
+find(const pool_state& p, const std::string& instance);
+
 // Running and queued calls for each slot, as expected now.
 double
 expected_load(const target& t, std::uint64_t now_ms);
--- a/standins/fleet.cc
+++ b/standins/fleet.cc
@@ -394,6 +394,21 @@
   return true;
 }
 
+pid_t
+fleet::pid_of(const std::string& name) const
+{
+  return processes_.at(name).pid;
+}
+
+json
+fleet::platform_counts() const
+{
+  const auto a = link::address_from(address("platform", "platform"));
+  httplib::Client c{ a.ip, a.port };
+  const auto r = c.Get("/control/counts");
+  return r ? json::parse(r->body, nullptr, false) : json::object();
+}
+
 void
 fleet::signal(const std::string& name, int number)
 {
--- a/standins/fleet.h
+++ b/standins/fleet.h
@@ -67,6 +67,8 @@
   void restart_backend(const std::string& name);
   bool wait_ready(const std::string& name, std::uint32_t limit_ms);
   bool is_running(const std::string& name);
+  // 0 when it does not run.
+  pid_t pid_of(const std::string& name) const;
 
   // Marks an instance as leaving in the platform's list, or takes it out.
   void mark_leaving(const std::string& name);
@@ -80,6 +82,8 @@
   std::vector<std::string> sidecars(const std::string& serves) const;
   // "ip:port" of a bound port, such as "http" of an entry.
   std::string address(const std::string& name, const std::string& port) const;
+  // Calls to the platform so far, by duty.
+  nlohmann::json platform_counts() const;
   const nlohmann::json& deployment() const { return deployment_; }
   const std::string& folder() const { return options_.folder; }
 
