--- a/bench/capacity.cc
+++ b/bench/capacity.cc
@@ -60,7 +60,8 @@
 metric(const std::string& text, const std::string& name)
 {
   const auto at = text.find("\n" + name + " ");
-  return at == std::string::npos ? 0 : std::stod(text.substr(at + name.size() + 2));
+  return at == std::string::npos ? 0
+                                 : std::stod(text.substr(at + name.size() + 2));
 }
 
 sample
@@ -169,9 +170,8 @@
                    seconds,
                    total(fleet.platform_counts()) - calls);
     for (int i = 0; i < changes; ++i) {
-      fleet.apply("trainer",
-                  "plans",
-                  { { "model", "m" }, { "share", 0.01 * (i + 1) } });
+      fleet.apply(
+        "trainer", "plans", { { "model", "m" }, { "share", 0.01 * (i + 1) } });
     }
     std::this_thread::sleep_for(std::chrono::seconds{ 2 });
   }
--- a/bench/micro/decisions.cc
+++ b/bench/micro/decisions.cc
@@ -92,11 +92,9 @@
   configuration::merge(s, fleet_objects(state.range(0)));
   std::uint64_t version = s.max_version;
   for (auto _ : state) {
-    const platform::object change{
-      "trainer", "t", ++version, false, R"({"model":"m"})", ""
-    };
-    benchmark::DoNotOptimize(
-      configuration::merge(s, std::span{ &change, 1 }));
+    const platform::object change{ "trainer",          "t", ++version, false,
+                                   R"({"model":"m"})", "" };
+    benchmark::DoNotOptimize(configuration::merge(s, std::span{ &change, 1 }));
   }
 }
 BENCHMARK(merge_change)->Arg(17)->Arg(aim_processes);
@@ -107,8 +105,8 @@
   configuration::state s;
   configuration::merge(s, fleet_objects(state.range(0)));
   for (auto _ : state) {
-    benchmark::DoNotOptimize(configuration::place_of(
-      *s.view->instances, "instance-5", "dc5"));
+    benchmark::DoNotOptimize(
+      configuration::place_of(*s.view->instances, "instance-5", "dc5"));
   }
 }
 BENCHMARK(find_place)
@@ -182,8 +180,7 @@
     benchmark::DoNotOptimize(rollout::ready_slots(step, 512));
   }
 }
-BENCHMARK(fetch_step)->Arg(128)->Arg(aim_slots)->Unit(
-  benchmark::kMicrosecond);
+BENCHMARK(fetch_step)->Arg(128)->Arg(aim_slots)->Unit(benchmark::kMicrosecond);
 
 } // namespace
 
--- a/cactusford/entry/caller.cc
+++ b/cactusford/entry/caller.cc
@@ -396,8 +396,8 @@
   const bool stranded = c->tokens > 0 && !(c->spec.may_resume && may_resume_);
   // Given up on now: the answer goes out at once, not at the deadline.
   // Waiting for a swap is no failing attempt.
-  const bool exhausted = c->attempts >= max_attempts &&
-                         why.kind != error_kind::stale_version;
+  const bool exhausted =
+    c->attempts >= max_attempts && why.kind != error_kind::stale_version;
   if (stranded || exhausted || now + wait >= c->deadline ||
       (counts_against_budget && !admission::take_retry(budget_))) {
     finish(c, why);
--- a/tests/path-test.cc
+++ b/tests/path-test.cc
@@ -1,59 +1,18 @@
 // The whole path, as real processes on loopback.
 
-#include "bench/load.h"
-#include "cactusford/link/link.h"
-#include "cactusford/process/daemon.h"
 #include "cactusford/testing/section.h"
-#include "cactusford/timeline/history.h"
-#include "standins/fleet.h"
+#include "tests/fixture.h"
 
-#include <criterion/criterion.h>
-#include <httplib.h>
+#include <asio/io_context.hpp>
 
-#include <csignal>
 #include <fstream>
 
 using namespace cactusford;
+using namespace cactusford::testing;
 using nlohmann::json;
 
 namespace {
 
-standins::fleet_options
-small(const std::string& name)
-{
-  standins::fleet_options o;
-  o.deployment = std::string{ CACTUSFORD_SOURCE } + "/deployments/tregaron";
-  o.folder = std::string{ CACTUSFORD_BINARY } + "/tests/" + name;
-  o.programs = std::string{ CACTUSFORD_BINARY } + "/bin";
-  o.sidecar_settings = { { "max_clock_skew_ms", 0 } };
-  o.deployment_settings = {
-    { "engines",
-      json::array({ { { "pool", "planner-lm" }, { "count", 2 } } }) },
-    { "services",
-      json::array({ { { "service", "orders-app" }, { "count", 2 } },
-                    { { "service", "scorer" }, { "count", 1 } } }) },
-  };
-  return o;
-}
-
-void
-start(standins::fleet& fleet)
-{
-  auto wrong = fleet.start();
-  cr_assert(wrong.empty(), "%s", wrong.c_str());
-  wrong = fleet.apply_declarations();
-  cr_assert(wrong.empty(), "%s", wrong.c_str());
-}
-
-httplib::Client
-client_of(const standins::fleet& fleet, const std::string& entry)
-{
-  const auto a = link::address_from(fleet.address(entry, "http"));
-  httplib::Client c{ a.ip, a.port };
-  c.set_read_timeout(std::chrono::seconds{ 20 });
-  return c;
-}
-
 json
 post(httplib::Client& c, const char* path, const json& body, int& status)
 {
@@ -62,31 +21,12 @@
   return r ? json::parse(r->body, nullptr, false) : json{};
 }
 
-// Until the weights are read and the home map has come round.
-void
-wait_served(standins::fleet& fleet)
-{
-  auto c = client_of(fleet, "entry-0");
-  for (int i = 0; i < 200; ++i) {
-    const auto r = c.Post("/service/orders-app/warm",
-                          { { "Idempotency-Key", process::new_id() } },
-                          "x",
-                          "text/plain");
-    if (r && r->status == 200) {
-      return;
-    }
-    std::this_thread::sleep_for(std::chrono::milliseconds{ 50 });
-  }
-  cr_assert_fail("the service is not served");
-}
-
 } // namespace
 
 Test(path, a_request_is_served_end_to_end, .timeout = 120)
 {
-  standins::fleet fleet{ small("path") };
-  start(fleet);
-  wait_served(fleet);
+  standins::fleet fleet{ small_fleet("path") };
+  start_served(fleet);
   auto c = client_of(fleet, "entry-0");
   int status = 0;
   SECTION("a completion comes whole")
@@ -157,7 +97,7 @@
     const auto [code, text] = fleet.operate({ "status" });
     cr_assert_eq(code, 0);
     cr_assert(
-      text.find("in force on 7 of 7") != std::string::npos, "%s", text.c_str());
+      text.find("in force on 8 of 8") != std::string::npos, "%s", text.c_str());
   }
 }
 
@@ -165,8 +105,8 @@
 // is no longer the newest: applying it would silently undo the first.
 Test(path, racing_operators_get_a_conflict, .timeout = 120)
 {
-  standins::fleet fleet{ small("race") };
-  start(fleet);
+  standins::fleet fleet{ small_fleet("race") };
+  start_served(fleet);
   const json spec{ { "model", "planner-lm" }, { "share", 0.5 } };
   cr_assert(fleet.apply("trainer", "plans", spec).empty());
   const auto file = fleet.folder() + "/declare-trainer-plans-a.json";
