Control that does not grow with the fleet: idle links close, homes are few

Ruled out: the relay (digests were equal). Causes: a watch as long as the lease, so that every home asked every other for confirmation; connections of one question that stayed open and were pinged.

Before: 1.1, 6.5, 13.3, 20.2 KB/s a process at 12, 52, 102, 152 processes; 1.6% of a core at 152. The home limit is measured next.

--- a/cactusford/calls/home_plan.cc
+++ b/cactusford/calls/home_plan.cc
@@ -49,7 +49,8 @@
   // The very first members have no predecessor that could have run keys.
   const bool first = in.held.members.empty() && in.held.former.empty();
   for (const auto& [name, incarnation] : in.live) {
-    if (!has_member(next, name)) {
+    if (!has_member(next, name) &&
+        next.members.size() < configuration::max_home_members) {
       next.members.push_back(
         { name, first ? 0 : in.now_ms + in.lease_ms, incarnation });
     }
--- a/cactusford/calls/record-test.cc
+++ b/cactusford/calls/record-test.cc
@@ -143,6 +143,22 @@
   cr_assert(ok);
 }
 
+// A service of 200 backend servers: its homes are few, and one that leaves is
+// replaced by a spare.
+Test(home, a_large_service_has_few_homes)
+{
+  plan_input in;
+  for (int i = 0; i < 200; ++i) {
+    in.live["server-" + std::to_string(i)] = 1;
+  }
+  in.held = plan_homes(in);
+  cr_assert_eq(in.held.members.size(), configuration::max_home_members);
+  in.live.erase(in.held.members.front().instance);
+  const auto next = plan_homes(in);
+  cr_assert_eq(next.members.size(), configuration::max_home_members);
+  cr_assert_eq(next.former.size(), 1);
+}
+
 // One of three homes is lost. The keys that it held move, and only they may
 // have run there: they get a later tenure, all others keep theirs.
 Test(home, only_moved_keys_get_a_later_tenure)
--- a/cactusford/configuration/declaration.h
+++ b/cactusford/configuration/declaration.h
@@ -114,6 +114,10 @@
   friend bool operator==(const former_member&, const former_member&) = default;
 };
 
+// Each member asks all others when the map changes, so their number is held
+// down; a larger service has more backend servers than homes.
+constexpr std::size_t max_home_members = 32;
+
 struct home_map
 {
   std::vector<home_member> members;
--- a/cactusford/configuration/relay.cc
+++ b/cactusford/configuration/relay.cc
@@ -20,7 +20,7 @@
 
 constexpr milliseconds tick_interval{ 1000 };
 constexpr milliseconds retry_interval{ 300 };
-constexpr std::uint32_t watch_wait_ms = 10000;
+constexpr std::uint32_t max_watch_wait_ms = 10000;
 constexpr std::uint32_t peer_answer_ms = 1500;
 constexpr std::size_t max_children = 512;
 
@@ -232,7 +232,11 @@
       return;
     }
     watching_ = true;
-    read_platform(watch_wait_ms, [me = shared_from_this()](bool ok) {
+    // An answer confirms the state for a lease, so that one must come well
+    // within it also when nothing changes. With a wait as long as the lease
+    // every home asked every other one, although the platform was up.
+    const auto wait = std::min(max_watch_wait_ms, settings_.lease_ms / 3);
+    read_platform(wait, [me = shared_from_this()](bool ok) {
       me->watching_ = false;
       if (ok) {
         me->watch();
@@ -279,11 +283,16 @@
     parent_ = links_.open(link::address_from(found->second.value.link),
                           "/configuration");
     parent_name_ = name;
+    timeline::log(
+      timeline::event{ "configuration_parent" }.with("instance", name));
     auto me = shared_from_this();
     parent_->on_message = [me](std::string_view m) {
       me->on_parent_message(m);
     };
-    parent_->on_close = [me](std::error_code) {
+    parent_->on_close = [me](std::error_code ec) {
+      timeline::log(timeline::event{ "configuration_parent_lost" }
+                      .with("instance", me->parent_name_)
+                      .with("error", ec.message()));
       me->parent_ = nullptr;
       ++me->failures_;
     };
--- a/cactusford/link/link.cc
+++ b/cactusford/link/link.cc
@@ -28,7 +28,7 @@
 constexpr std::size_t clock_size = 8;
 constexpr std::size_t header_size = length_size + clock_size;
 constexpr std::int32_t window_size = 16 << 20;
-constexpr std::size_t read_size = 64 << 10;
+constexpr std::size_t read_size = 16 << 10;
 constexpr std::size_t write_batch = 256 << 10;
 
 std::atomic<std::uint64_t> sent_bytes{ 0 };
@@ -211,6 +211,7 @@
   void flush();
   void end_if_retired();
   void tick();
+  bool is_idle();
   impl_ptr find(std::int32_t id) const;
   void remove(std::int32_t id, std::error_code ec);
 
@@ -259,7 +260,7 @@
   std::array<std::uint8_t, read_size> read_buffer_{};
   std::string write_buffer_;
   steady::time_point last_heard_ = steady::now();
-  steady::time_point started_ = steady::now();
+  steady::time_point last_used_ = steady::now();
 };
 
 void
@@ -617,6 +618,10 @@
     } else if (silent >
                std::chrono::milliseconds{ me->limits_.dead_after_ms }) {
       me->close(link_error::cut);
+    } else if (me->is_idle()) {
+      // One question to each of many peers would otherwise leave a full mesh
+      // of connections, whose pings grow with the fleet.
+      me->close(link_error::cut);
     } else {
       nghttp2_submit_ping(me->session_, NGHTTP2_FLAG_NONE, nullptr);
       me->flush_soon();
@@ -625,6 +630,17 @@
   });
 }
 
+bool
+connection::is_idle()
+{
+  if (is_server_ || stream_count() > 0) {
+    last_used_ = steady::now();
+    return false;
+  }
+  return steady::now() - last_used_ >
+         std::chrono::milliseconds{ limits_.idle_after_ms };
+}
+
 // GOAWAY names the last stream that this side takes, so a request that
 // crosses it on the wire ends as "not connected" at the peer: it never ran.
 void
@@ -790,6 +806,8 @@
 
 class endpoint_impl : public std::enable_shared_from_this<endpoint_impl>
 {
+  using dialed_map = std::map<address, std::shared_ptr<connection>>;
+
 public:
   endpoint_impl(asio::io_context& io, limits l)
     : io_{ io }
@@ -831,6 +849,13 @@
     auto& c = dialed_[peer];
     if (!c || c->is_closed() || c->is_retiring()) {
       c = std::make_shared<connection>(io_, limits_, false);
+      c->on_closed = [weak = weak_from_this(), peer](connection* raw) {
+        const auto me = weak.lock();
+        const auto found = me ? me->dialed_.find(peer) : dialed_map::iterator{};
+        if (me && found != me->dialed_.end() && found->second.get() == raw) {
+          me->dialed_.erase(found);
+        }
+      };
       c->dial(peer);
     }
     auto s = std::make_shared<stream_impl>(c, path);
@@ -894,7 +919,7 @@
   limits limits_;
   tcp::acceptor acceptor_;
   accept_handler handler_;
-  std::map<address, std::shared_ptr<connection>> dialed_;
+  dialed_map dialed_;
   std::unordered_map<connection*, std::shared_ptr<connection>> accepted_;
 };
 
--- a/cactusford/link/link.h
+++ b/cactusford/link/link.h
@@ -41,6 +41,8 @@
   std::uint32_t connect_timeout_ms = 1000;
   std::uint32_t ping_interval_ms = 1000;
   std::uint32_t dead_after_ms = 3000;
+  // A dialed connection without streams is closed after this time.
+  std::uint32_t idle_after_ms = 5000;
 };
 
 struct address
--- a/cactusford/sidecar/home_guard.cc
+++ b/cactusford/sidecar/home_guard.cc
@@ -12,6 +12,8 @@
 
 constexpr std::uint64_t ask_interval_ms = 100;
 constexpr std::uint64_t announce_interval_ms = 300;
+// A spare backend server only waits for a home to leave.
+constexpr std::uint64_t spare_interval_ms = 5000;
 constexpr std::uint32_t ask_timeout_ms = 1000;
 constexpr std::size_t announce_to = 3;
 constexpr std::uint32_t retry_ms = 100;
@@ -85,15 +87,20 @@
     }
   }
   // While the platform confirms the map nobody else need be asked.
-  const auto third = settings_.process.lease_ms / 3;
-  if (is_member() && now >= next_confirm_ms_ &&
-      daemon_.configuration.confirmed_age_ms() > third) {
-    next_confirm_ms_ = now + third;
+  // It is asked only where keyed calls come: each home asks all others.
+  const auto lease = settings_.process.lease_ms;
+  const bool wanted = last_keyed_ms_ != 0 && now - last_keyed_ms_ < lease;
+  if (is_member() && wanted && now >= next_confirm_ms_ &&
+      daemon_.configuration.confirmed_age_ms() > lease * 2 / 3) {
+    next_confirm_ms_ = now + lease / 3;
     confirm();
   }
   if (settings_.kind == settings::backend_kind::service &&
       daemon_.configuration.is_ready() && now >= next_announce_ms_) {
-    next_announce_ms_ = now + announce_interval_ms;
+    const bool full =
+      tenure_.map.members.size() >= configuration::max_home_members;
+    next_announce_ms_ =
+      now + (full && !leaving_ ? spare_interval_ms : announce_interval_ms);
     announce_state();
   }
 }
@@ -269,6 +276,7 @@
     return { error_kind::not_home, "the home is " + home.instance, retry_ms };
   }
   const auto now = process::steady_ms();
+  last_keyed_ms_ = now;
   if (!calls::is_current(
         tenure_, daemon_.configuration.confirmed_age_ms(), now)) {
     return { error_kind::not_home,
--- a/cactusford/sidecar/home_guard.h
+++ b/cactusford/sidecar/home_guard.h
@@ -58,6 +58,7 @@
   std::uint64_t next_ask_ms_ = 0;
   std::uint64_t next_confirm_ms_ = 0;
   std::uint64_t next_announce_ms_ = 0;
+  std::uint64_t last_keyed_ms_ = 0;
   bool leaving_ = false;
 };
 
