--- a/cactusford/timeline/page.cc
+++ b/cactusford/timeline/page.cc
@@ -88,10 +88,9 @@
 const x=t=>left+(t-from)/(to-from)*(canvas.width-left-10);
 function draw(){ctx.clearRect(0,0,canvas.width,canvas.height);
 ctx.font='11px sans-serif';ctx.fillStyle='#666';
-for(let i=0;i<=10;i++){const t=from+(to-from)*i/10;
+for(let i=0;i<=10;i++){const t=from+(to-from)*i/10;ctx.fillStyle='#666';
 ctx.fillText(((t-events[0].t)/1000).toFixed(2)+' s',x(t)-12,14);
-ctx.fillRect(x(t),18,1,canvas.height);ctx.globalAlpha=1;}
-ctx.globalAlpha=1;
+ctx.fillStyle='#eee';ctx.fillRect(x(t),18,1,canvas.height);}
 for(const row of rows){ctx.fillStyle='#fff';
 ctx.fillRect(0,row.y,left-4,row.h);ctx.fillStyle='#222';
 ctx.fillText(row.name,6,row.y+14);ctx.fillStyle='#ddd';
@@ -103,7 +102,8 @@
 if(it.to>it.from){ctx.fillRect(a,row.y+2+it.lane*lane,b-a,lane-1);
 if(it.unended){ctx.fillStyle='#000';ctx.fillRect(b-2,row.y+2+it.lane*lane,
 2,lane-1);}}
-else if(colours[it.e.event]){ctx.fillRect(a-1,row.y,3,row.h-2);}}}}
+else if(colours[it.e.event]){const small=it.e.event.startsWith('call_');
+ctx.fillRect(a-1,row.y,small?2:3,small?10:row.h-2);}}}}
 function at(px,py){let best=null;for(const row of rows){
 if(py<row.y||py>row.y+row.h)continue;for(const it of row.items){
 const a=x(it.from)-3,b=Math.max(a+6,x(it.to)+3);
