--- a/cactusford/sidecar/home_guard.cc
+++ b/cactusford/sidecar/home_guard.cc
@@ -13,7 +13,7 @@
 constexpr std::uint64_t ask_interval_ms = 100;
 constexpr std::uint64_t announce_interval_ms = 300;
 // A spare backend server only waits for a home to leave.
-constexpr std::uint64_t spare_interval_ms = 5000;
+constexpr std::uint64_t spare_interval_ms = 30000;
 constexpr std::uint32_t ask_timeout_ms = 1000;
 constexpr std::size_t announce_to = 3;
 constexpr std::uint32_t retry_ms = 100;
