Wait for all homes before a test's outage; settings that did nothing are gone

The home map had one member when the platform went down, since homes join as they announce themselves, and one alone never confirms itself: bookings were refused as not run for the whole outage, as designed. Ruled out: the drain (all processes stopped), the confirmation (it passes with two members). The test now begins when all three are homes, and asserts the same.

--- a/cactusford/entry/caller.h
+++ b/cactusford/entry/caller.h
@@ -59,8 +59,6 @@
   // Ends the call without a result.
   void cancel(std::uint64_t handle);
 
-  std::size_t in_flight() const { return calls_.size(); }
-
   // Backend servers and slots of a pool that take new work.
   std::uint32_t slots_of(const std::string& pool) const;
 
--- a/cactusford/platform/client.h
+++ b/cactusford/platform/client.h
@@ -67,7 +67,7 @@
   // version), platform_unavailable (it may still take effect).
   result<std::uint64_t> put(const write& w);
 
-  // Calls made so far, by duty.
+  // Calls made so far.
   std::uint64_t calls() const;
 
 private:
--- a/cactusford/settings/settings.cc
+++ b/cactusford/settings/settings.cc
@@ -28,7 +28,6 @@
   "platform": {"type": "string", "pattern": "ADDRESS"},
   "log": {"type": "string"},
   "ports_file": {"type": "string"},
-  "data_folder": {"type": "string"},
   "peers": {"type": "array", "maxItems": 64,
             "items": {"type": "string", "pattern": "ADDRESS"}},
   "lease_ms": {"type": "integer", "minimum": 200, "maximum": 600000},
@@ -53,7 +52,6 @@
   "backend": {"type": "string", "pattern": "ADDRESS"},
   "kind": {"type": "string", "enum": ["engine", "service"]},
   "serves": {"type": "string", "minLength": 1},
-  "weight_store": {"type": "string", "pattern": "ADDRESS"},
   "max_running": {"type": "integer", "minimum": 1, "maximum": 4096},
   "max_queued": {"type": "integer", "minimum": 1, "maximum": 65536},
   "record_limit": {"type": "integer", "minimum": 1, "maximum": 10000000},
@@ -124,7 +122,6 @@
   read_key(d, "platform", s.platform);
   read_key(d, "log", s.log);
   read_key(d, "ports_file", s.ports_file);
-  read_key(d, "data_folder", s.data_folder);
   read_key(d, "peers", s.peers);
   read_key(d, "lease_ms", s.lease_ms);
   read_key(d, "max_clock_skew_ms", s.max_clock_skew_ms);
@@ -233,7 +230,6 @@
   s.kind =
     d.at("kind") == "engine" ? backend_kind::engine : backend_kind::service;
   read_key(d, "serves", s.serves);
-  read_key(d, "weight_store", s.weight_store);
   read_key(d, "max_running", s.max_running);
   read_key(d, "max_queued", s.max_queued);
   read_key(d, "record_limit", s.record_limit);
--- a/cactusford/settings/settings.h
+++ b/cactusford/settings/settings.h
@@ -36,7 +36,6 @@
   std::string log;
   // Written once with the bound addresses, as JSON.
   std::string ports_file;
-  std::string data_folder;
   // Link addresses asked for the configuration while the platform is down.
   std::vector<std::string> peers;
   std::uint32_t lease_ms = 10000;
@@ -71,7 +70,6 @@
   backend_kind kind = backend_kind::engine;
   // Pool or service that the backend server belongs to.
   std::string serves;
-  std::string weight_store;
   std::uint32_t max_running = 16;
   std::uint32_t max_queued = 256;
   std::uint32_t record_limit = 100000;
--- a/tests/fixture.h
+++ b/tests/fixture.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "bench/load.h"
+#include "cactusford/configuration/declaration.h"
 #include "cactusford/link/link.h"
 #include "cactusford/process/daemon.h"
 #include "cactusford/timeline/history.h"
@@ -65,6 +66,28 @@
   cr_assert_fail("the service is not served");
 }
 
+// Until each backend server of the service is a home. They join as they
+// announce themselves; a map of one member cannot outlive an outage.
+inline void
+wait_homes(standins::fleet& fleet, const std::string& service)
+{
+  const auto a = link::address_from(fleet.address("platform", "platform"));
+  const auto wanted = fleet.sidecars(service).size();
+  for (int i = 0; i < 400; ++i) {
+    httplib::Client c{ a.ip, a.port };
+    const auto r = c.Get("/v1/objects/home_map/" + service);
+    if (r && r->status == 200) {
+      const auto spec =
+        nlohmann::json::parse(r->body).at("spec").get<std::string>();
+      if (configuration::home_map_from(spec).members.size() == wanted) {
+        return;
+      }
+    }
+    std::this_thread::sleep_for(std::chrono::milliseconds{ 50 });
+  }
+  cr_assert_fail("the service lacks homes");
+}
+
 inline void
 start_served(standins::fleet& fleet)
 {
@@ -73,6 +96,7 @@
   cr_assert(wrong.empty(), "%s", wrong.c_str());
   wrong = fleet.apply_declarations();
   cr_assert(wrong.empty(), "%s", wrong.c_str());
+  wait_homes(fleet, "orders-app");
   wait_served(fleet);
 }
 
