--- a/bench/micro/decisions.cc
+++ b/bench/micro/decisions.cc
@@ -36,7 +36,7 @@
   auto pool = pool_of(state.range(0));
   std::uint64_t key = 1;
   std::uint64_t now = 1;
-  for (auto _ : state) {
+  while (state.KeepRunning()) {
     key = key * 6364136223846793005ULL + 1;
     const auto chosen = routing::choose(pool, key, {}, {}, ++now);
     routing::sent(pool, *chosen);
@@ -73,7 +73,7 @@
 load_configuration(benchmark::State& state)
 {
   const auto objects = fleet_objects(state.range(0));
-  for (auto _ : state) {
+  while (state.KeepRunning()) {
     configuration::state s;
     benchmark::DoNotOptimize(configuration::merge(s, objects));
   }
@@ -91,7 +91,7 @@
   configuration::state s;
   configuration::merge(s, fleet_objects(state.range(0)));
   std::uint64_t version = s.max_version;
-  for (auto _ : state) {
+  while (state.KeepRunning()) {
     const platform::object change{ "trainer",          "t", ++version, false,
                                    R"({"model":"m"})", "" };
     benchmark::DoNotOptimize(configuration::merge(s, std::span{ &change, 1 }));
@@ -104,7 +104,7 @@
 {
   configuration::state s;
   configuration::merge(s, fleet_objects(state.range(0)));
-  for (auto _ : state) {
+  while (state.KeepRunning()) {
     benchmark::DoNotOptimize(
       configuration::place_of(*s.view->instances, "instance-5", "dc5"));
   }
@@ -129,7 +129,7 @@
     admission::push(
       q, { id, admission::call_class::rollout, flow(), 0.1, id % 700 });
   }
-  for (auto _ : state) {
+  while (state.KeepRunning()) {
     ++id;
     admission::push(
       q, { id, admission::call_class::rollout, flow(), 0.1, id % 700 });
@@ -150,7 +150,7 @@
     std::make_shared<const calls::kept_answer>(calls::kept_answer{});
   std::uint64_t id = 0;
   constexpr std::uint64_t now = 10'000'000;
-  for (auto _ : state) {
+  while (state.KeepRunning()) {
     const auto key = "01a23817-13cf-79fb-b1b5-" + std::to_string(++id);
     calls::admit(r, { key, now, 1 }, now);
     calls::answered(r, key, answer);
@@ -175,7 +175,7 @@
   for (std::uint32_t i = 0; i < step.slots.size() / 2; ++i) {
     rollout::set_received(held, i);
   }
-  for (auto _ : state) {
+  while (state.KeepRunning()) {
     benchmark::DoNotOptimize(rollout::mark_received(step, held));
     benchmark::DoNotOptimize(rollout::ready_slots(step, 512));
   }
