--- a/cactusford/link/link.cc
+++ b/cactusford/link/link.cc
@@ -211,6 +211,7 @@
   void flush();
   void end_if_retired();
   void tick();
+  bool is_silent() const;
   bool is_idle();
   impl_ptr find(std::int32_t id) const;
   void remove(std::int32_t id, std::error_code ec);
@@ -612,15 +613,9 @@
     if (ec || me->closed_) {
       return;
     }
-    const auto silent = steady::now() - me->last_heard_;
     if (!me->connected_) {
       me->close(link_error::not_connected);
-    } else if (silent >
-               std::chrono::milliseconds{ me->limits_.dead_after_ms }) {
-      me->close(link_error::cut);
-    } else if (me->is_idle()) {
-      // One question to each of many peers would otherwise leave a full mesh
-      // of connections, whose pings grow with the fleet.
+    } else if (me->is_silent() || me->is_idle()) {
       me->close(link_error::cut);
     } else {
       nghttp2_submit_ping(me->session_, NGHTTP2_FLAG_NONE, nullptr);
@@ -630,6 +625,15 @@
   });
 }
 
+bool
+connection::is_silent() const
+{
+  return steady::now() - last_heard_ >
+         std::chrono::milliseconds{ limits_.dead_after_ms };
+}
+
+// One question to each of many peers would otherwise leave a full mesh of
+// connections, whose pings grow with the fleet.
 bool
 connection::is_idle()
 {
