--- /dev/null
+++ b/cactusford/backends/registry.cc
@@ -0,0 +1,256 @@
+#include "cactusford/backends/registry.h"
+
+#include <algorithm>
+#include <limits>
+
+namespace cactusford::backends {
+
+namespace {
+
+// A lapsed entry is back within about two seconds of the store's return if
+// its backend server lives, says the platform.
+constexpr std::uint64_t keep_missing_ms = 2000;
+
+// A reported load describes other callers' work for this long: a few times
+// the time of a plain call, less than that of a stream.
+constexpr std::uint64_t load_age_limit_ms = 1000;
+
+// A slow mark holds this long without a new event, so that a backend server
+// that recovered is tried again.
+constexpr std::uint64_t pace_age_limit_ms = 2500;
+
+// Engines differ by tens of percent under load; a slow one by a factor.
+constexpr double slow_factor = 1.9;
+
+// Weight of a new sample. Four events of a slow engine move its pace past the
+// slow factor.
+constexpr double pace_gain = 0.35;
+constexpr double call_gain = 0.2;
+
+// Pause after the first failure, doubled with each further one.
+constexpr std::uint64_t first_avoid_ms = 250;
+constexpr std::uint64_t longest_avoid_ms = 2000;
+
+// In units of one running request for each slot: a near backend server wins
+// over an equally loaded far one, and no more.
+constexpr double far_penalty = 0.05;
+constexpr double slow_penalty = 4;
+
+double
+load_of(const backend& b, std::uint64_t now_ms)
+{
+  const bool fresh = now_ms - b.others_at_ms < load_age_limit_ms;
+  const double all = b.in_flight + (fresh ? b.others : 0);
+  return all / std::max<std::uint32_t>(b.said.slots, 1);
+}
+
+bool
+is_open(const backend& b, std::uint64_t now_ms)
+{
+  return !b.said.leaving && b.avoided_until_ms <= now_ms;
+}
+
+bool
+accepts(const backend& b, const item_needs& needs)
+{
+  if (b.said.leaving || b.said.service != needs.service) {
+    return false;
+  }
+  const auto found = b.said.versions.find(std::string{ needs.model });
+  if (found == b.said.versions.end()) {
+    return false;
+  }
+  return found->second >= needs.min_version &&
+         (needs.only_version == 0 || found->second == needs.only_version);
+}
+
+} // namespace
+
+void
+announce(registry& r, announcement a)
+{
+  auto& b = r.all[a.id];
+  // Versions only grow while it lives; its word may be older than ours.
+  for (const auto& [model, version] : b.said.versions) {
+    auto& said = a.versions[model];
+    said = std::max(said, version);
+  }
+  b.said = std::move(a);
+  b.missing_since_ms = 0;
+}
+
+void
+withdraw(registry& r, const std::string& id, std::uint64_t now_ms)
+{
+  auto* b = find(r, id);
+  if (b != nullptr && b->missing_since_ms == 0) {
+    b->missing_since_ms = std::max<std::uint64_t>(now_ms, 1);
+  }
+  expire(r, now_ms);
+}
+
+void
+replace_all(registry& r, std::vector<announcement> list, std::uint64_t now_ms)
+{
+  for (auto& [id, b] : r.all) {
+    const bool listed = std::any_of(
+      list.begin(), list.end(), [&](const auto& a) { return a.id == id; });
+    if (!listed && b.missing_since_ms == 0) {
+      b.missing_since_ms = std::max<std::uint64_t>(now_ms, 1);
+    }
+  }
+  for (auto& a : list) {
+    announce(r, std::move(a));
+  }
+  expire(r, now_ms);
+}
+
+bool
+expire(registry& r, std::uint64_t now_ms)
+{
+  if (now_ms < r.keep_missing_until_ms) {
+    return false;
+  }
+  const auto gone = std::erase_if(
+    r.all, [](const auto& e) { return e.second.missing_since_ms != 0; });
+  return gone > 0;
+}
+
+backend*
+find(registry& r, const std::string& id)
+{
+  const auto found = r.all.find(id);
+  return found == r.all.end() ? nullptr : &found->second;
+}
+
+void
+note_success(backend& b, std::uint64_t took_ms)
+{
+  b.failures = 0;
+  b.avoided_until_ms = 0;
+  const auto took = static_cast<double>(took_ms);
+  b.call_ms =
+    b.call_ms == 0 ? took : b.call_ms + call_gain * (took - b.call_ms);
+}
+
+void
+note_failure(backend& b, std::uint64_t now_ms)
+{
+  constexpr std::uint32_t doublings = 3;
+  const auto pause = std::min(first_avoid_ms << std::min(b.failures, doublings),
+                              longest_avoid_ms);
+  ++b.failures;
+  b.avoided_until_ms = now_ms + pause;
+}
+
+void
+note_load(backend& b, const reported_load& l, std::uint64_t now_ms)
+{
+  const auto all = l.running + l.waiting;
+  b.others = all > b.in_flight ? all - b.in_flight : 0;
+  b.others_at_ms = now_ms;
+}
+
+void
+note_pace(backend& b, double gap_ms, std::uint64_t now_ms)
+{
+  const bool old = now_ms - b.pace_at_ms > pace_age_limit_ms;
+  b.pace_ms = b.pace_ms == 0 || old
+                ? gap_ms
+                : b.pace_ms + pace_gain * (gap_ms - b.pace_ms);
+  b.pace_at_ms = now_ms;
+}
+
+double
+usual_pace_ms(const registry& r, std::string_view service, std::uint64_t now)
+{
+  std::vector<double> known;
+  for (const auto& [id, b] : r.all) {
+    const bool fresh = now - b.pace_at_ms <= pace_age_limit_ms;
+    if (b.said.service == service && b.pace_ms > 0 && fresh) {
+      known.push_back(b.pace_ms);
+    }
+  }
+  if (known.empty()) {
+    return 0;
+  }
+  const auto at = known.begin() + static_cast<long>(known.size() / 4);
+  std::nth_element(known.begin(), at, known.end());
+  return *at;
+}
+
+bool
+is_slow(const backend& b, double usual, std::uint64_t now_ms)
+{
+  const bool fresh = now_ms - b.pace_at_ms <= pace_age_limit_ms;
+  return fresh && usual > 0 && b.pace_ms > slow_factor * usual;
+}
+
+backend*
+choose_for_call(registry& r,
+                std::string_view service,
+                std::string_view data_centre,
+                const std::vector<std::string>& tried,
+                std::uint64_t now_ms,
+                double random)
+{
+  // Two passes: those avoided after failures come last, as all may be.
+  for (const bool careful : { true, false }) {
+    backend* best = nullptr;
+    double best_cost = std::numeric_limits<double>::max();
+    std::uint32_t equal = 0;
+    for (auto& [id, b] : r.all) {
+      const bool was_tried =
+        std::find(tried.begin(), tried.end(), id) != tried.end();
+      const bool open = careful ? is_open(b, now_ms) : !b.said.leaving;
+      if (b.said.service != service || was_tried || !open) {
+        continue;
+      }
+      const double cost = (1 + load_of(b, now_ms)) * std::max(b.call_ms, 1.0) +
+                          (b.said.data_centre == data_centre ? 0 : far_penalty);
+      constexpr double same = 1e-9;
+      equal = cost < best_cost - same ? 1 : equal + 1;
+      if (cost < best_cost - same ||
+          (cost < best_cost + same && random * equal < 1)) {
+        best = &b;
+        best_cost = cost;
+      }
+    }
+    if (best != nullptr) {
+      return best;
+    }
+  }
+  return nullptr;
+}
+
+backend*
+choose_for_item(registry& r, const item_needs& needs, std::uint64_t now_ms)
+{
+  const auto usual = usual_pace_ms(r, needs.service, now_ms);
+  backend* best = nullptr;
+  double best_cost = std::numeric_limits<double>::max();
+  for (auto& [id, b] : r.all) {
+    if (!accepts(b, needs) || !is_open(b, now_ms) || id == needs.not_on ||
+        load_of(b, now_ms) >= 1) {
+      continue;
+    }
+    const double cost =
+      load_of(b, now_ms) + (is_slow(b, usual, now_ms) ? slow_penalty : 0) +
+      (b.said.data_centre == needs.data_centre ? 0 : far_penalty);
+    if (cost < best_cost) {
+      best = &b;
+      best_cost = cost;
+    }
+  }
+  return best;
+}
+
+bool
+can_serve(const registry& r, const item_needs& needs)
+{
+  return std::any_of(r.all.begin(), r.all.end(), [&](const auto& e) {
+    return accepts(e.second, needs);
+  });
+}
+
+} // namespace cactusford::backends
--- /dev/null
+++ b/cactusford/batches/event_reader.cc
@@ -0,0 +1,110 @@
+#include "cactusford/batches/event_reader.h"
+
+#include "cactusford/http/message.h"
+
+#include <algorithm>
+
+namespace cactusford::batches {
+
+namespace {
+
+constexpr std::string_view separator = "\n\n";
+
+std::string_view
+without_return(std::string_view line)
+{
+  return line.ends_with('\r') ? line.substr(0, line.size() - 1) : line;
+}
+
+std::string_view
+value_of(std::string_view line, std::size_t colon)
+{
+  auto value = line.substr(colon + 1);
+  if (value.starts_with(' ')) {
+    value.remove_prefix(1);
+  }
+  return value;
+}
+
+} // namespace
+
+event_reader::event_reader(std::string version_line)
+  : version_line_{ std::move(version_line) }
+{
+}
+
+std::vector<stream_event>
+event_reader::feed(std::string_view bytes)
+{
+  std::vector<stream_event> events;
+  rest_ += bytes;
+  std::size_t start = 0;
+  while (true) {
+    const auto end = rest_.find(separator, start);
+    if (end == std::string::npos) {
+      break;
+    }
+    events.push_back(
+      parse(std::string_view{ rest_ }.substr(start, end - start)));
+    start = end + separator.size();
+  }
+  rest_.erase(0, start);
+  return events;
+}
+
+stream_event
+event_reader::parse(std::string_view block)
+{
+  stream_event e;
+  bool has_id = false;
+  bool has_data = false;
+  while (!block.empty()) {
+    const auto end = std::min(block.find('\n'), block.size());
+    const auto line = without_return(block.substr(0, end));
+    block.remove_prefix(std::min(end + 1, block.size()));
+    const auto colon = line.find(':');
+    if (colon == std::string_view::npos) {
+      malformed_ = true;
+      continue;
+    }
+    const auto key = line.substr(0, colon);
+    const auto value = value_of(line, colon);
+    if (key == "id") {
+      const auto id = http::parse_number(value);
+      has_id = id.has_value();
+      e.id = id.value_or(0);
+    } else if (key == "data") {
+      e.data += has_data ? "\n" : "";
+      e.data += value;
+      has_data = true;
+    } else if (http::same_name(key, version_line_)) {
+      e.version = http::parse_number(value);
+    }
+  }
+  malformed_ = malformed_ || !has_id;
+  return e;
+}
+
+bool
+append(item_text& t, const stream_event& e)
+{
+  if (t.events > 0 && e.id != t.last_event + 1) {
+    return false;
+  }
+  t.version = e.version.value_or(t.version);
+  const bool known =
+    std::find(t.versions.begin(), t.versions.end(), t.version) !=
+    t.versions.end();
+  if (!known) {
+    t.versions.push_back(t.version);
+  }
+  if (t.events > 0) {
+    t.text += '\n';
+  }
+  t.text += e.data;
+  t.last_event = e.id;
+  ++t.events;
+  return true;
+}
+
+} // namespace cactusford::batches
--- /dev/null
+++ b/cactusford/batches/keeper.h
@@ -0,0 +1,88 @@
+// Keeps batches: accepts them into the store, runs those that this instance
+// owns, takes over those whose owner is gone, and shows results.
+#pragma once
+
+#include "cactusford/batches/event_reader.h"
+#include "cactusford/batches/ledger.h"
+#include "cactusford/edge/forward.h"
+#include "cactusford/http/server.h"
+#include "cactusford/store/store.h"
+
+#include <asio/io_context.hpp>
+#include <asio/steady_timer.hpp>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace cactusford::batches {
+
+// Kinds of our own in the store.
+constexpr std::string_view batch_kind = "batches";
+constexpr std::string_view chunk_kind = "results";
+
+// Path of the calls among instances about batches and their owners.
+constexpr std::string_view peer_results_path = "/results/";
+constexpr std::string_view peer_alive_path = "/alive";
+
+// What the keeper works with; all outlive it.
+struct keeper_parts
+{
+  asio::io_context& io;
+  http::client& http;
+  store::client& store;
+  backends::registry& registry;
+  const edge::dialect& dialect;
+  edge::forwarder& forwarder;
+  std::function<routes::table_ptr()> table;
+  std::string instance;
+  // Where other instances reach this one.
+  std::string address;
+  std::string data_centre;
+};
+
+class keeper
+{
+public:
+  explicit keeper(keeper_parts parts);
+  ~keeper();
+
+  // Starts the regular checks.
+  void start();
+
+  // A caller submits a batch.
+  void accept(const http::call& caller,
+              const std::string& id,
+              std::uint64_t give_up_ms);
+
+  // A caller reads results. A read `from_peer` is answered from what this
+  // instance owns, or not at all.
+  void read(const http::call& caller,
+            const edge::batch_request& r,
+            bool from_peer);
+
+  void read_item(const http::call& caller, const edge::batch_request& r);
+
+  void end(const http::call& caller, const std::string& id);
+
+  // From the watch of the batches.
+  void on_list(std::vector<store::object>&& all);
+  void on_change(store::change&& c);
+
+  // Backend servers or their versions have changed.
+  void on_backends();
+
+  // Gives the batches to other instances; `done` follows when all are given.
+  void leave(std::function<void()> done);
+
+  std::size_t owned() const;
+
+private:
+  struct impl;
+  std::shared_ptr<impl> impl_;
+};
+
+} // namespace cactusford::batches
--- /dev/null
+++ b/cactusford/batches/state.cc
@@ -0,0 +1,78 @@
+#include "cactusford/batches/state.h"
+
+#include <algorithm>
+#include <numeric>
+
+namespace cactusford::batches::detail {
+
+void
+batch_state::set(batches::submission s, const std::string& version_line)
+{
+  submission = std::move(s);
+  items.resize(submission.items.size());
+  for (std::size_t at = 0; at < items.size(); ++at) {
+    items[at].index = at;
+    items[at].reader = event_reader{ version_line };
+    index_of[submission.items[at].id] = at;
+  }
+  recount();
+  order.resize(items.size());
+  std::iota(order.begin(), order.end(), std::size_t{ 0 });
+  // The longest first: started late, one of them would be all that a step
+  // still waits for.
+  std::stable_sort(order.begin(), order.end(), [&](auto a, auto b) {
+    return submission.items[a].length_hint > submission.items[b].length_hint;
+  });
+}
+
+void
+batch_state::recount()
+{
+  missing.clear();
+  for (const auto& i : items) {
+    if (i.stage != item_stage::finished) {
+      ++missing[submission.items[i.index].group];
+    }
+  }
+}
+
+bool
+batch_state::is_open() const
+{
+  return !stored.ended;
+}
+
+void
+batch_state::drop_listed()
+{
+  for (const auto& r : ledger.listed) {
+    const auto found = index_of.find(r.id);
+    if (found == index_of.end()) {
+      continue;
+    }
+    auto& i = items[found->second];
+    if (i.stage == item_stage::waiting) {
+      i.stage = item_stage::finished;
+      note_finished(i.index);
+    }
+  }
+  group_became_whole = false;
+}
+
+void
+batch_state::note_finished(std::size_t index)
+{
+  auto& left = missing[submission.items[index].group];
+  if (left > 0 && --left == 0) {
+    group_became_whole = true;
+  }
+}
+
+const item*
+batch_state::find_item(const std::string& id) const
+{
+  const auto found = index_of.find(id);
+  return found == index_of.end() ? nullptr : &submission.items[found->second];
+}
+
+} // namespace cactusford::batches::detail
--- /dev/null
+++ b/cactusford/batches/state.h
@@ -0,0 +1,110 @@
+// What an instance holds of a batch while it runs.
+#pragma once
+
+#include "cactusford/batches/batch.h"
+#include "cactusford/batches/event_reader.h"
+#include "cactusford/batches/ledger.h"
+#include "cactusford/http/client.h"
+#include "cactusford/http/server.h"
+
+#include <functional>
+#include <map>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace cactusford::batches::detail {
+
+enum class item_stage
+{
+  waiting,
+  running,
+  scoring,
+  finished,
+};
+
+struct item_state
+{
+  std::size_t index = 0;
+  item_stage stage = item_stage::waiting;
+  item_text text;
+  std::uint32_t tries = 0;
+  // Answers of 500, of engines and of the scorer.
+  std::uint32_t failed_runs = 0;
+  std::uint32_t failed_scores = 0;
+  std::uint64_t not_before_ms = 0;
+  // The engine that just failed it.
+  std::string not_on;
+
+  // The present run.
+  std::uint64_t run = 0;
+  std::string backend;
+  http::pending sent;
+  event_reader reader{ "" };
+  int status = 0;
+  bool not_run = false;
+  std::uint64_t started_ms = 0;
+  std::uint64_t last_event_ms = 0;
+  std::uint64_t events_in_run = 0;
+
+  // The scorer's call.
+  std::uint32_t score_tries = 0;
+  std::uint64_t score_again_ms = 0;
+  std::function<void()> cancel_score;
+};
+
+struct waiting_reader
+{
+  http::call caller;
+  std::uint64_t after = 0;
+  std::uint64_t until_ms = 0;
+};
+
+// Text of an item whose batch has ended.
+struct carried_item
+{
+  item_text text;
+  bool whole = false;
+};
+
+struct batch_state
+{
+  // Fills in the submission.
+  void set(submission s, const std::string& version_line);
+
+  // Not ended, and something may be left to do.
+  bool is_open() const;
+
+  // Marks the items that are listed as finished and stops nothing.
+  void drop_listed();
+
+  // Counts the items without a result anew.
+  void recount();
+
+  // An item has its result; notes whether its group is whole by that.
+  void note_finished(std::size_t index);
+
+  const item* find_item(const std::string& id) const;
+
+  stored_batch stored;
+  batches::submission submission;
+  std::vector<item_state> items;
+  // Indices of items in the order in which they start.
+  std::vector<std::size_t> order;
+  std::unordered_map<std::string, std::size_t> index_of;
+  // Items of a group without a result.
+  std::map<std::string, std::size_t> missing;
+  batches::ledger ledger;
+  std::vector<waiting_reader> readers;
+  // This instance owns it, and has read all chunks.
+  bool owned = false;
+  bool loaded = false;
+  bool load_again = false;
+  bool taking_over = false;
+  bool group_became_whole = false;
+  std::uint64_t owner_since_ms = 0;
+  std::uint64_t write_again_ms = 0;
+  std::uint64_t looked_ms = 0;
+};
+
+} // namespace cactusford::batches::detail
--- /dev/null
+++ b/cactusford/edge/edge.cc
@@ -0,0 +1,463 @@
+#include "cactusford/batches/keeper.h"
+#include "cactusford/edge/forward.h"
+#include "cactusford/edge/hosted.h"
+#include "cactusford/http/server.h"
+#include "cactusford/http/socket.h"
+#include "cactusford/process/line_log.h"
+#include "cactusford/process/metrics.h"
+#include "cactusford/store/watcher.h"
+
+#include <algorithm>
+
+namespace cactusford::edge {
+
+namespace {
+
+// After SIGTERM the balancer asks once a second and needs two misses. Callers
+// that it still sends here until then are served.
+constexpr std::uint64_t least_stay_ms = 2800;
+
+// Left before the platform's kill for the last answers to leave the machine.
+constexpr std::uint64_t kill_margin_ms = 700;
+
+constexpr std::uint64_t leave_look_ms = 100;
+
+// Changes of backend servers gather this long: their weight versions change
+// one by one after each load, and each answer of the watch is a priced call.
+// Far below the seconds in which a leaving one must get no new work.
+constexpr std::uint64_t backend_gather_ms = 250;
+
+// When a refused caller may come back: a backend server is avoided for a
+// quarter of a second after a failure, and a plain call takes less.
+constexpr std::string_view come_back_s = "0.2";
+
+constexpr std::uint64_t missing_grace_ms = 2300;
+
+http::response
+answer(int status)
+{
+  http::response r;
+  r.status = status;
+  return r;
+}
+
+} // namespace
+
+// One entry on the platform.
+struct edge_process
+{
+  edge_process(const std::string& path,
+               const hosted_settings& s,
+               const dialect& dialect);
+
+  int run();
+  bool listen(http::server& server,
+              const std::string& address,
+              const char* key);
+  bool is_ready() const;
+  void leave();
+  void wait_for_end();
+
+  void on_caller(http::call c);
+  void on_peer(const http::call& c);
+  void forward(const http::call& c, const routes::route& r, std::string id);
+  void on_forwarded(const http::call& c,
+                    const std::string& id,
+                    forward_outcome&& o);
+  void refuse(const http::call& c);
+
+  void on_configuration(const store::object& o);
+  void watch_all();
+
+  host h;
+  const dialect& d;
+  process::metrics metrics;
+  http::client http;
+  store::client store;
+  backends::registry registry;
+  routes::table_ptr table;
+  forwarder calls;
+  batches::keeper keeper;
+  store::watcher configuration;
+  store::watcher backend_list;
+  store::watcher batch_list;
+  http::server front;
+  http::server ready;
+  http::server peer;
+  http::server metrics_port;
+  bool leaving = false;
+  bool keeper_left = false;
+  std::uint64_t leave_since = 0;
+};
+
+edge_process::edge_process(const std::string& path,
+                           const hosted_settings& s,
+                           const dialect& dialect)
+  : h{ path, s }
+  , d{ dialect }
+  , http{ h.io }
+  , store{ h.io, http, d.store, { s.store, s.peers } }
+  , calls{ h.io, http, registry, d, s.data_centre }
+  , keeper{ { h.io,
+              http,
+              store,
+              registry,
+              d,
+              calls,
+              [this] { return table; },
+              s.instance,
+              s.peer,
+              s.data_centre } }
+  , configuration{ h.io,
+                   store,
+                   { d.kinds.configuration },
+                   { [this](std::vector<store::object>&& all) {
+                      for (const auto& o : all) {
+                        on_configuration(o);
+                      }
+                    },
+                     [this](store::change&& c) {
+                       if (!c.deleted) {
+                         on_configuration(c.value);
+                       }
+                     },
+                     {} } }
+  , backend_list{ h.io,
+                  store,
+                  { d.kinds.backends, 5000, backend_gather_ms },
+                  { [this](std::vector<store::object>&& all) {
+                     std::vector<backends::announcement> list;
+                     for (const auto& o : all) {
+                       if (auto a = d.announcement_from(o)) {
+                         list.push_back(std::move(*a));
+                       }
+                     }
+                     backends::replace_all(
+                       registry, std::move(list), http::now_ms());
+                   },
+                    [this](store::change&& c) {
+                      if (c.deleted) {
+                        backends::withdraw(
+                          registry, c.value.name, http::now_ms());
+                      } else if (auto a = d.announcement_from(c.value)) {
+                        backends::announce(registry, std::move(*a));
+                      }
+                    },
+                    [this] { keeper.on_backends(); } } }
+  , batch_list{ h.io,
+                store,
+                { std::string{ batches::batch_kind } },
+                { [this](std::vector<store::object>&& all) {
+                   keeper.on_list(std::move(all));
+                 },
+                  [this](store::change&& c) { keeper.on_change(std::move(c)); },
+                  {} } }
+  , front{ h.io, {}, [this](http::call c) { on_caller(std::move(c)); } }
+  , ready{ h.io,
+           {},
+           [this](const http::call& c) {
+             c.respond(answer(is_ready() ? 200 : 503));
+           } }
+  , peer{ h.io, {}, [this](const http::call& c) { on_peer(c); } }
+  , metrics_port{
+    h.io,
+    {},
+    [this](const http::call& c) {
+      metrics.set("store_calls", static_cast<double>(store.calls()));
+      metrics.set("backend_connections_opened",
+                  static_cast<double>(http.opened()));
+      metrics.set("batches_owned", static_cast<double>(keeper.owned()));
+      http::response r;
+      r.status = 200;
+      r.fields.push_back({ "Content-Type", "text/plain; version=0.0.4" });
+      r.body = metrics.text();
+      c.respond(std::move(r));
+    }
+  }
+{
+}
+
+bool
+edge_process::listen(http::server& server,
+                     const std::string& address,
+                     const char* key)
+{
+  if (address.empty()) {
+    return true;
+  }
+  const auto ec = server.listen(address);
+  if (ec) {
+    process::log_line(timeline::event{ "listen_failed" }
+                        .with("key", key)
+                        .with("address", address)
+                        .with("why", ec.message()));
+  }
+  return !ec;
+}
+
+bool
+edge_process::is_ready() const
+{
+  return !leaving && table != nullptr && backend_list.is_current() &&
+         batch_list.is_current();
+}
+
+void
+edge_process::watch_all()
+{
+  store.on_lost = [this](std::string_view why) {
+    process::log_line(timeline::event{ "store_lost" }
+                        .with("why", why)
+                        .with("table", table ? table->version : 0));
+  };
+  store.on_regained = [this] {
+    process::log_line(timeline::event{ "store_regained" });
+    registry.keep_missing_until_ms = http::now_ms() + missing_grace_ms;
+    h.after(missing_grace_ms + 1, [this] {
+      if (backends::expire(registry, http::now_ms())) {
+        keeper.on_backends();
+      }
+    });
+    // Watches that were waiting may have been lost with the outage.
+    for (auto* w : { &configuration, &backend_list, &batch_list }) {
+      w->refresh();
+    }
+  };
+  configuration.start();
+  backend_list.start();
+  batch_list.start();
+}
+
+void
+edge_process::on_configuration(const store::object& o)
+{
+  if (o.name != d.kinds.configuration_name) {
+    return;
+  }
+  auto fresh = d.table_from(o);
+  if (!fresh) {
+    process::log_line(timeline::event{ "configuration_unreadable" }.with(
+      "revision", o.revision));
+    return;
+  }
+  // Never back: what one caller has seen stays in force for the next.
+  if (table && fresh->version <= table->version) {
+    return;
+  }
+  process::log_line(timeline::event{ "configuration_in_force" }
+                      .with("version", fresh->version)
+                      .with("before", table ? table->version : 0)
+                      .with("routes", fresh->routes.size())
+                      .with("revision", o.revision));
+  front.limit(fresh->limits);
+  table = std::make_shared<const routes::table>(std::move(*fresh));
+  keeper.on_backends();
+}
+
+void
+edge_process::refuse(const http::call& c)
+{
+  auto r = answer(503);
+  r.fields.push_back({ d.headers.retry_after, std::string{ come_back_s } });
+  const auto id = http::find(c.request().fields, d.headers.request_id);
+  if (id) {
+    r.fields.push_back({ d.headers.request_id, std::string{ *id } });
+  }
+  c.respond(std::move(r));
+}
+
+void
+edge_process::on_caller(http::call c)
+{
+  const auto& request = c.request();
+  const auto id = std::string{
+    http::find(request.fields, d.headers.request_id).value_or("")
+  };
+  metrics.add("calls_received");
+  if (!table) {
+    process::log_line(timeline::event{ "call_refused" }
+                        .with("request", id)
+                        .with("why", "no_configuration"));
+    refuse(c);
+    return;
+  }
+  const auto b = d.batch_request_from(request);
+  switch (b.what) {
+    case batch_operation::read_results:
+      keeper.read(c, b, false);
+      return;
+    case batch_operation::read_item:
+      keeper.read_item(c, b);
+      return;
+    case batch_operation::end:
+      keeper.end(c, b.id);
+      return;
+    case batch_operation::none:
+      break;
+  }
+  const auto host = http::find(request.fields, "Host").value_or("");
+  const auto* route =
+    routes::match(*table, host, http::path_of(request.target));
+  if (route == nullptr) {
+    process::log_line(timeline::event{ "call_refused" }
+                        .with("request", id)
+                        .with("why", "no_route")
+                        .with("host", host)
+                        .with("target", request.target)
+                        .with("table", table->version));
+    c.respond(answer(404));
+    return;
+  }
+  if (route->kind == routes::call_kind::rollout) {
+    const auto left = http::number(request.fields, d.headers.deadline_ms)
+                        .value_or(route->timeout_ms);
+    keeper.accept(c, id, c.received_ms() + left);
+    return;
+  }
+  forward(c, *route, id);
+}
+
+void
+edge_process::forward(const http::call& c,
+                      const routes::route& r,
+                      std::string id)
+{
+  forward_request f;
+  f.request = c.request();
+  f.id = id;
+  f.route = r;
+  const auto patience = http::number(f.request.fields, d.headers.deadline_ms)
+                          .value_or(r.timeout_ms);
+  f.give_up_ms = c.received_ms() + std::min(patience, r.timeout_ms);
+  const auto cancel =
+    calls.start(std::move(f), [this, c, id](forward_outcome&& o) {
+      on_forwarded(c, id, std::move(o));
+    });
+  c.on_gone([this, cancel, id] {
+    metrics.add("calls_abandoned");
+    process::log_line(timeline::event{ "call_gone" }.with("request", id));
+    cancel();
+  });
+}
+
+void
+edge_process::on_forwarded(const http::call& c,
+                           const std::string& id,
+                           forward_outcome&& o)
+{
+  const auto took = http::now_ms() - c.received_ms();
+  constexpr double ms_per_second = 1000;
+  metrics.observe("call_seconds", static_cast<double>(took) / ms_per_second);
+  metrics.add("calls_ended", { { "outcome", std::string{ name_of(o.what) } } });
+  process::log_line(
+    timeline::event{ "call_ended" }
+      .with("request", id)
+      .with("outcome", name_of(o.what))
+      .with("status", static_cast<std::uint64_t>(o.answer.status))
+      .with("backend", o.backend)
+      .with("attempts", o.attempts)
+      .with("took_ms", took)
+      .with("table", table->version));
+  switch (o.what) {
+    case forward_end::answered: {
+      http::response r;
+      r.status = o.answer.status;
+      for (auto& f : o.answer.fields) {
+        if (!http::is_hop_by_hop(f.name)) {
+          r.fields.push_back(std::move(f));
+        }
+      }
+      r.body = std::move(o.answer.body);
+      c.respond(std::move(r));
+      return;
+    }
+    case forward_end::not_run:
+      refuse(c);
+      return;
+    case forward_end::unknown:
+      c.respond(answer(502));
+      return;
+    case forward_end::timed_out:
+      c.respond(answer(504));
+      return;
+  }
+}
+
+void
+edge_process::on_peer(const http::call& c)
+{
+  const auto& request = c.request();
+  const auto path = http::path_of(request.target);
+  if (path == batches::peer_alive_path) {
+    c.respond(answer(200));
+  } else if (path == store::relay_path) {
+    store.relay(c);
+  } else if (path.starts_with(batches::peer_results_path)) {
+    batch_request r;
+    r.what = batch_operation::read_results;
+    r.id = path.substr(batches::peer_results_path.size());
+    const auto value = [&](std::string_view key) {
+      const auto text = http::query_value(request.target, key).value_or("");
+      return http::parse_number(text).value_or(0);
+    };
+    r.after = value("after");
+    r.wait_ms = value("wait");
+    keeper.read(c, r, true);
+  } else {
+    c.respond(answer(404));
+  }
+}
+
+// Unready at once; the batches go to others; callers are served until they
+// have moved on.
+void
+edge_process::leave()
+{
+  leaving = true;
+  leave_since = http::now_ms();
+  front.leave();
+  keeper.leave([this] { keeper_left = true; });
+  wait_for_end();
+}
+
+void
+edge_process::wait_for_end()
+{
+  const auto stayed = http::now_ms() - leave_since;
+  const bool idle =
+    front.busy() == 0 && peer.busy() == 0 && stayed >= least_stay_ms;
+  const auto limit = h.settings.grace_ms - kill_margin_ms;
+  if ((idle && keeper_left) || stayed >= limit) {
+    process::log_line(timeline::event{ "left" }
+                        .with("busy", front.busy())
+                        .with("stayed_ms", stayed));
+    h.stop();
+    return;
+  }
+  h.after(leave_look_ms, [this] { wait_for_end(); });
+}
+
+int
+edge_process::run()
+{
+  const auto& s = h.settings;
+  if (!listen(front, s.callers, "callers") ||
+      !listen(ready, s.ready, "ready") || !listen(peer, s.peer, "peer") ||
+      !listen(metrics_port, s.metrics, "metrics")) {
+    process::flush_line_log();
+    return 1;
+  }
+  keeper.start();
+  watch_all();
+  h.run([this] { leave(); });
+  return 0;
+}
+
+int
+run_edge(const std::string& path, const hosted_settings& s, const dialect& d)
+{
+  edge_process p{ path, s, d };
+  return p.run();
+}
+
+} // namespace cactusford::edge
--- /dev/null
+++ b/cactusford/edge/forward.cc
@@ -0,0 +1,355 @@
+#include "cactusford/edge/forward.h"
+
+#include "cactusford/http/socket.h"
+#include "cactusford/process/line_log.h"
+
+#include <asio/post.hpp>
+#include <asio/steady_timer.hpp>
+
+#include <algorithm>
+
+namespace cactusford::edge {
+
+namespace {
+
+// Backend servers asked for one call, those included that refuse to run it.
+constexpr std::uint32_t max_tries = 6;
+
+// A repeatable call without an answer goes to a second backend server after
+// this long. Plain calls take some 25 ms, one in a hundred five times that; a
+// lost answer would otherwise cost the caller all of its time.
+constexpr std::uint64_t hedge_ms = 130;
+
+// An answer is kept whole before it is passed on.
+constexpr std::size_t max_answer_bytes = 16U << 20;
+
+bool
+is_success(int status)
+{
+  return status >= 200 && status < 300;
+}
+
+} // namespace
+
+std::string_view
+name_of(forward_end e) noexcept
+{
+  switch (e) {
+    case forward_end::answered:
+      return "answered";
+    case forward_end::not_run:
+      return "not_run";
+    case forward_end::unknown:
+      return "unknown";
+    case forward_end::timed_out:
+      return "timed_out";
+  }
+  return "unknown";
+}
+
+next_step
+after_attempt(const attempt_end& end, const call_progress& p)
+{
+  const bool tries_left = p.tries < max_tries;
+  const bool complete = end.state == http::end_state::complete;
+  if (end.state == http::end_state::not_sent || (complete && end.not_run)) {
+    if (tries_left) {
+      return next_step::try_another;
+    }
+    return p.runs == 0 ? next_step::give_up_not_run
+                       : next_step::give_up_unknown;
+  }
+  const bool may_repeat = p.repeatable && tries_left && p.runs < p.max_runs;
+  if (complete) {
+    // A success without its signature was made by no backend server.
+    const bool genuine = end.is_signed || !is_success(end.status);
+    constexpr int first_server_error = 500;
+    if (genuine && end.status < first_server_error) {
+      return next_step::deliver;
+    }
+    if (genuine && !may_repeat) {
+      return next_step::deliver;
+    }
+  }
+  return may_repeat ? next_step::try_another : next_step::give_up_unknown;
+}
+
+struct forwarder::flight
+{
+  struct attempt
+  {
+    http::pending sent;
+    std::string backend;
+    std::uint64_t at_ms = 0;
+    bool ended = false;
+  };
+
+  forward_request ask;
+  handler done;
+  std::string service;
+  std::vector<std::string> tried;
+  std::vector<attempt> attempts;
+  std::unique_ptr<asio::steady_timer> deadline;
+  std::unique_ptr<asio::steady_timer> hedge;
+  std::uint32_t runs = 0;
+  std::uint32_t failed_runs = 0;
+  bool finished = false;
+
+  bool is_repeatable() const
+  {
+    return ask.route.kind == routes::call_kind::idempotent;
+  }
+
+  bool has_open_attempt() const
+  {
+    return std::any_of(
+      attempts.begin(), attempts.end(), [](const auto& a) { return !a.ended; });
+  }
+};
+
+forwarder::forwarder(asio::io_context& io,
+                     http::client& http,
+                     backends::registry& registry,
+                     const dialect& d,
+                     std::string data_centre)
+  : io_{ io }
+  , http_{ http }
+  , registry_{ registry }
+  , dialect_{ d }
+  , data_centre_{ std::move(data_centre) }
+{
+}
+
+std::function<void()>
+forwarder::start(forward_request r, handler done)
+{
+  auto f = std::make_shared<flight>();
+  f->ask = std::move(r);
+  f->done = std::move(done);
+  const auto random = std::uniform_real_distribution<>{ 0, 1 }(random_);
+  f->service = routes::pick_service(f->ask.route, random);
+  const auto now = http::now_ms();
+  const auto left = f->ask.give_up_ms > now ? f->ask.give_up_ms - now : 0;
+  f->deadline = std::make_unique<asio::steady_timer>(
+    io_, std::chrono::milliseconds{ left });
+  f->deadline->async_wait([this, f](asio::error_code ec) {
+    if (!ec && !f->finished) {
+      finish(
+        f, f->runs == 0 ? forward_end::not_run : forward_end::timed_out, {});
+    }
+  });
+  asio::post(io_, [this, f] {
+    if (!f->finished) {
+      step(f);
+    }
+  });
+  return [this, f] {
+    if (f->finished) {
+      return;
+    }
+    f->finished = true;
+    f->deadline->cancel();
+    if (f->hedge) {
+      f->hedge->cancel();
+    }
+    for (auto& a : f->attempts) {
+      if (!a.ended) {
+        a.ended = true;
+        a.sent.cancel();
+        if (auto* b = backends::find(registry_, a.backend)) {
+          --b->in_flight;
+        }
+      }
+    }
+    f->done = nullptr;
+  };
+}
+
+void
+forwarder::step(const std::shared_ptr<flight>& f)
+{
+  const auto random = std::uniform_real_distribution<>{ 0, 1 }(random_);
+  auto* b = backends::choose_for_call(
+    registry_, f->service, data_centre_, f->tried, http::now_ms(), random);
+  if (b != nullptr) {
+    send(f, *b);
+  } else if (!f->has_open_attempt()) {
+    finish(f, f->runs == 0 ? forward_end::not_run : forward_end::unknown, {});
+  }
+}
+
+http::request
+forwarder::prepare(const flight& f, const backends::backend& b) const
+{
+  const auto& names = dialect_.headers;
+  http::request r;
+  r.method = f.ask.request.method;
+  r.target = f.ask.request.target;
+  r.body = f.ask.request.body;
+  for (const auto& h : f.ask.request.fields) {
+    if (!http::is_hop_by_hop(h.name)) {
+      r.fields.push_back(h);
+    }
+  }
+  const auto now = http::now_ms();
+  const auto left = f.ask.give_up_ms > now ? f.ask.give_up_ms - now : 1;
+  http::set(r.fields, names.deadline_ms, std::to_string(left));
+  http::set(r.fields, names.expected_backend, b.said.id);
+  return r;
+}
+
+void
+forwarder::send(const std::shared_ptr<flight>& f, backends::backend& b)
+{
+  const auto index = f->attempts.size();
+  const auto now = http::now_ms();
+  f->tried.push_back(b.said.id);
+  f->attempts.push_back({ {}, b.said.id, now, false });
+  ++b.in_flight;
+  ++f->runs;
+  http::exchange_options o;
+  // The flight's own timer ends it first.
+  constexpr std::uint64_t margin_ms = 500;
+  o.timeout_ms =
+    (f->ask.give_up_ms > now ? f->ask.give_up_ms - now : 0) + margin_ms;
+  o.connect_timeout_ms = std::min<std::uint64_t>(o.connect_timeout_ms, 250);
+  o.echo = { dialect_.headers.request_id, f->ask.id };
+  f->attempts[index].sent = http_.fetch(
+    b.said.address,
+    prepare(*f, b),
+    o,
+    [this, f, index](http::end_state end, http::response&& r) {
+      on_attempt(f, index, end, std::move(r));
+    },
+    max_answer_bytes);
+  if (f->is_repeatable()) {
+    hedge_later(f);
+  }
+}
+
+void
+forwarder::hedge_later(const std::shared_ptr<flight>& f)
+{
+  f->hedge = std::make_unique<asio::steady_timer>(
+    io_, std::chrono::milliseconds{ hedge_ms });
+  f->hedge->async_wait([this, f](asio::error_code ec) {
+    if (!ec && !f->finished && f->runs < f->ask.route.max_attempts &&
+        f->tried.size() < max_tries) {
+      step(f);
+    }
+  });
+}
+
+void
+forwarder::on_attempt(const std::shared_ptr<flight>& f,
+                      std::size_t index,
+                      http::end_state end,
+                      http::response&& r)
+{
+  auto& a = f->attempts[index];
+  if (a.ended) {
+    return;
+  }
+  a.ended = true;
+  const auto now = http::now_ms();
+  const auto& names = dialect_.headers;
+  const bool complete = end == http::end_state::complete;
+  constexpr int misdirected = 421;
+  const bool not_run = complete && (http::find(r.fields, names.not_run) ||
+                                    r.status == misdirected);
+  if (auto* b = backends::find(registry_, a.backend)) {
+    --b->in_flight;
+    if (const auto text = http::find(r.fields, names.load)) {
+      if (const auto load = dialect_.load_from(*text)) {
+        backends::note_load(*b, *load, now);
+      }
+    }
+    if (complete && !not_run) {
+      backends::note_success(*b, now - a.at_ms);
+    } else {
+      backends::note_failure(*b, now);
+    }
+  }
+  if (f->finished) {
+    return;
+  }
+  const bool was_run = !not_run && end != http::end_state::not_sent;
+  f->runs -= was_run ? 0 : 1;
+  constexpr int first_server_error = 500;
+  if (complete && was_run && r.status >= first_server_error) {
+    ++f->failed_runs;
+  }
+  attempt_end ended;
+  ended.state = end;
+  ended.status = r.status;
+  ended.not_run = not_run;
+  ended.is_signed = http::find(r.fields, names.signature).has_value();
+  call_progress progress;
+  progress.repeatable = f->is_repeatable();
+  progress.runs = f->runs;
+  progress.max_runs = std::max<std::uint32_t>(f->ask.route.max_attempts, 1);
+  progress.tries = static_cast<std::uint32_t>(f->tried.size());
+  switch (after_attempt(ended, progress)) {
+    case next_step::deliver:
+      finish(f, forward_end::answered, std::move(r));
+      return;
+    case next_step::try_another:
+      process::log_line(timeline::event{ "call_retried" }
+                          .with("request", f->ask.id)
+                          .with("backend", a.backend)
+                          .with("end", http::name_of(end))
+                          .with("status", static_cast<std::uint64_t>(r.status))
+                          .with("not_run", not_run ? 1U : 0U));
+      step(f);
+      return;
+    case next_step::give_up_not_run:
+      if (!f->has_open_attempt()) {
+        finish(f, forward_end::not_run, {});
+      }
+      return;
+    case next_step::give_up_unknown:
+      if (!f->has_open_attempt()) {
+        finish(f, forward_end::unknown, {});
+      }
+      return;
+  }
+}
+
+void
+forwarder::finish(const std::shared_ptr<flight>& f,
+                  forward_end what,
+                  http::response&& r)
+{
+  f->finished = true;
+  f->deadline->cancel();
+  if (f->hedge) {
+    f->hedge->cancel();
+  }
+  // A second attempt that lost runs to its end: breaking it off would waste
+  // the work of its backend server. Past the deadline nobody waits any more.
+  if (what == forward_end::timed_out) {
+    for (auto& a : f->attempts) {
+      if (!a.ended) {
+        a.ended = true;
+        a.sent.cancel();
+        if (auto* b = backends::find(registry_, a.backend)) {
+          --b->in_flight;
+          backends::note_failure(*b, http::now_ms());
+        }
+      }
+    }
+  }
+  forward_outcome o;
+  o.what = what;
+  o.answer = std::move(r);
+  o.failed_runs = f->failed_runs;
+  o.attempts = static_cast<std::uint32_t>(f->attempts.size());
+  if (!f->tried.empty()) {
+    o.backend = f->tried.back();
+  }
+  const auto done = std::move(f->done);
+  f->done = nullptr;
+  done(std::move(o));
+}
+
+} // namespace cactusford::edge
--- /dev/null
+++ b/cactusford/edge/forward.h
@@ -0,0 +1,118 @@
+// Carries one call to a backend server and brings back its answer: which
+// attempts are made, and what their ends mean for the caller.
+#pragma once
+
+#include "cactusford/edge/dialect.h"
+#include "cactusford/http/client.h"
+
+#include <asio/io_context.hpp>
+
+#include <functional>
+#include <memory>
+#include <random>
+#include <string>
+
+namespace cactusford::edge {
+
+// What is asked, by a caller or by the product itself.
+struct forward_request
+{
+  http::request request;
+  std::string id;
+  routes::route route;
+  // Steady clock: when the answer is of no more use.
+  std::uint64_t give_up_ms = 0;
+};
+
+enum class forward_end
+{
+  // The backend server's own answer.
+  answered,
+  // No backend server has run it, and none will.
+  not_run,
+  // It may have run.
+  unknown,
+  // Time is up; it may have run.
+  timed_out,
+};
+
+std::string_view
+name_of(forward_end e) noexcept;
+
+struct forward_outcome
+{
+  forward_end what = forward_end::unknown;
+  http::response answer;
+  // Answers of backend servers that the call itself had failed.
+  std::uint32_t failed_runs = 0;
+  std::uint32_t attempts = 0;
+  std::string backend;
+};
+
+// What an attempt's end means for the call. Pure.
+enum class next_step
+{
+  deliver,
+  try_another,
+  give_up_not_run,
+  give_up_unknown,
+};
+
+struct attempt_end
+{
+  http::end_state state = http::end_state::cut;
+  int status = 0;
+  // The answer says that the request was not run.
+  bool not_run = false;
+  bool is_signed = false;
+};
+
+struct call_progress
+{
+  bool repeatable = false;
+  // Backend servers that may have run it, this one included.
+  std::uint32_t runs = 0;
+  std::uint32_t max_runs = 1;
+  std::uint32_t tries = 0;
+};
+
+next_step
+after_attempt(const attempt_end& end, const call_progress& progress);
+
+class forwarder
+{
+public:
+  forwarder(asio::io_context& io,
+            http::client& http,
+            backends::registry& registry,
+            const dialect& d,
+            std::string data_centre);
+
+  using handler = std::function<void(forward_outcome&&)>;
+
+  // Returns what cancels the call; no outcome follows then.
+  std::function<void()> start(forward_request r, handler done);
+
+private:
+  struct flight;
+  void step(const std::shared_ptr<flight>& f);
+  void send(const std::shared_ptr<flight>& f, backends::backend& b);
+  void hedge_later(const std::shared_ptr<flight>& f);
+  void on_attempt(const std::shared_ptr<flight>& f,
+                  std::size_t index,
+                  http::end_state end,
+                  http::response&& r);
+  void finish(const std::shared_ptr<flight>& f,
+              forward_end what,
+              http::response&& r);
+  http::request prepare(const flight& f, const backends::backend& b) const;
+
+  asio::io_context& io_;
+  http::client& http_;
+  backends::registry& registry_;
+  const dialect& dialect_;
+  std::string data_centre_;
+  std::mt19937_64 random_{ std::random_device{}() };
+};
+
+} // namespace cactusford::edge
--- /dev/null
+++ b/cactusford/edge/settings.cc
@@ -0,0 +1,71 @@
+#include "cactusford/edge/settings.h"
+
+#include "cactusford/settings/settings.h"
+
+#include <nlohmann/json.hpp>
+
+namespace cactusford::edge {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr std::string_view schema_text = R"({
+  "type": "object", "additionalProperties": false,
+  "required": ["instance", "data_centre", "store"],
+  "properties": {
+  "instance": {"type": "string", "minLength": 1, "maxLength": 128},
+  "data_centre": {"type": "string", "minLength": 1},
+  "data_centres": {"type": "array", "maxItems": 4096,
+                   "items": {"type": "string"}},
+  "callers": {"type": "string"},
+  "ready": {"type": "string"},
+  "peer": {"type": "string"},
+  "metrics": {"type": "string"},
+  "store": {"type": "string",
+            "pattern": "^[0-9]{1,3}(\\.[0-9]{1,3}){3}:[0-9]{1,5}$"},
+  "peers": {"type": "array", "maxItems": 64,
+            "items": {"type": "string"}},
+  "engine": {"type": "string"},
+  "grace_ms": {"type": "integer", "minimum": 500, "maximum": 600000}
+  }})";
+
+template<typename T>
+void
+read_key(const json& document, const char* key, T& value)
+{
+  const auto found = document.find(key);
+  if (found != document.end()) {
+    found->get_to(value);
+  }
+}
+
+} // namespace
+
+result<hosted_settings>
+hosted_settings_from(std::string_view json_text)
+{
+  const auto document = json::parse(json_text, nullptr, false, true);
+  if (document.is_discarded()) {
+    return { {}, { error_kind::settings_invalid, "the file is not JSON" } };
+  }
+  if (auto wrong = settings::check(json::parse(schema_text), document)) {
+    return { {}, wrong };
+  }
+  hosted_settings s;
+  read_key(document, "instance", s.instance);
+  read_key(document, "data_centre", s.data_centre);
+  read_key(document, "data_centres", s.data_centres);
+  read_key(document, "callers", s.callers);
+  read_key(document, "ready", s.ready);
+  read_key(document, "peer", s.peer);
+  read_key(document, "metrics", s.metrics);
+  read_key(document, "store", s.store);
+  read_key(document, "peers", s.peers);
+  read_key(document, "engine", s.engine);
+  read_key(document, "grace_ms", s.grace_ms);
+  std::erase(s.peers, s.peer);
+  return { s, {} };
+}
+
+} // namespace cactusford::edge
--- /dev/null
+++ b/cactusford/edge/settings.h
@@ -0,0 +1,43 @@
+// Settings of the programs that run on the platform: JSON, checked against a
+// schema before the start.
+#pragma once
+
+#include "cactusford/error.h"
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace cactusford::edge {
+
+// Addresses are "ip:port"; port 0 lets the kernel choose. Empty: not served.
+struct hosted_settings
+{
+  std::string instance;
+  std::string data_centre;
+  std::vector<std::string> data_centres;
+  // Where callers, the balancer's health checks, other instances and metrics
+  // readers connect to.
+  std::string callers;
+  std::string ready;
+  std::string peer;
+  std::string metrics;
+  std::string store;
+  // Instances that make store calls for others; stale ones do no harm.
+  std::vector<std::string> peers;
+  // The engine beside a sidecar.
+  std::string engine;
+  // Time between SIGTERM and the end, in milliseconds. The platform kills
+  // what is still there after its grace period.
+  std::uint64_t grace_ms = 8000;
+
+  friend bool operator==(const hosted_settings&,
+                         const hosted_settings&) = default;
+};
+
+// Errors name the key, what is wrong and the remedy.
+result<hosted_settings>
+hosted_settings_from(std::string_view json_text);
+
+} // namespace cactusford::edge
--- /dev/null
+++ b/cactusford/edge/side.cc
@@ -0,0 +1,103 @@
+#include "cactusford/edge/hosted.h"
+#include "cactusford/orders/loader.h"
+#include "cactusford/process/line_log.h"
+#include "cactusford/store/watcher.h"
+
+namespace cactusford::edge {
+
+namespace {
+
+// Logs when the store is lost and regained, and asks again at once then.
+void
+follow(store::client& store, store::watcher& w)
+{
+  store.on_lost = [](std::string_view why) {
+    process::log_line(timeline::event{ "store_lost" }.with("why", why));
+  };
+  store.on_regained = [&w] {
+    process::log_line(timeline::event{ "store_regained" });
+    w.refresh();
+  };
+  w.start();
+}
+
+} // namespace
+
+int
+run_side(const std::string& path, const hosted_settings& s, const dialect& d)
+{
+  host h{ path, s };
+  http::client http{ h.io };
+  store::client store{ h.io, http, d.store, { s.store, s.peers } };
+  const auto where =
+    orders::place_of(s.instance, s.data_centre, s.data_centres);
+  orders::loader loader{ h.io, http, d, { s.instance, s.engine, where } };
+  const auto take = [&](const store::object& o) {
+    if (const auto v = d.version_from(o)) {
+      loader.on_named(*v, o.revision);
+    }
+  };
+  store::watcher versions{ h.io,
+                           store,
+                           { d.kinds.versions },
+                           { [&](std::vector<store::object>&& all) {
+                              for (const auto& o : all) {
+                                take(o);
+                              }
+                            },
+                             [&](store::change&& c) {
+                               if (!c.deleted) {
+                                 take(c.value);
+                               }
+                             },
+                             {} } };
+  follow(store, versions);
+  loader.start();
+  h.run([&] { h.stop(); });
+  return 0;
+}
+
+int
+run_depot(const std::string& path, const hosted_settings& s, const dialect& d)
+{
+  host h{ path, s };
+  http::client http{ h.io };
+  store::client store{ h.io, http, d.store, { s.store, s.peers } };
+  const auto take = [&](const store::object& o) {
+    const auto status = d.retirement_status(true);
+    if (o.name != s.instance || o.status == status) {
+      return;
+    }
+    store::call c;
+    c.op = store::operation::replace_status;
+    c.kind = d.kinds.retirements;
+    c.name = o.name;
+    c.body = status;
+    store.perform(c, [name = o.name](store::reply&& r) {
+      process::log_line(timeline::event{ "emptied" }
+                          .with("instance", name)
+                          .with("verdict", store::name_of(r.what)));
+    });
+  };
+  // Nothing here is urgent: the longest wait that the store allows.
+  constexpr std::uint64_t wait_ms = 30000;
+  store::watcher retirements{ h.io,
+                              store,
+                              { d.kinds.retirements, wait_ms },
+                              { [&](std::vector<store::object>&& all) {
+                                 for (const auto& o : all) {
+                                   take(o);
+                                 }
+                               },
+                                [&](store::change&& c) {
+                                  if (!c.deleted) {
+                                    take(c.value);
+                                  }
+                                },
+                                {} } };
+  follow(store, retirements);
+  h.run([&] { h.stop(); });
+  return 0;
+}
+
+} // namespace cactusford::edge
--- /dev/null
+++ b/cactusford/http/message.cc
@@ -0,0 +1,215 @@
+#include "cactusford/http/message.h"
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+
+namespace cactusford::http {
+
+namespace {
+
+char
+lower(char c) noexcept
+{
+  return c >= 'A' && c <= 'Z' ? static_cast<char>(c - 'A' + 'a') : c;
+}
+
+void
+append_fields(std::string& text, const headers& fields)
+{
+  for (const auto& f : fields) {
+    text += f.name;
+    text += ": ";
+    text += f.value;
+    text += "\r\n";
+  }
+}
+
+std::string
+status_line(int status)
+{
+  std::string text = "HTTP/1.1 ";
+  text += std::to_string(status);
+  text += ' ';
+  text += reason_of(status);
+  text += "\r\n";
+  return text;
+}
+
+} // namespace
+
+bool
+same_name(std::string_view a, std::string_view b) noexcept
+{
+  return a.size() == b.size() &&
+         std::equal(a.begin(), a.end(), b.begin(), [](char x, char y) {
+           return lower(x) == lower(y);
+         });
+}
+
+std::optional<std::string_view>
+find(const headers& all, std::string_view name) noexcept
+{
+  for (const auto& h : all) {
+    if (same_name(h.name, name)) {
+      return h.value;
+    }
+  }
+  return std::nullopt;
+}
+
+void
+set(headers& all, std::string_view name, std::string_view value)
+{
+  remove(all, name);
+  all.push_back({ std::string{ name }, std::string{ value } });
+}
+
+void
+remove(headers& all, std::string_view name)
+{
+  std::erase_if(all, [&](const header& h) { return same_name(h.name, name); });
+}
+
+std::optional<std::uint64_t>
+parse_number(std::string_view text) noexcept
+{
+  std::uint64_t value = 0;
+  const auto* end = text.data() + text.size();
+  const auto parsed = std::from_chars(text.data(), end, value);
+  if (text.empty() || parsed.ec != std::errc{} || parsed.ptr != end) {
+    return std::nullopt;
+  }
+  return value;
+}
+
+std::optional<std::uint64_t>
+number(const headers& all, std::string_view name) noexcept
+{
+  const auto text = find(all, name);
+  return text ? parse_number(*text) : std::nullopt;
+}
+
+bool
+is_hop_by_hop(std::string_view name) noexcept
+{
+  constexpr std::array<std::string_view, 9> names{
+    "connection", "keep-alive",        "proxy-connection",
+    "te",         "transfer-encoding", "trailer",
+    "upgrade",    "content-length",    "expect"
+  };
+  return std::any_of(names.begin(), names.end(), [&](std::string_view n) {
+    return same_name(n, name);
+  });
+}
+
+std::string_view
+reason_of(int status) noexcept
+{
+  switch (status) {
+    case 200:
+      return "OK";
+    case 202:
+      return "Accepted";
+    case 400:
+      return "Bad Request";
+    case 404:
+      return "Not Found";
+    case 408:
+      return "Request Timeout";
+    case 413:
+      return "Content Too Large";
+    case 429:
+      return "Too Many Requests";
+    case 431:
+      return "Request Header Fields Too Large";
+    case 502:
+      return "Bad Gateway";
+    case 503:
+      return "Service Unavailable";
+    case 504:
+      return "Gateway Timeout";
+    default:
+      return "Status";
+  }
+}
+
+std::string
+encode(const request& r)
+{
+  std::string text;
+  text.reserve(256 + r.body.size());
+  text += r.method;
+  text += ' ';
+  text += r.target;
+  text += " HTTP/1.1\r\n";
+  append_fields(text, r.fields);
+  if (!r.body.empty() || (r.method != "GET" && r.method != "DELETE")) {
+    text += "Content-Length: " + std::to_string(r.body.size()) + "\r\n";
+  }
+  text += "\r\n";
+  text += r.body;
+  return text;
+}
+
+std::string
+encode(const response& r)
+{
+  auto text = status_line(r.status);
+  text.reserve(256 + r.body.size());
+  append_fields(text, r.fields);
+  text += "Content-Length: " + std::to_string(r.body.size()) + "\r\n\r\n";
+  text += r.body;
+  return text;
+}
+
+std::string
+encode_chunked_head(int status, const headers& fields)
+{
+  auto text = status_line(status);
+  append_fields(text, fields);
+  text += "Transfer-Encoding: chunked\r\n\r\n";
+  return text;
+}
+
+std::string
+encode_chunk(std::string_view data)
+{
+  std::array<char, 20> size{};
+  const auto end =
+    std::to_chars(size.data(), size.data() + size.size(), data.size(), 16).ptr;
+  std::string text{ size.data(), end };
+  text += "\r\n";
+  text += data;
+  text += "\r\n";
+  return text;
+}
+
+std::string_view
+path_of(std::string_view target) noexcept
+{
+  return target.substr(0, target.find('?'));
+}
+
+std::optional<std::string_view>
+query_value(std::string_view target, std::string_view key) noexcept
+{
+  const auto mark = target.find('?');
+  if (mark == std::string_view::npos) {
+    return std::nullopt;
+  }
+  auto rest = target.substr(mark + 1);
+  while (!rest.empty()) {
+    const auto end = std::min(rest.find('&'), rest.size());
+    const auto pair = rest.substr(0, end);
+    rest.remove_prefix(std::min(end + 1, rest.size()));
+    const auto equals = pair.find('=');
+    if (pair.substr(0, equals) == key) {
+      return equals == std::string_view::npos ? std::string_view{}
+                                              : pair.substr(equals + 1);
+    }
+  }
+  return std::nullopt;
+}
+
+} // namespace cactusford::http
--- /dev/null
+++ b/cactusford/http/parser.cc
@@ -0,0 +1,193 @@
+#include "cactusford/http/parser.h"
+
+#include <http_parser.h>
+
+#include <limits>
+
+namespace cactusford::http {
+
+struct parser::impl
+{
+  http_parser raw{};
+  parser_events events;
+  head current;
+  bool last_was_value = false;
+  bool inside = false;
+  bool malformed = false;
+  bool stopped = false;
+  bool in_head = false;
+  std::size_t head_bytes = 0;
+
+  static impl& of(http_parser* p) { return *static_cast<impl*>(p->data); }
+
+  int stop_unless(bool go)
+  {
+    if (!go) {
+      stopped = true;
+      http_parser_pause(&raw, 1);
+    }
+    return 0;
+  }
+
+  void add_name(std::string_view part)
+  {
+    if (last_was_value || current.fields.empty()) {
+      current.fields.emplace_back();
+      last_was_value = false;
+    }
+    current.fields.back().name += part;
+  }
+
+  void add_value(std::string_view part)
+  {
+    last_was_value = true;
+    current.fields.back().value += part;
+  }
+};
+
+namespace {
+
+constexpr int go_on = 0;
+
+// RFC 9112, 6.3: neither a length nor chunks, and a status that has a body.
+bool
+ends_with_connection(const http_parser& p)
+{
+  constexpr unsigned no_content = 204;
+  constexpr unsigned not_modified = 304;
+  const bool has_body = p.status_code >= 200 && p.status_code != no_content &&
+                        p.status_code != not_modified;
+  return has_body && (p.flags & F_CHUNKED) == 0 &&
+         p.content_length == std::numeric_limits<std::uint64_t>::max();
+}
+
+} // namespace
+
+parser::parser(parser_kind kind, parser_events events)
+  : impl_{ std::make_unique<impl>() }
+{
+  impl_->events = std::move(events);
+  http_parser_init(&impl_->raw,
+                   kind == parser_kind::request ? HTTP_REQUEST : HTTP_RESPONSE);
+  impl_->raw.data = impl_.get();
+}
+
+parser::~parser() = default;
+
+namespace {
+
+template<typename Impl>
+const http_parser_settings&
+callbacks()
+{
+  static const http_parser_settings settings = [] {
+    http_parser_settings s;
+    http_parser_settings_init(&s);
+    s.on_message_begin = [](http_parser* p) {
+      auto& self = Impl::of(p);
+      self.current = {};
+      self.last_was_value = false;
+      self.inside = true;
+      self.in_head = true;
+      self.head_bytes = 0;
+      return go_on;
+    };
+    s.on_url = [](http_parser* p, const char* at, std::size_t size) {
+      Impl::of(p).current.target.append(at, size);
+      return go_on;
+    };
+    s.on_header_field = [](http_parser* p, const char* at, std::size_t size) {
+      Impl::of(p).add_name({ at, size });
+      return go_on;
+    };
+    s.on_header_value = [](http_parser* p, const char* at, std::size_t size) {
+      Impl::of(p).add_value({ at, size });
+      return go_on;
+    };
+    s.on_headers_complete = [](http_parser* p) {
+      auto& self = Impl::of(p);
+      if (p->type == HTTP_REQUEST) {
+        self.current.method =
+          http_method_str(static_cast<http_method>(p->method));
+      } else {
+        self.current.status = static_cast<int>(p->status_code);
+        self.current.ends_with_connection = ends_with_connection(*p);
+      }
+      self.current.keep_alive = http_should_keep_alive(p) != 0;
+      self.in_head = false;
+      self.head_bytes = 0;
+      return self.stop_unless(self.events.on_head(std::move(self.current)));
+    };
+    s.on_body = [](http_parser* p, const char* at, std::size_t size) {
+      auto& self = Impl::of(p);
+      return self.stop_unless(self.events.on_body({ at, size }));
+    };
+    s.on_message_complete = [](http_parser* p) {
+      auto& self = Impl::of(p);
+      self.inside = false;
+      return self.stop_unless(self.events.on_end());
+    };
+    return s;
+  }();
+  return settings;
+}
+
+} // namespace
+
+std::size_t
+parser::feed(std::string_view bytes)
+{
+  if (impl_->malformed || bytes.empty()) {
+    return 0;
+  }
+  const auto used = http_parser_execute(
+    &impl_->raw, &callbacks<impl>(), bytes.data(), bytes.size());
+  const auto error = HTTP_PARSER_ERRNO(&impl_->raw);
+  if (impl_->raw.upgrade != 0 || (error != HPE_OK && error != HPE_PAUSED)) {
+    impl_->malformed = true;
+  }
+  if (impl_->in_head) {
+    impl_->head_bytes += used;
+  }
+  return used;
+}
+
+bool
+parser::feed_end()
+{
+  if (impl_->malformed || !impl_->inside) {
+    return false;
+  }
+  http_parser_execute(&impl_->raw, &callbacks<impl>(), "", 0);
+  return !impl_->inside;
+}
+
+void
+parser::resume()
+{
+  impl_->stopped = false;
+  http_parser_pause(&impl_->raw, 0);
+}
+
+parse_state
+parser::state() const
+{
+  if (impl_->malformed) {
+    return parse_state::malformed;
+  }
+  return impl_->stopped ? parse_state::stopped : parse_state::going;
+}
+
+std::size_t
+parser::head_bytes() const
+{
+  return impl_->head_bytes;
+}
+
+bool
+parser::inside_message() const
+{
+  return impl_->inside;
+}
+
+} // namespace cactusford::http
--- /dev/null
+++ b/cactusford/orders/load_plan.cc
@@ -0,0 +1,76 @@
+#include "cactusford/orders/load_plan.h"
+
+#include "cactusford/http/message.h"
+
+#include <algorithm>
+
+namespace cactusford::orders {
+
+namespace {
+
+// Loads at the same time before they slow each other down, and the time of
+// one that is not slowed: the engines' measured figures.
+constexpr std::uint32_t loads_at_once = 2;
+constexpr std::uint64_t load_ms = 950;
+
+// The halves that load even and odd versions.
+constexpr std::uint32_t halves = 2;
+
+// Waiting longer than this would let a step meet engines that are too old.
+constexpr std::uint64_t longest_delay_ms = 2000;
+
+std::uint32_t
+small_hash(std::string_view text)
+{
+  std::uint32_t h = 2166136261U;
+  for (const char c : text) {
+    h = (h ^ static_cast<unsigned char>(c)) * 16777619U;
+  }
+  return h;
+}
+
+} // namespace
+
+place
+place_of(std::string_view instance,
+         std::string_view data_centre,
+         std::vector<std::string> data_centres)
+{
+  const auto dash = instance.rfind('-');
+  const auto number = dash == std::string_view::npos
+                        ? std::nullopt
+                        : http::parse_number(instance.substr(dash + 1));
+  std::sort(data_centres.begin(), data_centres.end());
+  const auto at =
+    std::find(data_centres.begin(), data_centres.end(), data_centre);
+  if (!number || *number == 0 || at == data_centres.end()) {
+    return { small_hash(instance) % 64 };
+  }
+  const auto zone = static_cast<std::uint32_t>(at - data_centres.begin());
+  const auto row = static_cast<std::uint32_t>(*number - 1);
+  return { row * static_cast<std::uint32_t>(data_centres.size()) + zone };
+}
+
+bool
+wants(std::string_view model,
+      std::uint64_t named,
+      std::uint64_t loaded,
+      const place& p)
+{
+  if (named <= loaded) {
+    return false;
+  }
+  if (named - loaded > accepted_lag) {
+    return true;
+  }
+  return (named + p.index + small_hash(model)) % halves == 0;
+}
+
+std::uint64_t
+delay_ms(const place& p)
+{
+  const auto rank = p.index / halves;
+  return std::min((rank / loads_at_once) * load_ms, longest_delay_ms);
+}
+
+} // namespace cactusford::orders
--- /dev/null
+++ b/cactusford/orders/loader.cc
@@ -0,0 +1,161 @@
+#include "cactusford/orders/loader.h"
+
+#include "cactusford/http/socket.h"
+#include "cactusford/process/line_log.h"
+
+#include <algorithm>
+
+namespace cactusford::orders {
+
+namespace {
+
+// An idle look finds an engine that restarted with older weights. While a load
+// is in progress or wanted, looks are closer.
+constexpr std::uint64_t idle_look_ms = 2000;
+constexpr std::uint64_t busy_look_ms = 250;
+
+// Reports and orders stay on this instance.
+constexpr std::uint64_t report_timeout_ms = 500;
+
+// An order that was answered late is read back through the report: it may
+// have been accepted, and `expected_orders` keeps it from counting twice.
+constexpr std::uint64_t order_timeout_ms = 1000;
+
+} // namespace
+
+loader::loader(asio::io_context& io,
+               http::client& http,
+               const edge::dialect& d,
+               loader_settings s)
+  : http_{ http }
+  , dialect_{ d }
+  , settings_{ std::move(s) }
+  , timer_{ io }
+{
+}
+
+void
+loader::on_named(const edge::named_version& v, std::uint64_t revision)
+{
+  fence_ = std::max(fence_, revision);
+  auto& n = named_[v.model];
+  if (v.version <= n.version) {
+    return;
+  }
+  n = { v.version, http::now_ms() };
+  process::log_line(timeline::event{ "version_named" }
+                      .with("model", v.model)
+                      .with("version", v.version)
+                      .with("revision", revision));
+  again_in(0);
+}
+
+void
+loader::start()
+{
+  again_in(0);
+}
+
+void
+loader::again_in(std::uint64_t ms)
+{
+  timer_.expires_after(std::chrono::milliseconds{ ms });
+  timer_.async_wait([this](asio::error_code ec) {
+    if (!ec) {
+      look();
+    }
+  });
+}
+
+void
+loader::look()
+{
+  if (asking_) {
+    return;
+  }
+  asking_ = true;
+  http::exchange_options o;
+  o.timeout_ms = report_timeout_ms;
+  http_.fetch(settings_.engine,
+              dialect_.report_request(),
+              o,
+              [this](http::end_state end, http::response&& r) {
+                asking_ = false;
+                const auto report = end == http::end_state::complete
+                                      ? dialect_.report_from(r)
+                                      : std::nullopt;
+                if (report.has_value() != was_up_) {
+                  was_up_ = report.has_value();
+                  process::log_line(
+                    timeline::event{ was_up_ ? "engine_up" : "engine_down" }
+                      .with("engine", settings_.engine)
+                      .with("end", http::name_of(end)));
+                }
+                if (report) {
+                  on_report(*report);
+                } else {
+                  again_in(idle_look_ms / 2);
+                }
+              });
+}
+
+void
+loader::on_report(const edge::engine_report& r)
+{
+  if (r.busy) {
+    again_in(busy_look_ms);
+    return;
+  }
+  const auto now = http::now_ms();
+  std::uint64_t next = idle_look_ms;
+  for (const auto& [model, n] : named_) {
+    const auto found = r.versions.find(model);
+    if (found == r.versions.end() ||
+        !wants(model, n.version, found->second, settings_.where)) {
+      continue;
+    }
+    const auto due = n.since_ms + delay_ms(settings_.where);
+    if (due > now) {
+      next = std::min(next, due - now);
+      continue;
+    }
+    order(r, model, n.version);
+    return;
+  }
+  again_in(next);
+}
+
+void
+loader::order(const edge::engine_report& r,
+              const std::string& model,
+              std::uint64_t version)
+{
+  edge::load_order o;
+  o.model = model;
+  o.version = version;
+  o.mode = edge::load_mode::keep_runs;
+  o.holder = settings_.instance;
+  o.fence = fence_;
+  o.expected_orders = r.orders;
+  o.backend = r.backend;
+  http::exchange_options options;
+  options.timeout_ms = order_timeout_ms;
+  asking_ = true;
+  http_.fetch(settings_.engine,
+              dialect_.order_request(o),
+              options,
+              [this, o](http::end_state end, http::response&& answer) {
+                asking_ = false;
+                process::log_line(
+                  timeline::event{ "load_ordered" }
+                    .with("model", o.model)
+                    .with("version", o.version)
+                    .with("fence", o.fence)
+                    .with("expected_orders", o.expected_orders)
+                    .with("end", http::name_of(end))
+                    .with("status", static_cast<std::uint64_t>(answer.status)));
+                again_in(busy_look_ms);
+              });
+}
+
+} // namespace cactusford::orders
--- /dev/null
+++ b/cactusford/orders/loader.h
@@ -0,0 +1,66 @@
+// Brings the engine beside a sidecar to the weight versions that trainers
+// name. No other process gives this engine orders.
+#pragma once
+
+#include "cactusford/edge/dialect.h"
+#include "cactusford/http/client.h"
+#include "cactusford/orders/load_plan.h"
+
+#include <asio/io_context.hpp>
+#include <asio/steady_timer.hpp>
+
+#include <map>
+#include <string>
+
+namespace cactusford::orders {
+
+struct loader_settings
+{
+  std::string instance;
+  // Where the engine listens.
+  std::string engine;
+  place where;
+};
+
+class loader
+{
+public:
+  loader(asio::io_context& io,
+         http::client& http,
+         const edge::dialect& d,
+         loader_settings s);
+
+  // A trainer has named a version; `revision` is that of the object that
+  // names it.
+  void on_named(const edge::named_version& v, std::uint64_t revision);
+
+  // Looks at the engine once in a while from now on.
+  void start();
+
+private:
+  void look();
+  void on_report(const edge::engine_report& r);
+  void order(const edge::engine_report& r,
+             const std::string& model,
+             std::uint64_t version);
+  void again_in(std::uint64_t ms);
+
+  struct named
+  {
+    std::uint64_t version = 0;
+    std::uint64_t since_ms = 0;
+  };
+
+  http::client& http_;
+  const edge::dialect& dialect_;
+  loader_settings settings_;
+  asio::steady_timer timer_;
+  std::map<std::string, named> named_;
+  // The highest revision acted on. It grows with each version that is named
+  // and survives restarts, as it is read from the store again.
+  std::uint64_t fence_ = 0;
+  bool asking_ = false;
+  bool was_up_ = true;
+};
+
+} // namespace cactusford::orders
--- /dev/null
+++ b/cactusford/routes/table.cc
@@ -0,0 +1,37 @@
+#include "cactusford/routes/table.h"
+
+namespace cactusford::routes {
+
+const route*
+match(const table& t, std::string_view host, std::string_view path)
+{
+  const route* best = nullptr;
+  for (const auto& r : t.routes) {
+    if (r.host != host || !path.starts_with(r.path_prefix)) {
+      continue;
+    }
+    if (best == nullptr || r.path_prefix.size() > best->path_prefix.size()) {
+      best = &r;
+    }
+  }
+  return best;
+}
+
+std::string
+pick_service(const route& r, double random)
+{
+  double sum = 0;
+  for (const auto& s : r.services) {
+    sum += s.weight;
+  }
+  double at = random * sum;
+  for (const auto& s : r.services) {
+    at -= s.weight;
+    if (at < 0) {
+      return s.service;
+    }
+  }
+  return r.services.empty() ? std::string{} : r.services.back().service;
+}
+
+} // namespace cactusford::routes
--- /dev/null
+++ b/cactusford/store/store.h
@@ -0,0 +1,182 @@
+// The platform's object store: typed calls, and a client that reaches it
+// directly or through another instance.
+#pragma once
+
+#include "cactusford/http/client.h"
+#include "cactusford/http/server.h"
+
+#include <asio/io_context.hpp>
+#include <asio/steady_timer.hpp>
+#include <nlohmann/json.hpp>
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace cactusford::store {
+
+// Objects are named within a kind. A revision grows with each change in the
+// whole store, so revisions of different objects can be compared.
+struct object
+{
+  std::string name;
+  std::uint64_t revision = 0;
+  bool deleting = false;
+  nlohmann::json spec;
+  nlohmann::json status;
+
+  friend bool operator==(const object&, const object&) = default;
+};
+
+struct change
+{
+  object value;
+  bool deleted = false;
+
+  friend bool operator==(const change&, const change&) = default;
+};
+
+enum class operation
+{
+  list,
+  watch,
+  get,
+  create,
+  replace_status,
+  remove,
+};
+
+struct call
+{
+  operation op = operation::get;
+  std::string kind;
+  std::string name;
+  // Only if the object still has this revision; 0: whatever it has.
+  std::uint64_t revision = 0;
+  // For `list`: names behind this one. For `watch`: changes behind `since`,
+  // held back for at most `wait_ms` until there is one.
+  std::string after;
+  std::uint64_t since = 0;
+  std::uint64_t wait_ms = 0;
+  // For `create` the specification, for `replace_status` the status.
+  nlohmann::json body;
+
+  friend bool operator==(const call&, const call&) = default;
+};
+
+enum class verdict
+{
+  done,
+  // The object exists already, or has another revision: `items` holds it if
+  // the store showed it.
+  conflict,
+  missing,
+  // The watched history has been dropped: list again.
+  history_gone,
+  // Nothing was done.
+  refused,
+  // No answer: it may have been done, or may be done later.
+  unknown,
+};
+
+std::string_view
+name_of(verdict v) noexcept;
+
+struct reply
+{
+  verdict what = verdict::unknown;
+  std::vector<object> items;
+  std::vector<change> changes;
+  bool more = false;
+  std::uint64_t as_of = 0;
+  // An earlier attempt of the same call had no answer: a conflict may be with
+  // our own write.
+  bool after_unknown = false;
+
+  friend bool operator==(const reply&, const reply&) = default;
+};
+
+// How calls look on the wire.
+struct dialect
+{
+  std::function<http::request(const call&)> encode;
+  std::function<reply(const call&, const http::response&)> decode;
+};
+
+// Where a call goes first, from what the last calls have met. Pure.
+struct path_state
+{
+  // The direct path failed and is not tried again before this time.
+  std::uint64_t direct_bad_until = 0;
+  // Index of the relay that worked last.
+  std::size_t relay = 0;
+
+  friend bool operator==(const path_state&, const path_state&) = default;
+};
+
+struct client_settings
+{
+  std::string address;
+  // Instances that make calls for others, "ip:port".
+  std::vector<std::string> relays;
+  // How long an answer may take, beyond the wait that the call asks for. The
+  // store answers in milliseconds; a slow one in some hundred.
+  std::uint64_t answer_ms = 1200;
+  // After a failure of the direct path, calls go through a relay this long.
+  std::uint64_t avoid_direct_ms = 1500;
+};
+
+class client
+{
+public:
+  using handler = std::function<void(reply&&)>;
+
+  client(asio::io_context& io,
+         http::client& http,
+         const dialect& d,
+         client_settings s);
+
+  // Tries the direct path and then at most two relays.
+  void perform(const call& c, handler done);
+
+  // Makes the call of another instance and answers with what the store said.
+  void relay(const http::call& caller);
+
+  // The last answer of the store, on the steady clock; 0 before the first.
+  std::uint64_t last_answer_ms() const { return last_answer_ms_; }
+
+  std::uint64_t calls() const { return calls_; }
+  std::uint64_t relayed() const { return relayed_; }
+
+  // Called when the store answers again after a failure.
+  std::function<void()> on_regained;
+  std::function<void(std::string_view)> on_lost;
+
+private:
+  struct attempt;
+  void try_direct(const std::shared_ptr<attempt>& a);
+  void try_relay(const std::shared_ptr<attempt>& a);
+  void take(const std::shared_ptr<attempt>& a,
+            bool direct,
+            http::end_state end,
+            http::response&& r);
+  void note_answer();
+  void note_failure(bool direct, std::string_view why);
+
+  asio::io_context& io_;
+  http::client& http_;
+  const dialect& dialect_;
+  client_settings settings_;
+  path_state path_;
+  std::uint64_t last_answer_ms_ = 0;
+  std::uint64_t calls_ = 0;
+  std::uint64_t relayed_ = 0;
+  bool lost_ = false;
+};
+
+// Path of the relay on the port that instances use among themselves.
+constexpr std::string_view relay_path = "/store";
+
+} // namespace cactusford::store
--- /dev/null
+++ b/cactusford/store/watcher.cc
@@ -0,0 +1,171 @@
+#include "cactusford/store/watcher.h"
+
+#include "cactusford/http/socket.h"
+
+#include <algorithm>
+
+namespace cactusford::store {
+
+namespace {
+
+// Pause after a failed call, in milliseconds. Each try is a priced call, and
+// a store that is back should be found well within a second.
+constexpr std::uint64_t first_pause_ms = 150;
+constexpr std::uint64_t longest_pause_ms = 600;
+
+std::uint64_t
+pause_after(std::uint32_t failures)
+{
+  constexpr std::uint32_t doublings = 2;
+  return std::min(first_pause_ms << std::min(failures, doublings),
+                  longest_pause_ms);
+}
+
+} // namespace
+
+watcher::watcher(asio::io_context& io,
+                 client& store,
+                 watch_settings s,
+                 watch_events events)
+  : timer_{ io }
+  , store_{ store }
+  , settings_{ std::move(s) }
+  , events_{ std::move(events) }
+{
+}
+
+void
+watcher::start()
+{
+  running_ = true;
+  watch();
+}
+
+void
+watcher::stop()
+{
+  running_ = false;
+  ++round_;
+  timer_.cancel();
+}
+
+void
+watcher::refresh()
+{
+  if (running_) {
+    ++round_;
+    timer_.cancel();
+    watch();
+  }
+}
+
+void
+watcher::list(const std::string& after,
+              std::vector<object> sofar,
+              std::uint64_t first_as_of)
+{
+  call c;
+  c.op = operation::list;
+  c.kind = settings_.kind;
+  c.after = after;
+  store_.perform(c, [=, this, round = round_](reply&& r) mutable {
+    if (round != round_) {
+      return;
+    }
+    if (r.what != verdict::done) {
+      ++failures_;
+      wait_and_watch(pause_after(failures_));
+      return;
+    }
+    // Pages are read one after the other; changes since the first of them
+    // come again with the watch, which does no harm.
+    if (first_as_of == 0) {
+      first_as_of = r.as_of;
+    }
+    for (auto& o : r.items) {
+      sofar.push_back(std::move(o));
+    }
+    if (r.more && !sofar.empty()) {
+      const auto last = sofar.back().name;
+      list(last, std::move(sofar), first_as_of);
+      return;
+    }
+    failures_ = 0;
+    listed_ = true;
+    needs_list_ = false;
+    as_of_ = first_as_of;
+    confirmed_ms_ = http::now_ms();
+    events_.on_list(std::move(sofar));
+    if (events_.on_current) {
+      events_.on_current();
+    }
+    watch();
+  });
+}
+
+void
+watcher::watch()
+{
+  if (!running_) {
+    return;
+  }
+  if (needs_list_) {
+    list("", {}, 0);
+    return;
+  }
+  call c;
+  c.op = operation::watch;
+  c.kind = settings_.kind;
+  c.since = as_of_;
+  c.wait_ms = settings_.wait_ms;
+  store_.perform(c, [this, round = round_](reply&& r) {
+    if (round == round_) {
+      on_reply(std::move(r));
+    }
+  });
+}
+
+void
+watcher::on_reply(reply&& r)
+{
+  if (r.what == verdict::history_gone || r.what == verdict::missing) {
+    needs_list_ = true;
+    watch();
+    return;
+  }
+  if (r.what != verdict::done) {
+    ++failures_;
+    wait_and_watch(pause_after(failures_));
+    return;
+  }
+  failures_ = 0;
+  as_of_ = std::max(as_of_, r.as_of);
+  confirmed_ms_ = http::now_ms();
+  const auto round = round_;
+  for (auto& c : r.changes) {
+    events_.on_change(std::move(c));
+  }
+  if (events_.on_current) {
+    events_.on_current();
+  }
+  if (round == round_) {
+    wait_and_watch(r.changes.empty() ? 0 : settings_.gather_ms);
+  }
+}
+
+void
+watcher::wait_and_watch(std::uint64_t ms)
+{
+  if (ms == 0) {
+    watch();
+    return;
+  }
+  timer_.expires_after(std::chrono::milliseconds{ ms });
+  timer_.async_wait([this, round = round_](asio::error_code ec) {
+    if (!ec && round == round_) {
+      watch();
+    }
+  });
+}
+
+} // namespace cactusford::store
--- /dev/null
+++ b/cactusford/store/watcher.h
@@ -0,0 +1,71 @@
+// Follows all objects of a kind: lists them once, then waits for changes.
+#pragma once
+
+#include "cactusford/store/store.h"
+
+namespace cactusford::store {
+
+struct watch_events
+{
+  // The whole kind, at the first list and whenever history was lost.
+  std::function<void(std::vector<object>&&)> on_list;
+  std::function<void(change&&)> on_change;
+  // After each answer of the store, changed or not.
+  std::function<void()> on_current;
+};
+
+struct watch_settings
+{
+  std::string kind;
+  // How long the store may hold a watch. A connection on which the answer was
+  // lost stays silent, so this bounds how old our view can become unnoticed.
+  std::uint64_t wait_ms = 5000;
+  // Pause after each answer, in which changes gather: each watch is a call.
+  std::uint64_t gather_ms = 0;
+};
+
+class watcher
+{
+public:
+  watcher(asio::io_context& io,
+          client& store,
+          watch_settings s,
+          watch_events events);
+
+  void start();
+  void stop();
+
+  // Asks again at once, such as when the store is back.
+  void refresh();
+
+  // The kind has been listed at least once.
+  bool is_current() const { return listed_; }
+
+  // When the store last confirmed this view, on the steady clock.
+  std::uint64_t confirmed_ms() const { return confirmed_ms_; }
+
+  std::uint64_t as_of() const { return as_of_; }
+
+private:
+  void list(const std::string& after,
+            std::vector<object> sofar,
+            std::uint64_t first_as_of);
+  void watch();
+  void wait_and_watch(std::uint64_t ms);
+  void on_reply(reply&& r);
+
+  asio::steady_timer timer_;
+  client& store_;
+  watch_settings settings_;
+  watch_events events_;
+  std::uint64_t as_of_ = 0;
+  std::uint64_t confirmed_ms_ = 0;
+  // Answers of an older round are dropped.
+  std::uint64_t round_ = 0;
+  std::uint32_t failures_ = 0;
+  bool listed_ = false;
+  bool needs_list_ = true;
+  bool running_ = false;
+};
+
+} // namespace cactusford::store
