--- a/cactusford/batches/keeper.cc
+++ b/cactusford/batches/keeper.cc
@@ -1099,9 +1099,11 @@
     respond_page(caller, *b, r.after);
     return;
   }
-  b->looked_ms = now;
   load_chunks(r.id, [self = shared_from_this(), caller, r](bool ok) {
     auto* found = self->known(r.id);
+    if (found != nullptr && ok) {
+      found->looked_ms = http::now_ms();
+    }
     // Without the store nothing is known of the positions behind ours.
     if (found == nullptr || (!ok && found->ledger.listed.size() <= r.after)) {
       caller.respond(come_back(self->p.dialect));
--- a/cactusford/http/client.cc
+++ b/cactusford/http/client.cc
@@ -136,17 +136,23 @@
   if (found == idle.end()) {
     return nullptr;
   }
-  auto& kept = found->second;
   const auto now = now_ms();
-  while (!kept.empty()) {
-    auto c = kept.back();
-    kept.pop_back();
+  std::shared_ptr<detail::connection> usable;
+  std::vector<std::shared_ptr<detail::connection>> dead;
+  while (!usable && !found->second.empty()) {
+    auto c = found->second.back();
+    found->second.pop_back();
     if (!c->closed && c->idle_until > now) {
-      return c;
+      usable = std::move(c);
+    } else {
+      dead.push_back(std::move(c));
     }
+  }
+  // Closing one may remove the address from the pool.
+  for (const auto& c : dead) {
     c->close();
   }
-  return nullptr;
+  return usable;
 }
 
 void
@@ -154,14 +160,17 @@
 {
   auto& kept = idle[c->address];
   const auto now = now_ms();
+  std::vector<std::shared_ptr<detail::connection>> dead;
   while (!kept.empty() &&
          (kept.front()->closed || kept.front()->idle_until <= now ||
           kept.size() >= limits.idle_for_address)) {
-    auto old = kept.front();
+    dead.push_back(std::move(kept.front()));
     kept.pop_front();
-    old->close();
   }
   kept.push_back(c);
+  for (const auto& old : dead) {
+    old->close();
+  }
 }
 
 void
--- a/cactusford/store/watcher.cc
+++ b/cactusford/store/watcher.cc
@@ -139,7 +139,13 @@
     return;
   }
   failures_ = 0;
-  as_of_ = std::max(as_of_, r.as_of);
+  // An answer without changes may have been made while the store held some
+  // back: its revision is then ahead of what we were shown, and going on from
+  // there would skip them for good. From the older one they still come, or
+  // the history is gone and the kind is listed again.
+  if (!r.changes.empty()) {
+    as_of_ = std::max(as_of_, r.as_of);
+  }
   confirmed_ms_ = http::now_ms();
   const auto round = round_;
   for (auto& c : r.changes) {
