List again after a cut watch

Cause: a watch that was cut while the store held changes back and dropped its history was repeated from the old revision, and the store held that one for its whole wait: version 6 came 4.4 s late (CONFIG, 404 for a new route). Change: a cut watch is followed by a list; it no longer counts as a lost path.

--- a/cactusford/store/store.cc
+++ b/cactusford/store/store.cc
@@ -139,6 +139,14 @@
     a->done(std::move(answer));
     return;
   }
+  // The store ends waiting watches now and then; the next call tells whether
+  // it is reached.
+  const bool ended_watch = a->call.op == operation::watch &&
+                           answer.what == verdict::unknown;
+  if (ended_watch) {
+    a->done(std::move(answer));
+    return;
+  }
   note_failure(direct, http::name_of(end));
   a->unknown_before = a->unknown_before || answer.what == verdict::unknown;
   const auto relays =
--- a/cactusford/store/watcher.cc
+++ b/cactusford/store/watcher.cc
@@ -10,14 +10,14 @@
 
 // Pause after a failed call, in milliseconds. Each try is a priced call, and
 // a store that is back should be found well within a second.
-constexpr std::uint64_t first_pause_ms = 150;
+constexpr std::uint64_t first_pause_ms = 50;
 constexpr std::uint64_t longest_pause_ms = 600;
 
 std::uint64_t
 pause_after(std::uint32_t failures)
 {
-  constexpr std::uint32_t doublings = 2;
-  return std::min(first_pause_ms << std::min(failures, doublings),
+  constexpr std::uint32_t doublings = 4;
+  return std::min(first_pause_ms << std::min(failures - 1, doublings),
                   longest_pause_ms);
 }
 
@@ -134,6 +134,10 @@
     return;
   }
   if (r.what != verdict::done) {
+    // A watch that was cut may have missed changes whose history is dropped
+    // a moment later. The next watch would be held as if nothing had changed;
+    // a list shows what stands.
+    needs_list_ = true;
     ++failures_;
     wait_and_watch(pause_after(failures_));
     return;
