--- /dev/null
+++ b/cactusford/backends/registry-test.cc
@@ -0,0 +1,159 @@
+#include "cactusford/backends/registry.h"
+
+#include "cactusford/testing/section.h"
+
+#include <criterion/criterion.h>
+
+using namespace cactusford;
+using namespace cactusford::backends;
+
+namespace {
+
+announcement
+engine(const std::string& id, std::uint64_t version)
+{
+  announcement a;
+  a.id = id;
+  a.service = "drafter";
+  a.slots = 8;
+  a.versions["m"] = version;
+  return a;
+}
+
+registry
+two_engines()
+{
+  registry r;
+  announce(r, engine("a", 5));
+  announce(r, engine("b", 6));
+  return r;
+}
+
+item_needs
+needs(std::uint64_t min_version)
+{
+  item_needs n;
+  n.service = "drafter";
+  n.model = "m";
+  n.min_version = min_version;
+  return n;
+}
+
+} // namespace
+
+Test(registry, gives_items_to_engines_whose_weights_are_new_enough)
+{
+  auto r = two_engines();
+  cr_assert(choose_for_item(r, needs(6), 0)->said.id == "b");
+  cr_assert_null(choose_for_item(r, needs(7), 0));
+  SECTION("a leaving engine gets no new work")
+  {
+    find(r, "b")->said.leaving = true;
+    cr_assert_null(choose_for_item(r, needs(6), 0));
+    cr_assert(choose_for_item(r, needs(5), 0)->said.id == "a");
+  }
+  SECTION("a full one waits for a free slot")
+  {
+    find(r, "a")->in_flight = 8;
+    cr_assert_null(choose_for_item(r, needs(5), 0));
+  }
+}
+
+Test(registry, keeps_the_newest_version_it_has_seen)
+{
+  auto r = two_engines();
+  find(r, "a")->said.versions["m"] = 9;
+  announce(r, engine("a", 5));
+  cr_assert_eq(find(r, "a")->said.versions["m"],
+               9,
+               "an announcement may be older than an engine's answer");
+}
+
+// The store is down for some seconds and entries lapse meanwhile. When it is
+// back, its list lacks engines that are alive: dropping them would leave the
+// callers with "no backend server". They announce themselves within two
+// seconds; what is missing after that is gone.
+Test(registry, keeps_lapsed_entries_for_a_moment_after_an_outage)
+{
+  auto r = two_engines();
+  r.keep_missing_until_ms = 12000;
+  replace_all(r, { engine("b", 6) }, 10000);
+  cr_assert_not_null(find(r, "a"));
+  SECTION("it comes back")
+  {
+    auto back = r;
+    announce(back, engine("a", 5));
+    expire(back, 12001);
+    cr_assert_not_null(find(back, "a"));
+  }
+  SECTION("it does not")
+  {
+    cr_assert(expire(r, 12001));
+    cr_assert_null(find(r, "a"));
+  }
+  SECTION("without an outage it is gone at once")
+  {
+    auto calm = two_engines();
+    withdraw(calm, "a", 100);
+    cr_assert_null(find(calm, "a"));
+  }
+}
+
+// Heaviest days: a fifth of the engines turn three to four times slower for
+// eight seconds. The pace of their streams shows it within a few events.
+Test(registry, sees_a_slow_engine_from_the_pace_of_its_streams)
+{
+  auto r = two_engines();
+  std::uint64_t now = 0;
+  for (int i = 0; i < 10; ++i) {
+    now += 40;
+    note_pace(*find(r, "a"), 40, now);
+    note_pace(*find(r, "b"), 40, now);
+  }
+  const auto usual = usual_pace_ms(r, "drafter", now);
+  cr_assert_not(is_slow(*find(r, "b"), usual, now));
+  for (int i = 0; i < 4; ++i) {
+    now += 140;
+    note_pace(*find(r, "b"), 140, now);
+    note_pace(*find(r, "a"), 40, now);
+  }
+  cr_assert(is_slow(*find(r, "b"), usual_pace_ms(r, "drafter", now), now));
+  SECTION("it gets work only when the others have no room")
+  {
+    cr_assert(choose_for_item(r, needs(5), now)->said.id == "a");
+    find(r, "a")->in_flight = 8;
+    cr_assert(choose_for_item(r, needs(5), now)->said.id == "b");
+  }
+  SECTION("the mark fades, so that a recovered engine is tried again")
+  {
+    cr_assert_not(is_slow(*find(r, "b"), usual, now + 5000));
+  }
+}
+
+Test(registry, spreads_plain_calls_over_the_least_loaded)
+{
+  registry r;
+  for (const auto* id : { "x", "y" }) {
+    announcement a;
+    a.id = id;
+    a.service = "quotes";
+    a.slots = 6;
+    announce(r, a);
+  }
+  note_success(*find(r, "x"), 25);
+  note_success(*find(r, "y"), 25);
+  find(r, "x")->in_flight = 3;
+  cr_assert(choose_for_call(r, "quotes", "", {}, 0, 0.5)->said.id == "y");
+  SECTION("one that failed is avoided for a while")
+  {
+    note_failure(*find(r, "y"), 1000);
+    cr_assert(choose_for_call(r, "quotes", "", {}, 1001, 0.5)->said.id == "x");
+    cr_assert(choose_for_call(r, "quotes", "", {}, 1300, 0.5)->said.id == "y");
+  }
+  SECTION("and used all the same when there is no other")
+  {
+    note_failure(*find(r, "y"), 1000);
+    cr_assert(choose_for_call(r, "quotes", "", { "x" }, 1001, 0.5)->said.id ==
+              "y");
+  }
+}
--- a/cactusford/backends/registry.cc
+++ b/cactusford/backends/registry.cc
@@ -92,9 +92,12 @@
 void
 replace_all(registry& r, std::vector<announcement> list, std::uint64_t now_ms)
 {
-  for (auto& [id, b] : r.all) {
-    const bool listed = std::any_of(
-      list.begin(), list.end(), [&](const auto& a) { return a.id == id; });
+  for (auto& entry : r.all) {
+    auto& b = entry.second;
+    const bool listed =
+      std::any_of(list.begin(), list.end(), [&](const auto& a) {
+        return a.id == entry.first;
+      });
     if (!listed && b.missing_since_ms == 0) {
       b.missing_since_ms = std::max<std::uint64_t>(now_ms, 1);
     }
--- /dev/null
+++ b/cactusford/batches/finish.cc
@@ -0,0 +1,202 @@
+#include "cactusford/batches/keeper_impl.h"
+#include "cactusford/http/socket.h"
+#include "cactusford/process/line_log.h"
+#include "cactusford/timeline/clock.h"
+
+#include <algorithm>
+
+namespace cactusford::batches {
+
+namespace {
+
+// Clocks of instances differ; an item is given up late rather than early.
+constexpr std::uint64_t clock_margin_ms = 8000;
+
+// What is remembered of the items of ended batches, which may come again.
+constexpr std::size_t carried_limit = 2000;
+
+// A scorer call that got no answer is made again after this pause.
+constexpr std::uint64_t scorer_pause_ms = 80;
+
+} // namespace
+
+// The whole text is there; the scorer's verdict makes it a result.
+void
+keeper::impl::on_text(batch_state& b, item_state& i)
+{
+  const auto& item = b.submission.items[i.index];
+  if (!item.scorer) {
+    finish_item(b, i, { item.id, true, i.text.text, i.text.versions, "" });
+    return;
+  }
+  i.stage = item_stage::scoring;
+  i.score_tries = 0;
+  score(b.stored.id, i.index);
+  plan_soon();
+}
+
+void
+keeper::impl::score(const std::string& id, std::size_t at)
+{
+  auto* b = known(id);
+  if (b == nullptr || !b->owned || b->items[at].stage != item_stage::scoring) {
+    return;
+  }
+  auto& i = b->items[at];
+  const auto& call = *b->submission.items[at].scorer;
+  const auto table = p.table();
+  const auto* route =
+    table ? routes::match(*table, call.host, call.path) : nullptr;
+  if (route == nullptr) {
+    i.score_again_ms = http::now_ms() + scorer_pause_ms;
+    return;
+  }
+  edge::forward_request f;
+  f.id = call.id;
+  f.route = *route;
+  // May be repeated, whatever the route allows to callers.
+  f.route.kind = routes::call_kind::idempotent;
+  f.request.method = "POST";
+  f.request.target = call.path;
+  f.request.body = call.body;
+  f.request.fields.push_back({ "Host", call.host });
+  f.request.fields.push_back({ p.dialect.headers.request_id, call.id });
+  f.give_up_ms = http::now_ms() + route->timeout_ms;
+  i.score_again_ms = 0;
+  ++i.score_tries;
+  i.cancel_score = p.forwarder.start(
+    std::move(f),
+    [self = shared_from_this(), id, at](edge::forward_outcome&& o) {
+      self->on_scored(id, at, std::move(o));
+    });
+}
+
+void
+keeper::impl::on_scored(const std::string& id,
+                        std::size_t at,
+                        edge::forward_outcome&& o)
+{
+  auto* b = known(id);
+  if (b == nullptr || !b->owned || b->items[at].stage != item_stage::scoring) {
+    return;
+  }
+  auto& i = b->items[at];
+  i.cancel_score = nullptr;
+  const auto& item = b->submission.items[at];
+  const bool answered = o.what == edge::forward_end::answered;
+  const bool success =
+    answered && o.answer.status >= 200 && o.answer.status < 300;
+  const auto signature =
+    http::find(o.answer.fields, p.dialect.headers.signature);
+  if (success && signature) {
+    finish_item(*b,
+                i,
+                { item.id,
+                  true,
+                  i.text.text,
+                  i.text.versions,
+                  std::string{ *signature } });
+    return;
+  }
+  i.failed_scores += o.failed_runs;
+  const auto table = p.table();
+  const auto* route =
+    table ? routes::match(*table, item.scorer->host, item.scorer->path)
+          : nullptr;
+  if (route != nullptr && i.failed_scores >= route->max_attempts) {
+    process::log_line(timeline::event{ "item_score_failed" }
+                        .with("request", item.id)
+                        .with("scorer_request", item.scorer->id)
+                        .with("failures", i.failed_scores));
+    finish_item(*b, i, { item.id, false, "", {}, "" });
+    return;
+  }
+  i.score_again_ms = http::now_ms() + scorer_pause_ms;
+}
+
+void
+keeper::impl::finish_item(batch_state& b, item_state& i, item_result r)
+{
+  i.stage = item_stage::finished;
+  const auto now = http::now_ms();
+  process::log_line(timeline::event{ "item_finished" }
+                      .with("request", r.id)
+                      .with("batch", b.stored.id)
+                      .with("done", r.done ? 1U : 0U)
+                      .with("events", i.text.events)
+                      .with("tries", i.tries));
+  add_result(b.ledger, std::move(r), now);
+  b.note_finished(i.index);
+  maybe_write(b, now);
+  plan_soon();
+}
+
+void
+keeper::impl::give_up_late(batch_state& b)
+{
+  const auto table = p.table();
+  const auto* route =
+    table ? routes::match(*table, b.stored.host, b.stored.target) : nullptr;
+  const auto wall = timeline::wall_ms();
+  if (route == nullptr || route->give_up_ms == 0 ||
+      wall < b.stored.accepted_wall_ms + route->give_up_ms + clock_margin_ms) {
+    return;
+  }
+  for (auto& i : b.items) {
+    if (i.stage == item_stage::finished) {
+      continue;
+    }
+    if (i.stage == item_stage::running) {
+      stop_run(i);
+    } else if (i.stage == item_stage::scoring && i.cancel_score) {
+      i.cancel_score();
+    }
+    finish_item(b, i, { b.submission.items[i.index].id, false, "", {}, "" });
+  }
+}
+
+// Items of groups that were not complete come again in a later batch. What is
+// known of their text is used if its weights are new enough.
+void
+keeper::impl::reuse_carried(batch_state& b)
+{
+  for (auto& i : b.items) {
+    const auto& item = b.submission.items[i.index];
+    const auto found = carried.find(item.id);
+    if (found == carried.end() || i.stage != item_stage::waiting) {
+      continue;
+    }
+    const auto& text = found->second.text;
+    const bool fresh = std::all_of(
+      text.versions.begin(), text.versions.end(), [&](std::uint64_t v) {
+        return v >= b.submission.min_version;
+      });
+    if (!fresh || text.events == 0) {
+      continue;
+    }
+    i.text = text;
+    if (found->second.whole) {
+      on_text(b, i);
+    }
+  }
+}
+
+void
+keeper::impl::remember(batch_state& b)
+{
+  if (!b.owned) {
+    return;
+  }
+  if (carried.size() > carried_limit) {
+    carried.clear();
+  }
+  for (const auto& i : b.items) {
+    const bool whole =
+      i.stage == item_stage::scoring || i.stage == item_stage::finished;
+    if (i.text.events > 0) {
+      carried[b.submission.items[i.index].id] = { i.text, whole };
+    }
+  }
+}
+
+} // namespace cactusford::batches
--- /dev/null
+++ b/cactusford/batches/keeper_impl.h
@@ -0,0 +1,116 @@
+// The insides of the keeper, shared by its sources.
+#pragma once
+
+#include "cactusford/batches/keeper.h"
+#include "cactusford/batches/state.h"
+
+namespace cactusford::batches {
+
+using detail::batch_state;
+using detail::item_stage;
+using detail::item_state;
+
+// When a caller that was refused may come back: the store usually answers
+// again within a second.
+constexpr std::string_view come_back_s = "0.5";
+
+// Pauses before an item or a write is tried again.
+constexpr std::uint64_t refused_pause_ms = 60;
+constexpr std::uint64_t failed_pause_ms = 100;
+
+http::response
+answer(int status, std::string body = {});
+
+// Refused; nothing has been done.
+http::response
+come_back(const edge::dialect& d);
+
+struct keeper::impl : std::enable_shared_from_this<keeper::impl>
+{
+  explicit impl(keeper_parts parts)
+    : p{ std::move(parts) }
+    , timer{ p.io }
+  {
+  }
+
+  // Knowledge
+  batch_state* known(const std::string& id);
+  batch_state* learn(const store::object& o);
+  void update(batch_state& b, stored_batch&& s);
+  void forget(const std::string& id);
+  void lookup(const std::string& id, std::function<void(batch_state*, bool)>);
+
+  // Ownership
+  void own(batch_state& b);
+  void disown(batch_state& b, std::string_view why);
+  void load_chunks(const std::string& id, std::function<void(bool)> done);
+  void ask_owners(std::uint64_t now);
+  void take_over(batch_state& b, std::string_view why);
+  void write_status(const std::string& id,
+                    std::function<void(stored_batch&)> change,
+                    std::function<void(store::verdict)> done,
+                    int tries);
+
+  // Runs
+  void plan_soon();
+  void plan();
+  bool launch(batch_state& b, item_state& i);
+  void on_head(const std::string& id,
+               std::size_t at,
+               std::uint64_t run,
+               const http::head& h);
+  void on_body(const std::string& id,
+               std::size_t at,
+               std::uint64_t run,
+               std::string_view data);
+  void on_run_end(const std::string& id,
+                  std::size_t at,
+                  std::uint64_t run,
+                  http::end_state end);
+  item_state* current_run(const std::string& id,
+                          std::size_t at,
+                          std::uint64_t run);
+  void stop_run(item_state& i);
+  void retry_item(batch_state& b,
+                  item_state& i,
+                  std::uint64_t pause,
+                  std::string_view why);
+  void on_text(batch_state& b, item_state& i);
+  void score(const std::string& id, std::size_t at);
+  void on_scored(const std::string& id,
+                 std::size_t at,
+                 edge::forward_outcome&& o);
+  void finish_item(batch_state& b, item_state& i, item_result r);
+  void watch_runs(batch_state& b, std::uint64_t now);
+  void give_up_late(batch_state& b);
+  void reuse_carried(batch_state& b);
+  void remember(batch_state& b);
+
+  // Results
+  void write_results(batch_state& b);
+  void maybe_write(batch_state& b, std::uint64_t now);
+  void read_back(const std::string& id, std::uint64_t chunk);
+  void on_chunk(const std::string& id, std::vector<item_result> results);
+  void answer_readers(batch_state& b, std::uint64_t now);
+  void respond_page(const http::call& c, batch_state& b, std::uint64_t after);
+  void read_from_owner(const http::call& caller,
+                       batch_state& b,
+                       const edge::batch_request& r);
+  void read_from_store(const http::call& caller, const edge::batch_request& r);
+
+  void tick();
+
+  keeper_parts p;
+  asio::steady_timer timer;
+  std::unordered_map<std::string, std::unique_ptr<batch_state>> batches;
+  std::unordered_map<std::string, detail::carried_item> carried;
+  // When an owner's address last answered, on the steady clock.
+  std::map<std::string, std::uint64_t> owner_seen;
+  std::map<std::string, bool> owner_asked;
+  std::uint64_t last_ask = 0;
+  std::uint64_t next_run = 1;
+  bool plan_posted = false;
+  bool leaving = false;
+};
+
+} // namespace cactusford::batches
--- /dev/null
+++ b/cactusford/batches/ledger-test.cc
@@ -0,0 +1,99 @@
+#include "cactusford/batches/ledger.h"
+
+#include "cactusford/testing/section.h"
+
+#include <criterion/criterion.h>
+#include <nlohmann/json.hpp>
+
+using namespace cactusford;
+using namespace cactusford::batches;
+
+namespace {
+
+item_result
+result_of(const std::string& id, const std::string& text = "t")
+{
+  return { id, true, text, { 3 }, "score" };
+}
+
+} // namespace
+
+Test(ledger, shows_a_result_only_when_its_chunk_stands)
+{
+  ledger l;
+  add_result(l, result_of("a"), 10);
+  cr_assert_eq(page_of(l, 2, 0, 1000).results.size(), 0);
+  const auto chunk = begin_chunk(l, 1000);
+  add_result(l, result_of("b"), 20);
+  cr_assert_eq(page_of(l, 2, 0, 1000).results.size(), 0, "not yet written");
+  adopt_chunk(l, chunk);
+  const auto page = page_of(l, 2, 0, 1000);
+  cr_assert_eq(page.next, 1);
+  cr_assert(page.results.front().id == "a");
+  cr_assert_eq(l.pending.size(), 1, "the later result waits for its own chunk");
+}
+
+// Two instances believe that they own a batch, as one was paused. Both finish
+// the same item and write the same chunk. One create wins; the other instance
+// reads the chunk back. No item may stand at two positions, and no position
+// may change its content.
+Test(ledger, gives_the_position_to_the_owner_that_wrote_first)
+{
+  ledger l;
+  add_result(l, result_of("a", "ours"), 10);
+  add_result(l, result_of("b", "ours"), 10);
+  begin_chunk(l, 1000);
+  adopt_chunk(l, { result_of("b", "theirs"), result_of("c", "theirs") });
+  cr_assert_eq(l.listed.size(), 2);
+  cr_assert(l.listed[0].text == "theirs");
+  cr_assert_eq(l.pending.size(), 1);
+  cr_assert(l.pending[0].id == "a");
+  SECTION("an item listed already is left out of a later chunk")
+  {
+    adopt_chunk(l, { result_of("c", "again"), result_of("a", "ours") });
+    cr_assert_eq(l.listed.size(), 3);
+    cr_assert(l.listed[2].id == "a");
+    cr_assert_eq(l.chunks, 2);
+  }
+  SECTION("and gets no second result")
+  {
+    cr_assert_not(add_result(l, result_of("c"), 30));
+  }
+}
+
+Test(ledger, bounds_chunks_and_pages)
+{
+  ledger l;
+  for (int i = 0; i < 10; ++i) {
+    add_result(l, result_of(std::to_string(i), std::string(1000, 'x')), 0);
+  }
+  cr_assert_eq(begin_chunk(l, 4000).size(), 3);
+  cr_assert_eq(begin_chunk(l, 1).size(), 1, "one result at least");
+  adopt_chunk(l, l.pending);
+  cr_assert_eq(page_of(l, 10, 0, 4000).results.size(), 3);
+  cr_assert_eq(page_of(l, 10, 9, 1).results.size(), 1);
+  cr_assert_eq(page_of(l, 10, 10, 4000).next, 10);
+}
+
+Test(ledger, reads_back_what_it_stores)
+{
+  const std::vector<item_result> results{ result_of("a"),
+                                          { "b", false, "", {}, "" } };
+  cr_assert(decode_chunk(encode_chunk(results)) == results);
+  cr_assert(decode_chunk({ { "other", 1 } }) == std::nullopt);
+  stored_batch b;
+  b.id = "x";
+  b.revision = 7;
+  b.host = "h";
+  b.target = "/p/";
+  b.accepted_wall_ms = 12;
+  b.body = "{}";
+  b.owner = "entry-1";
+  b.owner_address = "10.0.0.1:1";
+  cr_assert(decode_batch("x", 7, encode_spec(b), nullptr) == b);
+  auto moved = b;
+  moved.owner = "entry-2";
+  moved.ended = true;
+  cr_assert(decode_batch("x", 7, encode_spec(b), encode_status(moved)) == moved,
+            "the status names the present owner");
+}
--- /dev/null
+++ b/cactusford/batches/ownership.cc
@@ -0,0 +1,250 @@
+#include "cactusford/batches/keeper_impl.h"
+#include "cactusford/http/socket.h"
+#include "cactusford/process/line_log.h"
+
+#include <algorithm>
+#include <set>
+
+namespace cactusford::batches {
+
+namespace {
+
+// An owner that has not answered for this long is taken to be gone. A process
+// that is killed is back within about a second and goes on by itself; a batch
+// has seconds to spare, and a takeover by mistake costs double runs only.
+constexpr std::uint64_t owner_silence_ms = 2200;
+constexpr std::uint64_t owner_ask_ms = 500;
+
+} // namespace
+
+void
+keeper::impl::own(batch_state& b)
+{
+  if (leaving) {
+    return;
+  }
+  b.owned = true;
+  process::log_line(timeline::event{ "batch_owned" }
+                      .with("batch", b.stored.id)
+                      .with("items", b.items.size())
+                      .with("min_version", b.submission.min_version)
+                      .with("revision", b.stored.revision));
+  if (b.loaded) {
+    plan_soon();
+    return;
+  }
+  const auto id = b.stored.id;
+  load_chunks(id, [self = shared_from_this(), id](bool ok) {
+    auto* loaded = self->known(id);
+    if (loaded == nullptr || !loaded->owned) {
+      return;
+    }
+    loaded->loaded = ok;
+    loaded->load_again = !ok;
+    if (ok) {
+      loaded->drop_listed();
+      self->reuse_carried(*loaded);
+      self->plan_soon();
+    }
+  });
+}
+
+void
+keeper::impl::disown(batch_state& b, std::string_view why)
+{
+  if (!b.owned) {
+    return;
+  }
+  b.owned = false;
+  b.loaded = false;
+  for (auto& i : b.items) {
+    if (i.stage == item_stage::running) {
+      stop_run(i);
+    }
+    if (i.stage == item_stage::scoring && i.cancel_score) {
+      i.cancel_score();
+    }
+    i.stage = item_stage::waiting;
+  }
+  b.recount();
+  b.ledger.pending.clear();
+  b.ledger.writing = 0;
+  b.ledger.ids.clear();
+  for (const auto& r : b.ledger.listed) {
+    b.ledger.ids.insert(r.id);
+  }
+  answer_readers(b, http::now_ms());
+  process::log_line(timeline::event{ "batch_disowned" }
+                      .with("batch", b.stored.id)
+                      .with("why", why));
+}
+
+// Reads the chunks behind those that are known, until there is none.
+void
+keeper::impl::load_chunks(const std::string& id, std::function<void(bool)> done)
+{
+  auto* b = known(id);
+  if (b == nullptr) {
+    done(false);
+    return;
+  }
+  store::call c;
+  c.op = store::operation::get;
+  c.kind = chunk_kind;
+  c.name = chunk_name(id, b->ledger.chunks);
+  p.store.perform(
+    c,
+    [self = shared_from_this(), id, done, chunk = b->ledger.chunks](
+      store::reply&& r) {
+      auto* now = self->known(id);
+      if (now == nullptr || r.what == store::verdict::missing) {
+        done(now != nullptr);
+        return;
+      }
+      if (r.what != store::verdict::done || r.items.empty()) {
+        done(false);
+        return;
+      }
+      auto results = decode_chunk(r.items.front().spec);
+      if (!results) {
+        process::log_line(
+          timeline::event{ "chunk_unreadable" }.with("batch", id));
+        done(false);
+        return;
+      }
+      if (now->ledger.chunks == chunk) {
+        self->on_chunk(id, std::move(*results));
+      }
+      self->load_chunks(id, done);
+    });
+}
+
+// Changes the status on the condition that nobody changed it meanwhile; a
+// conflict shows the newer one, and the change is made again on that.
+void
+keeper::impl::write_status(const std::string& id,
+                           std::function<void(stored_batch&)> change,
+                           std::function<void(store::verdict)> done,
+                           int tries)
+{
+  auto* b = known(id);
+  if (b == nullptr) {
+    done(store::verdict::missing);
+    return;
+  }
+  auto wanted = b->stored;
+  change(wanted);
+  if (encode_status(wanted) == encode_status(b->stored)) {
+    done(store::verdict::done);
+    return;
+  }
+  store::call c;
+  c.op = store::operation::replace_status;
+  c.kind = batch_kind;
+  c.name = id;
+  c.revision = b->stored.revision;
+  c.body = encode_status(wanted);
+  p.store.perform(
+    c, [self = shared_from_this(), id, change, done, tries](store::reply&& r) {
+      for (const auto& o : r.items) {
+        self->learn(o);
+      }
+      const bool again = r.what == store::verdict::conflict ||
+                         (r.what == store::verdict::unknown && r.items.empty());
+      if (!again || tries <= 1) {
+        done(r.what);
+        return;
+      }
+      if (!r.items.empty()) {
+        self->write_status(id, change, done, tries - 1);
+        return;
+      }
+      // Read back what stands there.
+      store::call get;
+      get.op = store::operation::get;
+      get.kind = batch_kind;
+      get.name = id;
+      self->p.store.perform(
+        get, [self, id, change, done, tries](store::reply&& back) {
+          for (const auto& o : back.items) {
+            self->learn(o);
+          }
+          if (back.what == store::verdict::done) {
+            self->write_status(id, change, done, tries - 1);
+          } else {
+            done(back.what);
+          }
+        });
+    });
+}
+
+// Asks the owners of open batches whether they live. Their own silence is
+// what counts: the store may be away for us alone.
+void
+keeper::impl::ask_owners(std::uint64_t now)
+{
+  if (now - last_ask < owner_ask_ms) {
+    return;
+  }
+  last_ask = now;
+  std::set<std::string> owners;
+  for (const auto& [id, b] : batches) {
+    if (b->is_open() && !b->owned && !b->stored.owner_address.empty()) {
+      owners.insert(b->stored.owner_address);
+    }
+  }
+  for (const auto& address : owners) {
+    if (owner_asked[address]) {
+      continue;
+    }
+    owner_asked[address] = true;
+    http::request r;
+    r.method = "GET";
+    r.target = peer_alive_path;
+    http::exchange_options o;
+    o.timeout_ms = owner_ask_ms * 2;
+    p.http.fetch(address,
+                 r,
+                 o,
+                 [self = shared_from_this(), address](http::end_state end,
+                                                      http::response&& a) {
+                   self->owner_asked[address] = false;
+                   if (end == http::end_state::complete && a.status == 200) {
+                     self->owner_seen[address] = http::now_ms();
+                   }
+                 });
+  }
+}
+
+void
+keeper::impl::take_over(batch_state& b, std::string_view why)
+{
+  if (b.taking_over || leaving) {
+    return;
+  }
+  b.taking_over = true;
+  const auto from = b.stored.owner;
+  const auto id = b.stored.id;
+  process::log_line(timeline::event{ "batch_takeover" }
+                      .with("batch", id)
+                      .with("from", from)
+                      .with("why", why)
+                      .with("revision", b.stored.revision));
+  write_status(
+    id,
+    [self = shared_from_this(), from](stored_batch& s) {
+      if (s.owner == from && !s.ended) {
+        s.owner = self->p.instance;
+        s.owner_address = self->p.address;
+      }
+    },
+    [self = shared_from_this(), id](store::verdict) {
+      if (auto* now = self->known(id)) {
+        now->taking_over = false;
+        now->owner_since_ms = http::now_ms();
+      }
+    },
+    2);
+}
+
+} // namespace cactusford::batches
--- /dev/null
+++ b/cactusford/batches/results.cc
@@ -0,0 +1,199 @@
+#include "cactusford/batches/keeper_impl.h"
+#include "cactusford/http/socket.h"
+#include "cactusford/process/line_log.h"
+
+#include <algorithm>
+
+namespace cactusford::batches {
+
+namespace {
+
+// Results gather this long before they are written, unless a group is whole:
+// single results are of no use to the trainer yet, and each write is a call.
+constexpr std::uint64_t gather_ms = 1500;
+
+// A value of the store is a megabyte at most; JSON escapes and names add to
+// the text.
+constexpr std::size_t chunk_bytes = 500U << 10;
+constexpr std::size_t page_bytes = 900U << 10;
+
+// A read of results from the owner may take this long beyond its wait.
+constexpr std::uint64_t peer_read_ms = 400;
+
+// Between two looks of one instance for new chunks of a batch it doesn't own.
+constexpr std::uint64_t chunk_look_ms = 300;
+
+} // namespace
+
+// Writes when a group has become whole, when nothing else is to come, or when
+// results have waited long enough.
+void
+keeper::impl::maybe_write(batch_state& b, std::uint64_t now)
+{
+  if (!b.owned || !b.loaded || b.ledger.writing != 0 ||
+      b.ledger.pending.empty() || now < b.write_again_ms) {
+    return;
+  }
+  const bool old = now - b.ledger.pending_since_ms >= gather_ms;
+  const bool all = b.ledger.pending.size() + b.ledger.listed.size() ==
+                   b.submission.items.size();
+  if (b.group_became_whole || old || all) {
+    write_results(b);
+  }
+}
+
+void
+keeper::impl::write_results(batch_state& b)
+{
+  b.group_became_whole = false;
+  const auto results = begin_chunk(b.ledger, chunk_bytes);
+  const auto id = b.stored.id;
+  const auto chunk = b.ledger.chunks;
+  store::call c;
+  c.op = store::operation::create;
+  c.kind = chunk_kind;
+  c.name = chunk_name(id, chunk);
+  c.body = encode_chunk(results);
+  p.store.perform(
+    c,
+    [self = shared_from_this(), id, chunk, results](store::reply&& r) {
+      auto* now = self->known(id);
+      if (now == nullptr || !now->owned || now->ledger.chunks != chunk) {
+        return;
+      }
+      if (r.what == store::verdict::done) {
+        self->on_chunk(id, results);
+        self->maybe_write(*now, http::now_ms());
+        return;
+      }
+      if (r.what == store::verdict::conflict ||
+          r.what == store::verdict::unknown) {
+        self->read_back(id, chunk);
+        return;
+      }
+      abandon_chunk(now->ledger);
+      now->group_became_whole = true;
+      now->write_again_ms = http::now_ms() + failed_pause_ms;
+    });
+}
+
+// What stands at this chunk decides. If nothing does yet, a lost write may
+// still land: the next create meets it as a conflict.
+void
+keeper::impl::read_back(const std::string& id, std::uint64_t chunk)
+{
+  load_chunks(id, [self = shared_from_this(), id, chunk](bool) {
+    auto* b = self->known(id);
+    if (b == nullptr || !b->owned) {
+      return;
+    }
+    abandon_chunk(b->ledger);
+    b->drop_listed();
+    b->group_became_whole = true;
+    if (b->ledger.chunks == chunk) {
+      b->write_again_ms = http::now_ms() + failed_pause_ms;
+    }
+    self->maybe_write(*b, http::now_ms());
+  });
+}
+
+void
+keeper::impl::on_chunk(const std::string& id, std::vector<item_result> results)
+{
+  auto* b = known(id);
+  if (b == nullptr) {
+    return;
+  }
+  adopt_chunk(b->ledger, std::move(results));
+  process::log_line(timeline::event{ "results_listed" }
+                      .with("batch", id)
+                      .with("chunk", b->ledger.chunks - 1)
+                      .with("listed", b->ledger.listed.size())
+                      .with("total", b->submission.items.size()));
+  answer_readers(*b, http::now_ms());
+}
+
+void
+keeper::impl::respond_page(const http::call& c,
+                           batch_state& b,
+                           std::uint64_t after)
+{
+  const auto page =
+    page_of(b.ledger, b.submission.items.size(), after, page_bytes);
+  c.respond(answer(200, p.dialect.encode_page(page)));
+}
+
+void
+keeper::impl::answer_readers(batch_state& b, std::uint64_t now)
+{
+  auto readers = std::move(b.readers);
+  b.readers.clear();
+  for (auto& r : readers) {
+    const bool more = b.ledger.listed.size() > r.after;
+    if (more || !b.owned || now >= r.until_ms || leaving) {
+      respond_page(r.caller, b, r.after);
+    } else if (r.caller.is_open()) {
+      b.readers.push_back(std::move(r));
+    }
+  }
+}
+
+void
+keeper::impl::read_from_owner(const http::call& caller,
+                              batch_state& b,
+                              const edge::batch_request& r)
+{
+  http::request ask;
+  ask.method = "GET";
+  ask.target = std::string{ peer_results_path } + r.id +
+               "?after=" + std::to_string(r.after) +
+               "&wait=" + std::to_string(r.wait_ms);
+  http::exchange_options o;
+  o.timeout_ms = r.wait_ms + peer_read_ms;
+  o.connect_timeout_ms = peer_read_ms / 2;
+  auto sent = std::make_shared<http::pending>();
+  *sent =
+    p.http.fetch(b.stored.owner_address,
+                 ask,
+                 o,
+                 [self = shared_from_this(), caller, r](http::end_state end,
+                                                        http::response&& a) {
+                   if (end == http::end_state::complete && a.status == 200) {
+                     caller.respond(answer(200, std::move(a.body)));
+                     return;
+                   }
+                   self->read_from_store(caller, r);
+                 });
+  caller.on_gone([sent] { sent->cancel(); });
+}
+
+void
+keeper::impl::read_from_store(const http::call& caller,
+                              const edge::batch_request& r)
+{
+  auto* b = known(r.id);
+  const auto now = http::now_ms();
+  if (b == nullptr) {
+    caller.respond(come_back(p.dialect));
+    return;
+  }
+  if (now - b->looked_ms < chunk_look_ms &&
+      b->ledger.listed.size() >= r.after) {
+    respond_page(caller, *b, r.after);
+    return;
+  }
+  load_chunks(r.id, [self = shared_from_this(), caller, r](bool ok) {
+    auto* found = self->known(r.id);
+    if (found != nullptr && ok) {
+      found->looked_ms = http::now_ms();
+    }
+    // Without the store nothing is known of the positions behind ours.
+    if (found == nullptr || (!ok && found->ledger.listed.size() <= r.after)) {
+      caller.respond(come_back(self->p.dialect));
+      return;
+    }
+    self->respond_page(caller, *found, r.after);
+  });
+}
+
+} // namespace cactusford::batches
--- /dev/null
+++ b/cactusford/batches/runs.cc
@@ -0,0 +1,397 @@
+#include "cactusford/batches/keeper_impl.h"
+#include "cactusford/http/socket.h"
+#include "cactusford/process/line_log.h"
+
+#include <asio/post.hpp>
+
+#include <algorithm>
+
+namespace cactusford::batches {
+
+namespace {
+
+// A run without an event for this long goes on elsewhere: several times the
+// usual pause, and longer than a prompt takes to be read.
+constexpr std::uint64_t first_event_limit_ms = 1500;
+constexpr std::uint64_t event_limit_ms = 700;
+
+// A run is moved off a slow engine at most this often.
+constexpr std::uint64_t move_pause_ms = 600;
+
+// The longest run of one item, beyond any length that engines allow.
+constexpr std::uint64_t run_limit_ms = 60000;
+
+} // namespace
+
+void
+keeper::impl::plan_soon()
+{
+  if (plan_posted) {
+    return;
+  }
+  plan_posted = true;
+  asio::post(p.io, [self = shared_from_this()] {
+    self->plan_posted = false;
+    self->plan();
+  });
+}
+
+// Gives waiting items to engines: oldest batch first, and in a batch those
+// that are expected to take longest, as they decide when a group is whole.
+void
+keeper::impl::plan()
+{
+  std::vector<batch_state*> order;
+  for (auto& [id, b] : batches) {
+    if (b->owned && b->loaded && !b->stored.ended) {
+      order.push_back(b.get());
+    }
+  }
+  std::sort(order.begin(), order.end(), [](const auto* a, const auto* b) {
+    return a->stored.accepted_wall_ms < b->stored.accepted_wall_ms;
+  });
+  const auto now = http::now_ms();
+  for (auto* b : order) {
+    for (const auto at : b->order) {
+      auto& i = b->items[at];
+      if (i.stage == item_stage::waiting && i.not_before_ms <= now &&
+          !launch(*b, i)) {
+        break;
+      }
+    }
+  }
+}
+
+bool
+keeper::impl::launch(batch_state& b, item_state& i)
+{
+  const auto table = p.table();
+  const auto* route =
+    table ? routes::match(*table, b.stored.host, b.stored.target) : nullptr;
+  if (route == nullptr || route->services.empty()) {
+    return false;
+  }
+  const auto& item = b.submission.items[i.index];
+  backends::item_needs needs;
+  needs.service = route->services.front().service;
+  needs.model = b.submission.model;
+  needs.min_version = b.submission.min_version;
+  needs.only_version =
+    route->single_version && i.text.events > 0 ? i.text.version : 0;
+  needs.not_on = i.not_on;
+  needs.data_centre = p.data_centre;
+  if (needs.only_version != 0 && !backends::can_serve(p.registry, needs)) {
+    i.text = {};
+    needs.only_version = 0;
+  }
+  const auto now = http::now_ms();
+  auto* backend = backends::choose_for_item(p.registry, needs, now);
+  if (backend == nullptr) {
+    i.not_on.clear();
+    return false;
+  }
+  const auto& names = p.dialect.headers;
+  http::request r;
+  r.method = "POST";
+  r.target = item.path;
+  r.body = item.body;
+  r.fields.push_back({ "Host", b.stored.host });
+  for (const auto& h : item.fields) {
+    if (!http::is_hop_by_hop(h.name)) {
+      http::set(r.fields, h.name, h.value);
+    }
+  }
+  http::set(r.fields, names.request_id, item.id);
+  http::set(r.fields, names.deadline_ms, std::to_string(run_limit_ms));
+  http::set(r.fields, names.expected_backend, backend->said.id);
+  if (i.text.events > 0) {
+    http::set(r.fields, names.last_event, std::to_string(i.text.last_event));
+  }
+  if (needs.only_version != 0) {
+    http::set(
+      r.fields, names.expected_version, std::to_string(needs.only_version));
+  }
+  i.stage = item_stage::running;
+  i.run = next_run++;
+  i.backend = backend->said.id;
+  i.started_ms = now;
+  i.last_event_ms = now;
+  i.status = 0;
+  i.not_run = false;
+  i.events_in_run = 0;
+  i.reader = event_reader{ p.dialect.version_line };
+  ++i.tries;
+  ++backend->in_flight;
+  http::exchange_options o;
+  o.timeout_ms = run_limit_ms;
+  o.echo = { names.request_id, item.id };
+  http::exchange_events events;
+  const auto self = shared_from_this();
+  events.on_head = [self, id = b.stored.id, at = i.index, run = i.run](
+                     const http::head& h) { self->on_head(id, at, run, h); };
+  events.on_body = [self, id = b.stored.id, at = i.index, run = i.run](
+                     std::string_view d) { self->on_body(id, at, run, d); };
+  events.on_end = [self, id = b.stored.id, at = i.index, run = i.run](
+                    http::end_state e) { self->on_run_end(id, at, run, e); };
+  i.sent = p.http.send(backend->said.address, r, o, std::move(events));
+  return true;
+}
+
+item_state*
+keeper::impl::current_run(const std::string& id,
+                          std::size_t at,
+                          std::uint64_t run)
+{
+  auto* b = known(id);
+  if (b == nullptr || at >= b->items.size()) {
+    return nullptr;
+  }
+  auto& i = b->items[at];
+  const bool current = i.stage == item_stage::running && i.run == run;
+  return current ? &i : nullptr;
+}
+
+void
+keeper::impl::on_head(const std::string& id,
+                      std::size_t at,
+                      std::uint64_t run,
+                      const http::head& h)
+{
+  auto* i = current_run(id, at, run);
+  if (i == nullptr) {
+    return;
+  }
+  auto& b = *known(id);
+  const auto& names = p.dialect.headers;
+  constexpr int misdirected = 421;
+  i->status = h.status;
+  i->not_run =
+    h.status == misdirected || http::find(h.fields, names.not_run).has_value();
+  auto* backend = backends::find(p.registry, i->backend);
+  const auto version = http::number(h.fields, names.weight_version);
+  if (backend != nullptr && version) {
+    backend->said.versions[b.submission.model] = *version;
+  }
+  if (backend != nullptr) {
+    if (const auto text = http::find(h.fields, names.load)) {
+      if (const auto load = p.dialect.load_from(*text)) {
+        backends::note_load(*backend, *load, http::now_ms());
+      }
+    }
+  }
+  constexpr int ok = 200;
+  if (h.status != ok) {
+    return;
+  }
+  const auto* table_route = [&]() -> const routes::route* {
+    const auto table = p.table();
+    return table ? routes::match(*table, b.stored.host, b.stored.target)
+                 : nullptr;
+  }();
+  const bool single = table_route != nullptr && table_route->single_version;
+  const bool too_old = version && *version < b.submission.min_version;
+  const bool mixed =
+    single && i->text.events > 0 && version && *version != i->text.version;
+  if (too_old || !version || mixed) {
+    // Text of these weights must not enter the result.
+    stop_run(*i);
+    if (mixed) {
+      i->text = {};
+    }
+    retry_item(b, *i, failed_pause_ms, "old_weights");
+    return;
+  }
+  i->text.version = *version;
+}
+
+void
+keeper::impl::on_body(const std::string& id,
+                      std::size_t at,
+                      std::uint64_t run,
+                      std::string_view data)
+{
+  auto* i = current_run(id, at, run);
+  constexpr int ok = 200;
+  if (i == nullptr || i->status != ok) {
+    return;
+  }
+  auto& b = *known(id);
+  const auto now = http::now_ms();
+  const auto events = i->reader.feed(data);
+  if (events.empty()) {
+    return;
+  }
+  for (const auto& e : events) {
+    if (i->reader.is_malformed() || !append(i->text, e)) {
+      process::log_line(timeline::event{ "item_events_broken" }
+                          .with("request", b.submission.items[at].id)
+                          .with("batch", id)
+                          .with("expected", i->text.last_event + 1)
+                          .with("got", e.id));
+      stop_run(*i);
+      i->not_on = i->backend;
+      retry_item(b, *i, failed_pause_ms, "broken_events");
+      return;
+    }
+  }
+  if (i->text.version < b.submission.min_version) {
+    i->text = {};
+    stop_run(*i);
+    retry_item(b, *i, failed_pause_ms, "old_weights");
+    return;
+  }
+  if (auto* backend = backends::find(p.registry, i->backend)) {
+    if (i->events_in_run > 0) {
+      const auto gap = static_cast<double>(now - i->last_event_ms) /
+                       static_cast<double>(events.size());
+      backends::note_pace(*backend, gap, now);
+    }
+    auto& said = backend->said.versions[b.submission.model];
+    said = std::max(said, i->text.version);
+  }
+  i->events_in_run += events.size();
+  i->last_event_ms = now;
+}
+
+void
+keeper::impl::on_run_end(const std::string& id,
+                         std::size_t at,
+                         std::uint64_t run,
+                         http::end_state end)
+{
+  auto* i = current_run(id, at, run);
+  if (i == nullptr) {
+    return;
+  }
+  auto& b = *known(id);
+  auto* backend = backends::find(p.registry, i->backend);
+  if (backend != nullptr) {
+    --backend->in_flight;
+  }
+  i->sent = {};
+  const bool complete = end == http::end_state::complete;
+  constexpr int ok = 200;
+  constexpr int unprocessable = 422;
+  constexpr int server_error = 500;
+  if (complete && i->status == ok && !i->reader.has_partial() &&
+      i->text.events > 0) {
+    if (backend != nullptr) {
+      backend->failures = 0;
+    }
+    on_text(b, *i);
+    return;
+  }
+  if (complete && i->not_run) {
+    i->not_on = i->backend;
+    retry_item(b, *i, refused_pause_ms, "not_run");
+    return;
+  }
+  if (complete && i->status == unprocessable) {
+    finish_item(b, *i, { b.submission.items[at].id, false, "", {}, "" });
+    return;
+  }
+  i->not_on = i->backend;
+  if (complete && i->status == server_error) {
+    ++i->failed_runs;
+    const auto table = p.table();
+    const auto* route =
+      table ? routes::match(*table, b.stored.host, b.stored.target) : nullptr;
+    if (route != nullptr && i->failed_runs >= route->max_attempts) {
+      finish_item(b, *i, { b.submission.items[at].id, false, "", {}, "" });
+      return;
+    }
+  } else if (backend != nullptr) {
+    backends::note_failure(*backend, http::now_ms());
+  }
+  retry_item(b, *i, complete ? failed_pause_ms : 0, http::name_of(end));
+}
+
+void
+keeper::impl::stop_run(item_state& i)
+{
+  i.sent.cancel();
+  i.sent = {};
+  if (auto* backend = backends::find(p.registry, i.backend)) {
+    --backend->in_flight;
+  }
+  i.stage = item_stage::waiting;
+}
+
+void
+keeper::impl::retry_item(batch_state& b,
+                         item_state& i,
+                         std::uint64_t pause,
+                         std::string_view why)
+{
+  const auto& item = b.submission.items[i.index];
+  process::log_line(timeline::event{ "item_retried" }
+                      .with("request", item.id)
+                      .with("batch", b.stored.id)
+                      .with("backend", i.backend)
+                      .with("why", why)
+                      .with("status", static_cast<std::uint64_t>(i.status))
+                      .with("events", i.text.events)
+                      .with("tries", i.tries));
+  i.stage = item_stage::waiting;
+  i.not_before_ms = http::now_ms() + pause;
+  if (pause == 0) {
+    plan_soon();
+  }
+}
+
+void
+keeper::impl::watch_runs(batch_state& b, std::uint64_t now)
+{
+  for (auto& i : b.items) {
+    if (i.stage == item_stage::scoring && i.score_again_ms != 0 &&
+        i.score_again_ms <= now) {
+      score(b.stored.id, i.index);
+    }
+    if (i.stage != item_stage::running) {
+      continue;
+    }
+    auto* backend = backends::find(p.registry, i.backend);
+    const auto limit =
+      i.events_in_run > 0 ? event_limit_ms : first_event_limit_ms;
+    if (now - i.last_event_ms > limit) {
+      if (backend != nullptr) {
+        backends::note_failure(*backend, now);
+      }
+      stop_run(i);
+      i.not_on = i.backend;
+      retry_item(b, i, 0, "silent");
+      continue;
+    }
+    const bool leaving_backend = backend == nullptr || backend->said.leaving;
+    const auto service = backend ? backend->said.service : std::string{};
+    const bool slow =
+      backend != nullptr &&
+      backends::is_slow(
+        *backend, backends::usual_pace_ms(p.registry, service, now), now) &&
+      now - i.started_ms > move_pause_ms;
+    if (!leaving_backend && !slow) {
+      continue;
+    }
+    backends::item_needs needs;
+    needs.service = service;
+    needs.model = b.submission.model;
+    needs.min_version = b.submission.min_version;
+    needs.not_on = i.backend;
+    needs.data_centre = p.data_centre;
+    auto* other = backend == nullptr
+                    ? nullptr
+                    : backends::choose_for_item(p.registry, needs, now);
+    const bool better =
+      other != nullptr &&
+      !backends::is_slow(
+        *other, backends::usual_pace_ms(p.registry, service, now), now);
+    if (backend == nullptr || better) {
+      stop_run(i);
+      i.not_on = i.backend;
+      retry_item(b, i, 0, leaving_backend ? "leaving" : "slow");
+      plan();
+    }
+  }
+}
+
+} // namespace cactusford::batches
--- /dev/null
+++ b/cactusford/http/exchange-test.cc
@@ -0,0 +1,349 @@
+// Client and server over loopback, with peers that misbehave.
+#include "cactusford/http/client.h"
+#include "cactusford/http/server.h"
+
+#include "cactusford/testing/section.h"
+
+#include <asio/buffer.hpp>
+#include <asio/ip/tcp.hpp>
+#include <asio/write.hpp>
+#include <criterion/criterion.h>
+
+#include <deque>
+
+using namespace cactusford;
+using namespace cactusford::http;
+
+namespace {
+
+// Answers the requests of each connection with given bytes, one text for each
+// request; an empty text ends the connection. Without a text it stays silent.
+struct scripted_peer
+{
+  asio::io_context& io;
+  asio::ip::tcp::acceptor acceptor;
+  std::deque<std::string> script;
+  int connections = 0;
+  // Connections left open without an answer.
+  std::vector<std::shared_ptr<asio::ip::tcp::socket>> silent;
+
+  explicit scripted_peer(asio::io_context& context)
+    : io{ context }
+    , acceptor{ context, { asio::ip::make_address_v4("127.0.0.1"), 0 } }
+  {
+    accept();
+  }
+
+  std::string address() const
+  {
+    return "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
+  }
+
+  void accept()
+  {
+    acceptor.async_accept([this](asio::error_code ec, asio::ip::tcp::socket s) {
+      if (!ec) {
+        ++connections;
+        serve(std::make_shared<asio::ip::tcp::socket>(std::move(s)));
+        accept();
+      }
+    });
+  }
+
+  void serve(const std::shared_ptr<asio::ip::tcp::socket>& s)
+  {
+    auto buffer = std::make_shared<std::string>(4096, '\0');
+    s->async_read_some(asio::buffer(*buffer),
+                       [this, s, buffer](asio::error_code ec, std::size_t) {
+                         if (ec) {
+                           return;
+                         }
+                         if (script.empty()) {
+                           silent.push_back(s);
+                           return;
+                         }
+                         const auto text = script.front();
+                         script.pop_front();
+                         if (!text.empty()) {
+                           asio::write(*s, asio::buffer(text), ec);
+                           serve(s);
+                         }
+                       });
+  }
+};
+
+request
+get(const std::string& id)
+{
+  return { "GET", "/", { { "Host", "x" }, { "Id", id } }, "" };
+}
+
+std::string
+ok(const std::string& id, const std::string& body)
+{
+  return "HTTP/1.1 200 OK\r\nId: " + id +
+         "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" +
+         body;
+}
+
+struct outcome
+{
+  bool done = false;
+  end_state end = end_state::cut;
+  response answer;
+};
+
+struct fixture
+{
+  asio::io_context io;
+  scripted_peer peer{ io };
+  http::client client{ io };
+
+  std::shared_ptr<outcome> ask(const std::string& id,
+                               std::uint64_t timeout_ms = 2000)
+  {
+    auto o = std::make_shared<outcome>();
+    exchange_options options;
+    options.timeout_ms = timeout_ms;
+    options.echo = { "Id", id };
+    client.fetch(
+      peer.address(), get(id), options, [o](end_state e, response&& r) {
+        *o = { true, e, std::move(r) };
+      });
+    return o;
+  }
+
+  void run_until(const std::shared_ptr<outcome>& o)
+  {
+    while (!o->done) {
+      io.run_one();
+    }
+  }
+};
+
+} // namespace
+
+Test(http_client, keeps_a_connection_for_the_next_request)
+{
+  fixture f;
+  f.peer.script = { ok("1", "a"), ok("2", "b") };
+  for (const auto* id : { "1", "2" }) {
+    const auto o = f.ask(id);
+    f.run_until(o);
+    cr_assert(o->end == end_state::complete);
+  }
+  cr_assert_eq(f.peer.connections, 1);
+}
+
+// A backend server answers twice. The second answer has no request: if it
+// were read as the answer of the next request, another caller would get it.
+Test(http_client, drops_answers_that_belong_to_another_request)
+{
+  fixture f;
+  SECTION("an extra answer arrives together with the first")
+  {
+    f.peer.script = { ok("1", "a") + ok("1", "again"), ok("2", "b") };
+    f.run_until(f.ask("1"));
+    const auto o = f.ask("2");
+    f.run_until(o);
+    cr_assert(o->answer.body == "b");
+  }
+  SECTION("an extra answer arrives where the next one is expected")
+  {
+    f.peer.script = { ok("3", "c"), ok("3", "late") + ok("4", "d") };
+    f.run_until(f.ask("3"));
+    const auto o = f.ask("4");
+    f.run_until(o);
+    cr_assert(o->end == end_state::complete);
+    cr_assert(o->answer.body == "d");
+  }
+}
+
+Test(http_client, never_takes_half_an_answer_for_a_whole_one)
+{
+  fixture f;
+  SECTION("the connection ends inside the body")
+  {
+    f.peer.script = { "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf", "" };
+    const auto o = f.ask("1", 300);
+    f.run_until(o);
+    cr_assert(o->end != end_state::complete);
+  }
+  SECTION("bytes that are no answer")
+  {
+    f.peer.script = { "\x01\x02 what\r\n\r\n" };
+    const auto o = f.ask("2");
+    f.run_until(o);
+    cr_assert(o->end == end_state::malformed);
+  }
+  SECTION("silence")
+  {
+    f.peer.script = {};
+    const auto o = f.ask("3", 50);
+    f.run_until(o);
+    cr_assert(o->end == end_state::timed_out);
+  }
+}
+
+// Idle connections expire while others to the same address are closed. The
+// pool once erased the address that it was walking: the heap was corrupted
+// and an entry ended by itself, once in forty days of play.
+Test(http_client, walks_its_pool_while_connections_close)
+{
+  fixture f;
+  const std::string expiring = "HTTP/1.1 200 OK\r\nKeep-Alive: timeout=1\r\n"
+                               "Content-Length: 0\r\n\r\n";
+  for (int round = 0; round < 3; ++round) {
+    f.peer.script = { expiring, expiring, expiring };
+    std::vector<std::shared_ptr<outcome>> all;
+    for (int i = 0; i < 3; ++i) {
+      all.push_back(f.ask("x"));
+    }
+    for (const auto& o : all) {
+      f.run_until(o);
+      cr_assert(o->end == end_state::complete);
+    }
+    // Longer than the peer keeps them, less the client's margin.
+    asio::steady_timer wait{ f.io, std::chrono::milliseconds{ 400 } };
+    bool over = false;
+    wait.async_wait([&](asio::error_code) { over = true; });
+    while (!over) {
+      f.io.run_one();
+    }
+  }
+}
+
+Test(http_client, says_when_nothing_was_sent)
+{
+  asio::io_context io;
+  http::client client{ io };
+  outcome o;
+  // Nobody listens on the discard port of loopback.
+  client.fetch("127.0.0.1:9", get("1"), {}, [&](end_state e, response&&) {
+    o.done = true;
+    o.end = e;
+  });
+  while (!o.done) {
+    io.run_one();
+  }
+  cr_assert(o.end == end_state::not_sent);
+}
+
+namespace {
+
+// Sends bytes to a server and collects what comes back until the peer closes
+// or `wanted` bytes are there.
+std::string
+talk(asio::io_context& io,
+     std::uint16_t port,
+     const std::string& bytes,
+     std::size_t wanted)
+{
+  asio::ip::tcp::socket s{ io };
+  s.connect({ asio::ip::make_address_v4("127.0.0.1"), port });
+  asio::write(s, asio::buffer(bytes));
+  std::string got;
+  bool over = false;
+  auto buffer = std::make_shared<std::string>(4096, '\0');
+  std::function<void()> read = [&] {
+    s.async_read_some(asio::buffer(*buffer),
+                      [&](asio::error_code ec, std::size_t size) {
+                        got.append(*buffer, 0, size);
+                        over = ec || got.size() >= wanted;
+                        if (!over) {
+                          read();
+                        }
+                      });
+  };
+  read();
+  while (!over) {
+    io.run_one();
+  }
+  return got;
+}
+
+} // namespace
+
+Test(http_server, answers_bad_input_with_a_typed_status)
+{
+  asio::io_context io;
+  server_limits limits;
+  limits.head_bytes = 500;
+  limits.body_bytes = 1000;
+  int calls = 0;
+  http::server server{ io, limits, [&](const call& c) {
+                        ++calls;
+                        c.respond({ 200, {}, c.request().body });
+                      } };
+  cr_assert_not(server.listen("127.0.0.1:0"));
+  const auto status = [&](const std::string& bytes) {
+    return talk(io, server.port(), bytes, 12).substr(0, 12);
+  };
+  SECTION("bytes that are no request")
+  {
+    cr_assert(status("what is this\r\n\r\n") == "HTTP/1.1 400");
+  }
+  SECTION("a head over the limit")
+  {
+    const std::string long_value(600, 'a');
+    cr_assert(status("GET / HTTP/1.1\r\nA: " + long_value + "\r\n\r\n") ==
+              "HTTP/1.1 431");
+  }
+  SECTION("a body over the limit, told ahead")
+  {
+    cr_assert(status("POST / HTTP/1.1\r\nContent-Length: 5000\r\n\r\n") ==
+              "HTTP/1.1 413");
+  }
+  SECTION("a body over the limit, in chunks")
+  {
+    const std::string chunk = "3e8\r\n" + std::string(1000, 'b') + "\r\n";
+    cr_assert(status("POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n" +
+                     chunk + chunk) == "HTTP/1.1 413");
+  }
+  cr_assert_eq(calls, 0, "none of them reached the handler");
+  SECTION("and what is well formed is served")
+  {
+    cr_assert(status("POST / HTTP/1.1\r\nContent-Length: 2\r\n\r\nhi") ==
+              "HTTP/1.1 200");
+  }
+}
+
+Test(http_server, answers_requests_sent_ahead_in_their_order)
+{
+  asio::io_context io;
+  http::server server{ io, {}, [](const call& c) {
+                        c.respond({ 200, {}, c.request().target });
+                      } };
+  cr_assert_not(server.listen("127.0.0.1:0"));
+  const auto got = talk(io,
+                        server.port(),
+                        "GET /1 HTTP/1.1\r\n\r\nGET /2 HTTP/1.1\r\n"
+                        "Connection: close\r\n\r\n",
+                        1U << 20);
+  cr_assert_lt(got.find("/1"), got.find("/2"));
+  cr_assert_neq(got.find("/2"), std::string::npos);
+}
+
+// The caller leaves while its request is with a backend server: the handler
+// must hear of it, or the work goes on for nobody.
+Test(http_server, tells_that_the_caller_has_left)
+{
+  asio::io_context io;
+  bool gone = false;
+  http::server server{ io, {}, [&](const call& c) {
+                        c.on_gone([&] { gone = true; });
+                      } };
+  cr_assert_not(server.listen("127.0.0.1:0"));
+  {
+    asio::ip::tcp::socket s{ io };
+    s.connect({ asio::ip::make_address_v4("127.0.0.1"), server.port() });
+    asio::write(s, asio::buffer(std::string{ "GET / HTTP/1.1\r\n\r\n" }));
+    while (server.busy() == 0) {
+      io.run_one();
+    }
+  }
+  while (!gone) {
+    io.run_one();
+  }
+  cr_assert_eq(server.busy(), 0);
+}
--- a/cactusford/store/store.cc
+++ b/cactusford/store/store.cc
@@ -141,8 +141,8 @@
   }
   // The store ends waiting watches now and then; the next call tells whether
   // it is reached.
-  const bool ended_watch = a->call.op == operation::watch &&
-                           answer.what == verdict::unknown;
+  const bool ended_watch =
+    a->call.op == operation::watch && answer.what == verdict::unknown;
   if (ended_watch) {
     a->done(std::move(answer));
     return;
