Kept texts, faster takeover, least slack first, loads in the quiet end of a step

Cause: a step's longest texts started anew after its owner ended, a silent owner was noticed after 2.2 s, half of the engines loaded weights as a step began, refused runs came back every 60 ms.

--- a/cactusford/backends/registry.cc
+++ b/cactusford/backends/registry.cc
@@ -31,6 +31,9 @@
 constexpr std::uint64_t first_avoid_ms = 250;
 constexpr std::uint64_t longest_avoid_ms = 2000;
 
+// A load takes about a second; each refused run costs a message both ways.
+constexpr std::uint64_t refused_pause_ms = 250;
+
 // In units of one running request for each slot: a near backend server wins
 // over an equally loaded far one, and no more.
 constexpr double far_penalty = 0.05;
@@ -51,7 +54,7 @@
 }
 
 bool
-accepts(const backend& b, const item_needs& needs)
+accepts(const backend& b, const item_needs& needs, std::uint64_t now_ms)
 {
   if (b.said.leaving || b.said.service != needs.service) {
     return false;
@@ -60,6 +63,10 @@
   if (found == b.said.versions.end()) {
     return false;
   }
+  const auto refused = b.refused_until_ms.find(found->first);
+  if (refused != b.refused_until_ms.end() && refused->second > now_ms) {
+    return false;
+  }
   return found->second >= needs.min_version &&
          (needs.only_version == 0 || found->second == needs.only_version);
 }
@@ -146,6 +153,12 @@
   b.avoided_until_ms = now_ms + pause;
 }
 
+void
+note_refusal(backend& b, const std::string& model, std::uint64_t now_ms)
+{
+  b.refused_until_ms[model] = now_ms + refused_pause_ms;
+}
+
 void
 note_load(backend& b, const reported_load& l, std::uint64_t now_ms)
 {
@@ -233,8 +246,8 @@
   backend* best = nullptr;
   double best_cost = std::numeric_limits<double>::max();
   for (auto& [id, b] : r.all) {
-    if (!accepts(b, needs) || !is_open(b, now_ms) || id == needs.not_on ||
-        load_of(b, now_ms) >= 1) {
+    if (!accepts(b, needs, now_ms) || !is_open(b, now_ms) ||
+        id == needs.not_on || load_of(b, now_ms) >= 1) {
       continue;
     }
     const double cost =
@@ -251,8 +264,10 @@
 bool
 can_serve(const registry& r, const item_needs& needs)
 {
+  // Engines that refuse for the moment count.
+  constexpr auto never_refused = std::numeric_limits<std::uint64_t>::max();
   return std::any_of(r.all.begin(), r.all.end(), [&](const auto& e) {
-    return accepts(e.second, needs);
+    return accepts(e.second, needs, never_refused);
   });
 }
 
--- a/cactusford/backends/registry.h
+++ b/cactusford/backends/registry.h
@@ -47,6 +47,9 @@
   // No new work before this time, after failures.
   std::uint64_t avoided_until_ms = 0;
   std::uint32_t failures = 0;
+  // An engine that is loading weights refuses runs of that model; it is asked
+  // again from this time on.
+  std::map<std::string, std::uint64_t> refused_until_ms;
   // Milliseconds between the events of a stream, smoothed; 0: not known.
   double pace_ms = 0;
   std::uint64_t pace_at_ms = 0;
@@ -92,6 +95,10 @@
 void
 note_failure(backend& b, std::uint64_t now_ms);
 
+// It refused a run of that model without running it.
+void
+note_refusal(backend& b, const std::string& model, std::uint64_t now_ms);
+
 void
 note_load(backend& b, const reported_load& l, std::uint64_t now_ms);
 
--- a/cactusford/batches/keeper.cc
+++ b/cactusford/batches/keeper.cc
@@ -12,11 +12,13 @@
 // How often runs, owners and writes are looked at, in milliseconds.
 constexpr std::uint64_t tick_ms = 100;
 
-// An owner that has not answered for this long is taken to be gone. A process
-// that is killed is back within about a second and goes on by itself; a batch
-// has seconds to spare, and a takeover by mistake costs double runs only.
-constexpr std::uint64_t owner_silence_ms = 2200;
-constexpr std::uint64_t owner_ask_ms = 500;
+// An owner that has not answered for this long is taken to be gone: four
+// questions without an answer. A takeover by mistake costs double runs only.
+constexpr std::uint64_t owner_silence_ms = 1300;
+
+// One that refuses connections has ended; it may be back at once, with nothing
+// in its memory.
+constexpr std::uint64_t owner_refused_ms = 500;
 
 // Spread of the takeovers by several instances, so that one write wins before
 // the others are tried.
@@ -75,6 +77,7 @@
     s->body.clear();
     b->stored = *s;
     b->owner_since_ms = http::now_ms();
+    b->due_ms = due_of(*b);
     if (!s->ended && s->owner == p.instance) {
       own(*b);
     }
@@ -85,6 +88,23 @@
   return b;
 }
 
+// When the results are due, on the steady clock. Clocks of instances differ,
+// so the age of a batch is bounded.
+std::uint64_t
+keeper::impl::due_of(const batch_state& b) const
+{
+  constexpr std::uint64_t longest_age_ms = 60000;
+  const auto wall = timeline::wall_ms();
+  const auto accepted = b.stored.accepted_wall_ms;
+  const auto age =
+    std::min(wall > accepted ? wall - accepted : 0, longest_age_ms);
+  const auto table = p.table();
+  const auto* route =
+    table ? routes::match(*table, b.stored.host, b.stored.target) : nullptr;
+  const auto due = route == nullptr ? 0 : route->due_ms;
+  return http::now_ms() + due - std::min(age, http::now_ms());
+}
+
 void
 keeper::impl::update(batch_state& b, stored_batch&& s)
 {
@@ -146,6 +166,28 @@
   });
 }
 
+// Why the owner is taken to be gone; nothing while it is believed to live.
+std::optional<std::string_view>
+keeper::impl::owner_silence(const batch_state& b, std::uint64_t now)
+{
+  const auto spread =
+    std::hash<std::string>{}(p.instance + b.stored.id) % takeover_spread_ms;
+  if (b.stored.owner.empty()) {
+    return now - b.owner_since_ms > spread
+             ? std::optional<std::string_view>{ "released" }
+             : std::nullopt;
+  }
+  const auto& address = b.stored.owner_address;
+  const auto seen = std::max(owner_seen[address], b.owner_since_ms);
+  const auto refused = owner_refused[address];
+  if (refused > seen && now - seen > owner_refused_ms + spread) {
+    return "owner_refused";
+  }
+  return now - seen > owner_silence_ms + spread
+           ? std::optional<std::string_view>{ "owner_silent" }
+           : std::nullopt;
+}
+
 void
 keeper::impl::tick()
 {
@@ -170,20 +212,16 @@
       give_up_late(*b);
       watch_runs(*b, now);
       maybe_write(*b, now);
+      maybe_save(*b, now);
       waiting = true;
       continue;
     }
     if (b->owned || !b->is_open() || leaving) {
       continue;
     }
-    const auto spread =
-      std::hash<std::string>{}(p.instance + id) % takeover_spread_ms;
-    const auto seen =
-      std::max(owner_seen[b->stored.owner_address], b->owner_since_ms);
-    const bool released = b->stored.owner.empty();
-    const auto limit = (released ? 0 : owner_silence_ms) + spread;
-    if (now - (released ? b->owner_since_ms : seen) > limit) {
-      take_over(*b, released ? "released" : "owner_silent");
+    const auto silent = owner_silence(*b, now);
+    if (silent) {
+      take_over(*b, *silent);
     }
   }
   if (waiting) {
@@ -432,14 +470,17 @@
   }
   *left += ids.size();
   for (const auto& id : ids) {
-    impl_->write_status(
-      id,
-      [](stored_batch& s) {
-        s.owner.clear();
-        s.owner_address.clear();
-      },
-      [one_done](store::verdict) { one_done(); },
-      2);
+    const auto release = [self = impl_, id, one_done] {
+      self->write_status(
+        id,
+        [](stored_batch& s) {
+          s.owner.clear();
+          s.owner_address.clear();
+        },
+        [one_done](store::verdict) { one_done(); },
+        2);
+    };
+    impl_->save_progress(*impl_->known(id), release);
   }
   one_done();
 }
--- a/cactusford/batches/keeper.h
+++ b/cactusford/batches/keeper.h
@@ -23,6 +23,7 @@
 // Kinds of our own in the store.
 constexpr std::string_view batch_kind = "batches";
 constexpr std::string_view chunk_kind = "results";
+constexpr std::string_view progress_kind = "texts";
 
 // Path of the calls among instances about batches and their owners.
 constexpr std::string_view peer_results_path = "/results/";
--- a/cactusford/batches/keeper_impl.h
+++ b/cactusford/batches/keeper_impl.h
@@ -2,6 +2,8 @@
 #pragma once
 
 #include "cactusford/batches/keeper.h"
+#include "cactusford/batches/progress.h"
+#include "cactusford/batches/schedule.h"
 #include "cactusford/batches/state.h"
 
 namespace cactusford::batches {
@@ -38,6 +40,7 @@
   batch_state* learn(const store::object& o);
   void update(batch_state& b, stored_batch&& s);
   void forget(const std::string& id);
+  std::uint64_t due_of(const batch_state& b) const;
   void lookup(const std::string& id, std::function<void(batch_state*, bool)>);
 
   // Ownership
@@ -53,6 +56,7 @@
 
   // Runs
   void plan_soon();
+  double usual_event_ms(const batch_state& b) const;
   void plan();
   bool launch(batch_state& b, item_state& i);
   void on_head(const std::string& id,
@@ -86,6 +90,11 @@
   void reuse_carried(batch_state& b);
   void remember(batch_state& b);
 
+  // Kept text of running items
+  void save_progress(batch_state& b, std::function<void()> done);
+  void maybe_save(batch_state& b, std::uint64_t now);
+  void load_progress(const std::string& id, std::function<void()> done);
+
   // Results
   void write_results(batch_state& b);
   void maybe_write(batch_state& b, std::uint64_t now);
@@ -98,6 +107,8 @@
                        const edge::batch_request& r);
   void read_from_store(const http::call& caller, const edge::batch_request& r);
 
+  std::optional<std::string_view> owner_silence(const batch_state& b,
+                                                std::uint64_t now);
   void tick();
 
   keeper_parts p;
@@ -106,8 +117,10 @@
   std::unordered_map<std::string, detail::carried_item> carried;
   // When an owner's address last answered, on the steady clock.
   std::map<std::string, std::uint64_t> owner_seen;
+  std::map<std::string, std::uint64_t> owner_refused;
   std::map<std::string, bool> owner_asked;
   std::uint64_t last_ask = 0;
+  token_pace pace;
   std::uint64_t next_run = 1;
   bool plan_posted = false;
   bool leaving = false;
--- a/cactusford/batches/ownership.cc
+++ b/cactusford/batches/ownership.cc
@@ -9,11 +9,13 @@
 
 namespace {
 
-// An owner that has not answered for this long is taken to be gone. A process
-// that is killed is back within about a second and goes on by itself; a batch
-// has seconds to spare, and a takeover by mistake costs double runs only.
-constexpr std::uint64_t owner_silence_ms = 2200;
-constexpr std::uint64_t owner_ask_ms = 500;
+// Owners of open batches are asked this often; a step has seconds to spare,
+// and each question is one small message both ways.
+constexpr std::uint64_t owner_ask_ms = 300;
+constexpr std::uint64_t owner_answer_ms = 600;
+
+// A connection that fails faster was refused: no process listens there.
+constexpr std::uint64_t refusal_limit_ms = 200;
 
 } // namespace
 
@@ -39,13 +41,19 @@
     if (loaded == nullptr || !loaded->owned) {
       return;
     }
-    loaded->loaded = ok;
     loaded->load_again = !ok;
-    if (ok) {
-      loaded->drop_listed();
-      self->reuse_carried(*loaded);
-      self->plan_soon();
+    if (!ok) {
+      return;
     }
+    loaded->drop_listed();
+    self->load_progress(id, [self, id] {
+      auto* ready = self->known(id);
+      if (ready != nullptr && ready->owned) {
+        ready->loaded = true;
+        self->reuse_carried(*ready);
+        self->plan_soon();
+      }
+    });
   });
 }
 
@@ -202,15 +210,20 @@
     r.method = "GET";
     r.target = peer_alive_path;
     http::exchange_options o;
-    o.timeout_ms = owner_ask_ms * 2;
+    o.timeout_ms = owner_answer_ms;
+    o.connect_timeout_ms = owner_answer_ms;
     p.http.fetch(address,
                  r,
                  o,
-                 [self = shared_from_this(), address](http::end_state end,
-                                                      http::response&& a) {
+                 [self = shared_from_this(), address, now](
+                   http::end_state end, http::response&& a) {
                    self->owner_asked[address] = false;
+                   const auto then = http::now_ms();
                    if (end == http::end_state::complete && a.status == 200) {
-                     self->owner_seen[address] = http::now_ms();
+                     self->owner_seen[address] = then;
+                   } else if (end == http::end_state::not_sent &&
+                              then - now < refusal_limit_ms) {
+                     self->owner_refused[address] = then;
                    }
                  });
   }
--- a/cactusford/batches/results.cc
+++ b/cactusford/batches/results.cc
@@ -55,8 +55,7 @@
   c.name = chunk_name(id, chunk);
   c.body = encode_chunk(results);
   p.store.perform(
-    c,
-    [self = shared_from_this(), id, chunk, results](store::reply&& r) {
+    c, [self = shared_from_this(), id, chunk, results](store::reply&& r) {
       auto* now = self->known(id);
       if (now == nullptr || !now->owned || now->ledger.chunks != chunk) {
         return;
--- a/cactusford/batches/runs.cc
+++ b/cactusford/batches/runs.cc
@@ -36,29 +36,55 @@
   });
 }
 
-// Gives waiting items to engines: oldest batch first, and in a batch those
-// that are expected to take longest, as they decide when a group is whole.
+// The pause between two events of an engine that is not slow.
+double
+keeper::impl::usual_event_ms(const batch_state& b) const
+{
+  // Before any stream was seen: what engines of this class need.
+  constexpr double before_any_ms = 40;
+  const auto table = p.table();
+  const auto* route =
+    table ? routes::match(*table, b.stored.host, b.stored.target) : nullptr;
+  if (route == nullptr || route->services.empty()) {
+    return before_any_ms;
+  }
+  const auto seen = backends::usual_pace_ms(
+    p.registry, route->services.front().service, http::now_ms());
+  return seen > 0 ? seen : before_any_ms;
+}
+
+// Gives waiting items to engines, those with the least time to spare first.
 void
 keeper::impl::plan()
 {
-  std::vector<batch_state*> order;
-  for (auto& [id, b] : batches) {
-    if (b->owned && b->loaded && !b->stored.ended) {
-      order.push_back(b.get());
-    }
-  }
-  std::sort(order.begin(), order.end(), [](const auto* a, const auto* b) {
-    return a->stored.accepted_wall_ms < b->stored.accepted_wall_ms;
-  });
   const auto now = http::now_ms();
-  for (auto* b : order) {
-    for (const auto at : b->order) {
-      auto& i = b->items[at];
-      if (i.stage == item_stage::waiting && i.not_before_ms <= now &&
-          !launch(*b, i)) {
-        break;
+  std::vector<batch_state*> open;
+  std::vector<waiting_item> waiting;
+  for (auto& entry : batches) {
+    auto& b = *entry.second;
+    if (!b.owned || !b.loaded || b.stored.ended || leaving) {
+      continue;
+    }
+    const auto usual = usual_event_ms(b);
+    for (const auto& i : b.items) {
+      if (i.stage == item_stage::waiting && i.not_before_ms <= now) {
+        const auto hint = b.submission.items[i.index].length_hint;
+        const auto made =
+          static_cast<std::uint64_t>(usual * static_cast<double>(i.text.events));
+        const auto expected = expected_run_ms(pace, hint, made);
+        waiting.push_back({ open.size(), i.index, b.due_ms, expected });
       }
     }
+    open.push_back(&b);
+  }
+  sort_by_slack(waiting);
+  // What holds one item of a batch back holds back its others.
+  std::vector<bool> held(open.size(), false);
+  for (const auto& w : waiting) {
+    auto& b = *open[w.batch];
+    if (!held[w.batch]) {
+      held[w.batch] = !launch(b, b.items[w.item]);
+    }
   }
 }
 
@@ -278,11 +304,18 @@
     if (backend != nullptr) {
       backend->failures = 0;
     }
+    if (i->events_in_run == i->text.events) {
+      note_run(pace,
+               b.submission.items[at].length_hint,
+               http::now_ms() - i->started_ms);
+    }
     on_text(b, *i);
     return;
   }
   if (complete && i->not_run) {
-    i->not_on = i->backend;
+    if (backend != nullptr) {
+      backends::note_refusal(*backend, b.submission.model, http::now_ms());
+    }
     retry_item(b, *i, refused_pause_ms, "not_run");
     return;
   }
--- /dev/null
+++ b/cactusford/batches/schedule-test.cc
@@ -0,0 +1,116 @@
+#include "cactusford/batches/schedule.h"
+
+#include "cactusford/testing/section.h"
+
+#include <criterion/criterion.h>
+
+#include <algorithm>
+#include <random>
+
+using namespace cactusford::batches;
+
+Test(schedule, starts_first_what_has_the_least_time_to_spare)
+{
+  std::vector<waiting_item> items{ { 0, 0, 7500, 1000 },
+                                   { 0, 1, 7500, 7000 },
+                                   { 1, 0, 8000, 7400 },
+                                   { 1, 1, 8000, 300 } };
+  sort_by_slack(items);
+  cr_assert_eq(items[0].item, 1, "the longest of the older batch");
+  cr_assert_eq(items[1].batch, 1, "a long one of the younger batch");
+  cr_assert_eq(items[3].expected_ms, 300);
+}
+
+Test(schedule, learns_the_pace_from_runs)
+{
+  token_pace p;
+  for (int i = 0; i < 500; ++i) {
+    note_run(p, 1000, 1300);
+  }
+  cr_assert_float_eq(p.ms, 1.3, 0.05);
+  SECTION("one run that is far off hardly moves it")
+  {
+    const auto before = p.ms;
+    note_run(p, 10, 100000);
+    cr_assert_lt(p.ms, before * 1.05);
+  }
+  SECTION("a text without an estimate says nothing")
+  {
+    const auto before = p;
+    note_run(p, 0, 5000);
+    cr_assert(p == before);
+  }
+}
+
+// Its owner was killed; the text so far was kept. Whoever goes on with it must
+// not put it behind the short ones because most of its estimate is made.
+Test(schedule, expects_more_of_what_outlived_its_estimate)
+{
+  const token_pace p{ 1.0 };
+  cr_assert_eq(expected_run_ms(p, 1000), 1000);
+  cr_assert_eq(expected_run_ms(p, 1000, 300), 700);
+  cr_assert_eq(expected_run_ms(p, 1000, 4000), 2000);
+}
+
+namespace {
+
+struct load
+{
+  std::vector<std::uint64_t> length_ms;
+  std::vector<std::uint64_t> hint_ms;
+};
+
+// 92 items: lengths of a log-normal spread, one in twelve five times as long,
+// estimates off by half. The figures are those of a cutting plan's step.
+load
+heavy_step(std::uint64_t seed)
+{
+  std::mt19937_64 random{ seed };
+  std::lognormal_distribution<> length{ 6.5, 0.8 };
+  std::lognormal_distribution<> error{ 0, 0.5 };
+  std::bernoulli_distribution tail{ 0.08 };
+  load l;
+  for (int i = 0; i < 92; ++i) {
+    const double ms = std::min(length(random) * (tail(random) ? 5 : 1), 7600.0);
+    l.length_ms.push_back(static_cast<std::uint64_t>(ms));
+    l.hint_ms.push_back(static_cast<std::uint64_t>(ms * error(random)));
+  }
+  return l;
+}
+
+// When the last item ends on so many slots.
+std::uint64_t
+makespan(const load& l, bool by_slack, std::size_t slots)
+{
+  std::vector<waiting_item> items;
+  for (std::size_t i = 0; i < l.length_ms.size(); ++i) {
+    items.push_back({ 0, i, 7500, by_slack ? l.hint_ms[i] : 0 });
+  }
+  sort_by_slack(items);
+  std::vector<std::uint64_t> free_at(slots, 0);
+  for (const auto& i : items) {
+    auto next = std::min_element(free_at.begin(), free_at.end());
+    *next += l.length_ms[i.item];
+  }
+  return *std::max_element(free_at.begin(), free_at.end());
+}
+
+} // namespace
+
+// Half of the engines are loading weights as the step begins: 32 slots for 92
+// items. Taken as they come, a straggler that starts last ends the step late.
+Test(schedule, shortens_a_step_with_a_long_tail)
+{
+  std::uint64_t as_they_come = 0;
+  std::uint64_t least_slack = 0;
+  for (std::uint64_t seed = 0; seed < 200; ++seed) {
+    const auto l = heavy_step(seed);
+    as_they_come += makespan(l, false, 32);
+    least_slack += makespan(l, true, 32);
+  }
+  cr_assert_lt(least_slack * 100,
+               as_they_come * 92,
+               "by 8%% or more: %lu against %lu",
+               least_slack,
+               as_they_come);
+}
--- /dev/null
+++ b/cactusford/batches/schedule.cc
@@ -0,0 +1,55 @@
+#include "cactusford/batches/schedule.h"
+
+#include <algorithm>
+
+namespace cactusford::batches {
+
+namespace {
+
+// The estimate is right at the median only; single runs say little.
+constexpr double gain = 0.02;
+
+// Runs far off the estimate would move the pace more than all others.
+constexpr double least_ratio = 0.3;
+constexpr double largest_ratio = 3;
+
+std::int64_t
+latest_start(const waiting_item& i)
+{
+  return static_cast<std::int64_t>(i.due_ms) -
+         static_cast<std::int64_t>(i.expected_ms);
+}
+
+} // namespace
+
+void
+note_run(token_pace& p, std::uint64_t hint, std::uint64_t run_ms)
+{
+  if (hint == 0) {
+    return;
+  }
+  const auto seen = static_cast<double>(run_ms) / static_cast<double>(hint);
+  const auto bounded =
+    std::clamp(seen, p.ms * least_ratio, p.ms * largest_ratio);
+  p.ms += gain * (bounded - p.ms);
+}
+
+std::uint64_t
+expected_run_ms(const token_pace& p, std::uint64_t hint, std::uint64_t made_ms)
+{
+  const auto whole =
+    static_cast<std::uint64_t>(p.ms * static_cast<double>(hint));
+  const auto left = whole > made_ms ? whole - made_ms : 0;
+  return std::max(left, made_ms / 2);
+}
+
+void
+sort_by_slack(std::vector<waiting_item>& items)
+{
+  std::stable_sort(
+    items.begin(), items.end(), [](const auto& a, const auto& b) {
+      return latest_start(a) < latest_start(b);
+    });
+}
+
+} // namespace cactusford::batches
--- a/cactusford/batches/state.cc
+++ b/cactusford/batches/state.cc
@@ -1,8 +1,5 @@
 #include "cactusford/batches/state.h"
 
-#include <algorithm>
-#include <numeric>
-
 namespace cactusford::batches::detail {
 
 void
@@ -16,13 +13,6 @@
     index_of[submission.items[at].id] = at;
   }
   recount();
-  order.resize(items.size());
-  std::iota(order.begin(), order.end(), std::size_t{ 0 });
-  // The longest first: started late, one of them would be all that a step
-  // still waits for.
-  std::stable_sort(order.begin(), order.end(), [&](auto a, auto b) {
-    return submission.items[a].length_hint > submission.items[b].length_hint;
-  });
 }
 
 void
--- a/cactusford/batches/state.h
+++ b/cactusford/batches/state.h
@@ -89,8 +89,6 @@
   stored_batch stored;
   batches::submission submission;
   std::vector<item_state> items;
-  // Indices of items in the order in which they start.
-  std::vector<std::size_t> order;
   std::unordered_map<std::string, std::size_t> index_of;
   // Items of a group without a result.
   std::map<std::string, std::size_t> missing;
@@ -102,6 +100,13 @@
   bool load_again = false;
   bool taking_over = false;
   bool group_became_whole = false;
+  // On the steady clock.
+  std::uint64_t due_ms = 0;
+  // The kept text of running items: when it was last written, and whether it
+  // stands in the store.
+  std::uint64_t saved_ms = 0;
+  bool saving = false;
+  bool has_saved = false;
   std::uint64_t owner_since_ms = 0;
   std::uint64_t write_again_ms = 0;
   std::uint64_t looked_ms = 0;
--- a/cactusford/edge/dialect.h
+++ b/cactusford/edge/dialect.h
@@ -80,6 +80,9 @@
   std::map<std::string, std::uint64_t> versions;
   // An order is in progress.
   bool busy = false;
+  // Runs of all models.
+  std::uint32_t running = 0;
+  std::uint32_t waiting = 0;
   // Orders accepted since its start.
   std::uint64_t orders = 0;
   std::string backend;
--- a/cactusford/edge/host.cc
+++ b/cactusford/edge/host.cc
@@ -91,7 +91,9 @@
 {
   // A peer that closed shows in the write's error.
   std::signal(SIGPIPE, SIG_IGN);
-  process::open_line_log(io, settings.instance);
+  process::log_limits limits;
+  limits.lines_per_second = settings.log_lines_per_second;
+  process::open_line_log(io, settings.instance, limits);
 }
 
 void
--- a/cactusford/edge/settings.cc
+++ b/cactusford/edge/settings.cc
@@ -27,6 +27,8 @@
   "peers": {"type": "array", "maxItems": 64,
             "items": {"type": "string"}},
   "engine": {"type": "string"},
+  "log_lines_per_second": {"type": "integer", "minimum": 1,
+                           "maximum": 100000},
   "grace_ms": {"type": "integer", "minimum": 500, "maximum": 600000}
   }})";
 
@@ -63,6 +65,7 @@
   read_key(document, "store", s.store);
   read_key(document, "peers", s.peers);
   read_key(document, "engine", s.engine);
+  read_key(document, "log_lines_per_second", s.log_lines_per_second);
   read_key(document, "grace_ms", s.grace_ms);
   std::erase(s.peers, s.peer);
   return { s, {} };
--- a/cactusford/orders/load_plan-test.cc
+++ b/cactusford/orders/load_plan-test.cc
@@ -28,7 +28,7 @@
 }
 
 // A step accepts the version that is named and the one before. If all engines
-// loaded each version at once, none would serve while they load.
+// loaded each version as it is named, none would serve the step's beginning.
 Test(load_plan, always_leaves_engines_that_serve_the_step)
 {
   std::vector<std::uint64_t> loaded(9, 1);
@@ -37,7 +37,7 @@
     int loads = 0;
     for (std::uint32_t i = 0; i < loaded.size(); ++i) {
       serving += loaded[i] + accepted_lag >= named ? 1 : 0;
-      if (wants("m", named, loaded[i], { i })) {
+      if (wants("m", named, loaded[i], 2, { i }) == load_time::now) {
         loaded[i] = named;
         ++loads;
       }
@@ -47,8 +47,24 @@
   }
 }
 
+Test(load_plan, loads_in_the_quiet_end_of_a_step_for_one_trainer)
+{
+  cr_assert(wants("m", 5, 4, 1, { 3 }) == load_time::when_idle);
+  SECTION("but at once when it is of no use otherwise")
+  {
+    cr_assert(wants("m", 5, 3, 1, { 3 }) == load_time::now);
+  }
+  SECTION("few at the same time")
+  {
+    const auto first = delay_ms(load_time::when_idle, { 0 });
+    cr_assert_geq(first, 1000, "not in the beginning");
+    cr_assert_eq(delay_ms(load_time::when_idle, { 1 }), first);
+    cr_assert_gt(delay_ms(load_time::when_idle, { 2 }), first);
+  }
+}
+
 Test(load_plan, never_goes_back)
 {
-  cr_assert_not(wants("m", 4, 4, { 0 }));
-  cr_assert_not(wants("m", 4, 5, { 0 }));
+  cr_assert(wants("m", 4, 4, 1, { 0 }) == load_time::never);
+  cr_assert(wants("m", 4, 5, 1, { 0 }) == load_time::never);
 }
--- a/cactusford/orders/load_plan.cc
+++ b/cactusford/orders/load_plan.cc
@@ -19,6 +19,13 @@
 // Waiting longer than this would let a step meet engines that are too old.
 constexpr std::uint64_t longest_delay_ms = 2000;
 
+// An engine that is too old for the younger step waits this long at most.
+constexpr std::uint64_t longest_quiet_wait_ms = 1600;
+
+// Most items of a step run in its first second and a half.
+constexpr std::uint64_t step_begin_ms = 1500;
+constexpr std::uint64_t longest_idle_delay_ms = 3000;
+
 std::uint32_t
 small_hash(std::string_view text)
 {
@@ -51,26 +58,45 @@
   return { row * static_cast<std::uint32_t>(data_centres.size()) + zone };
 }
 
-bool
+load_time
 wants(std::string_view model,
       std::uint64_t named,
       std::uint64_t loaded,
+      std::size_t models,
       const place& p)
 {
   if (named <= loaded) {
-    return false;
+    return load_time::never;
   }
   if (named - loaded > accepted_lag) {
+    return load_time::now;
+  }
+  if (models <= 1) {
+    return load_time::when_idle;
+  }
+  const bool mine = (named + p.index + small_hash(model)) % halves == 0;
+  return mine ? load_time::now : load_time::never;
+}
+
+bool
+waits_for_quiet(load_time t, std::uint64_t since_naming_ms, const place& p)
+{
+  if (t == load_time::when_idle) {
     return true;
   }
-  return (named + p.index + small_hash(model)) % halves == 0;
+  const bool first_turn = p.index / halves / loads_at_once == 0;
+  return !first_turn && since_naming_ms < longest_quiet_wait_ms;
 }
 
 std::uint64_t
-delay_ms(const place& p)
+delay_ms(load_time t, const place& p)
 {
-  const auto rank = p.index / halves;
-  return std::min((rank / loads_at_once) * load_ms, longest_delay_ms);
+  if (t == load_time::when_idle) {
+    const auto turn = p.index / loads_at_once;
+    return step_begin_ms + std::min(turn * load_ms, longest_idle_delay_ms);
+  }
+  const auto turn = p.index / halves / loads_at_once;
+  return std::min(turn * load_ms, longest_delay_ms);
 }
 
 } // namespace cactusford::orders
--- a/cactusford/orders/load_plan.h
+++ b/cactusford/orders/load_plan.h
@@ -1,9 +1,14 @@
 // When the engine of one sidecar loads a weight version. Pure.
 //
-// A trainer's step accepts the version that is named and the one before it.
-// So each engine loads every second version, half of them the even and half
-// the odd ones: at any time the other half serves, and an engine loads half
-// as often.
+// A trainer's step accepts the version that is named and the one before it,
+// and it begins when its version is named. An engine one version behind serves
+// the step; one that is further behind is of no use until it has loaded.
+//
+// An engine of one trainer loads each version, in the quiet end of a step,
+// when it runs nothing: all engines serve the next step's beginning. As many
+// loads as engines are due to each trainer, so an engine shared by several
+// loads every second version of each, half of the engines the even and half
+// the odd ones.
 #pragma once
 
 #include <cstdint>
@@ -30,15 +35,33 @@
          std::string_view data_centre,
          std::vector<std::string> data_centres);
 
-// True when the engine should load `named`, holding `loaded`.
-bool
+enum class load_time
+{
+  never,
+  // As soon as its turn among the loading engines comes.
+  now,
+  // Later in the step, while it runs nothing.
+  when_idle,
+};
+
+// When an engine of `models` models that holds `loaded` should load `named`.
+load_time
 wants(std::string_view model,
       std::uint64_t named,
       std::uint64_t loaded,
+      std::size_t models,
       const place& p);
 
-// How long it waits so that few load at the same time, in milliseconds.
+// True while a load that is due should wait for the runs of the engine to end:
+// a load holds them up for about a second. Two versions may be named at nearly
+// the same time; the engines of the first turn load for the younger step at
+// once, the others go on serving the older one for a moment.
+bool
+waits_for_quiet(load_time t, std::uint64_t since_naming_ms, const place& p);
+
+// How long after the naming it starts at the earliest, so that few load at the
+// same time and the beginning of a step is left alone, in milliseconds.
 std::uint64_t
-delay_ms(const place& p);
+delay_ms(load_time t, const place& p);
 
 } // namespace cactusford::orders
--- a/cactusford/orders/loader.cc
+++ b/cactusford/orders/loader.cc
@@ -102,6 +102,17 @@
 void
 loader::on_report(const edge::engine_report& r)
 {
+  for (const auto& [model, version] : r.versions) {
+    auto& before = loaded_[model];
+    if (version != before && before != 0) {
+      process::log_line(timeline::event{ "version_loaded" }
+                          .with("model", model)
+                          .with("version", version)
+                          .with("before", before)
+                          .with("took_ms", http::now_ms() - ordered_ms_));
+    }
+    before = version;
+  }
   if (r.busy) {
     again_in(busy_look_ms);
     return;
@@ -110,15 +121,24 @@
   std::uint64_t next = idle_look_ms;
   for (const auto& [model, n] : named_) {
     const auto found = r.versions.find(model);
-    if (found == r.versions.end() ||
-        !wants(model, n.version, found->second, settings_.where)) {
+    if (found == r.versions.end()) {
+      continue;
+    }
+    const auto when = wants(
+      model, n.version, found->second, r.versions.size(), settings_.where);
+    if (when == load_time::never) {
       continue;
     }
-    const auto due = n.since_ms + delay_ms(settings_.where);
+    const auto due = n.since_ms + delay_ms(when, settings_.where);
     if (due > now) {
       next = std::min(next, due - now);
       continue;
     }
+    const bool idle = r.running + r.waiting == 0;
+    if (!idle && waits_for_quiet(when, now - n.since_ms, settings_.where)) {
+      next = std::min(next, busy_look_ms);
+      continue;
+    }
     order(r, model, n.version);
     return;
   }
@@ -141,6 +161,7 @@
   http::exchange_options options;
   options.timeout_ms = order_timeout_ms;
   asking_ = true;
+  ordered_ms_ = http::now_ms();
   http_.fetch(settings_.engine,
               dialect_.order_request(o),
               options,
--- a/cactusford/orders/loader.h
+++ b/cactusford/orders/loader.h
@@ -59,6 +59,9 @@
   // The highest revision acted on. It grows with each version that is named
   // and survives restarts, as it is read from the store again.
   std::uint64_t fence_ = 0;
+  // Versions seen at the last look, and when each order was accepted.
+  std::map<std::string, std::uint64_t> loaded_;
+  std::uint64_t ordered_ms_ = 0;
   bool asking_ = false;
   bool was_up_ = true;
 };
--- a/cactusford/store/store.h
+++ b/cactusford/store/store.h
@@ -44,6 +44,7 @@
   watch,
   get,
   create,
+  replace,
   replace_status,
   remove,
 };
@@ -60,7 +61,8 @@
   std::string after;
   std::uint64_t since = 0;
   std::uint64_t wait_ms = 0;
-  // For `create` the specification, for `replace_status` the status.
+  // For `create` and `replace` the specification, for `replace_status` the
+  // status.
   nlohmann::json body;
 
   friend bool operator==(const call&, const call&) = default;
