Fewer chunk writes; ended batches are read at their last owner

Cause: each entry read all chunks of an ended batch one by one (24 calls each), and each group that became whole was written by itself while the trainer reads twice a second.

--- a/cactusford/batches/finish.cc
+++ b/cactusford/batches/finish.cc
@@ -126,7 +126,7 @@
                       .with("events", i.text.events)
                       .with("tries", i.tries));
   add_result(b.ledger, std::move(r), now);
-  b.note_finished(i.index);
+  b.note_finished(i.index, now);
   maybe_write(b, now);
   plan_soon();
 }
--- a/cactusford/batches/keeper.cc
+++ b/cactusford/batches/keeper.cc
@@ -350,14 +350,17 @@
       const auto now = http::now_ms();
       if (b->owned && b->loaded) {
         b->readers.push_back({ caller, r.after, now + r.wait_ms });
+        self->maybe_write(*b, now);
         self->answer_readers(*b, now);
         return;
       }
-      if (from_peer) {
+      if (b->complete) {
+        self->respond_page(caller, *b, r.after);
+      } else if (from_peer) {
         caller.respond(come_back(self->p.dialect));
       } else if (b->ledger.listed.size() > r.after) {
         self->respond_page(caller, *b, r.after);
-      } else if (b->is_open() && b->stored.owner != self->p.instance &&
+      } else if (b->stored.owner != self->p.instance &&
                  !b->stored.owner_address.empty()) {
         self->read_from_owner(caller, *b, r);
       } else {
--- a/cactusford/batches/ownership.cc
+++ b/cactusford/batches/ownership.cc
@@ -63,6 +63,7 @@
   if (!b.owned) {
     return;
   }
+  b.complete = b.loaded && b.stored.ended && b.stored.owner == p.instance;
   b.owned = false;
   b.loaded = false;
   for (auto& i : b.items) {
@@ -215,8 +216,8 @@
     p.http.fetch(address,
                  r,
                  o,
-                 [self = shared_from_this(), address, now](
-                   http::end_state end, http::response&& a) {
+                 [self = shared_from_this(), address, now](http::end_state end,
+                                                           http::response&& a) {
                    self->owner_asked[address] = false;
                    const auto then = http::now_ms();
                    if (end == http::end_state::complete && a.status == 200) {
--- a/cactusford/batches/results.cc
+++ b/cactusford/batches/results.cc
@@ -17,6 +17,10 @@
 constexpr std::size_t chunk_bytes = 500U << 10;
 constexpr std::size_t page_bytes = 900U << 10;
 
+// A trainer reads about twice a second: results of whole groups that nobody
+// waits for at the moment gather this long.
+constexpr std::uint64_t whole_gather_ms = 300;
+
 // A read of results from the owner may take this long beyond its wait.
 constexpr std::uint64_t peer_read_ms = 400;
 
@@ -25,8 +29,8 @@
 
 } // namespace
 
-// Writes when a group has become whole, when nothing else is to come, or when
-// results have waited long enough.
+// Writes when a group has become whole and somebody waits for it, when nothing
+// else is to come, or when results have waited long enough.
 void
 keeper::impl::maybe_write(batch_state& b, std::uint64_t now)
 {
@@ -34,10 +38,13 @@
       b.ledger.pending.empty() || now < b.write_again_ms) {
     return;
   }
+  const bool awaited = b.group_became_whole && !b.readers.empty();
+  const bool whole_long =
+    b.group_became_whole && now - b.whole_since_ms >= whole_gather_ms;
   const bool old = now - b.ledger.pending_since_ms >= gather_ms;
   const bool all = b.ledger.pending.size() + b.ledger.listed.size() ==
                    b.submission.items.size();
-  if (b.group_became_whole || old || all) {
+  if (awaited || whole_long || old || all) {
     write_results(b);
   }
 }
@@ -57,7 +64,7 @@
   p.store.perform(
     c, [self = shared_from_this(), id, chunk, results](store::reply&& r) {
       auto* now = self->known(id);
-      if (now == nullptr || !now->owned || now->ledger.chunks != chunk) {
+      if (now == nullptr || now->ledger.chunks != chunk) {
         return;
       }
       if (r.what == store::verdict::done) {
@@ -65,6 +72,12 @@
         self->maybe_write(*now, http::now_ms());
         return;
       }
+      if (!now->owned) {
+        // The batch ended meanwhile; whether this chunk stands is for the
+        // store to say.
+        now->complete = false;
+        return;
+      }
       if (r.what == store::verdict::conflict ||
           r.what == store::verdict::unknown) {
         self->read_back(id, chunk);
--- a/cactusford/batches/runs.cc
+++ b/cactusford/batches/runs.cc
@@ -69,8 +69,8 @@
     for (const auto& i : b.items) {
       if (i.stage == item_stage::waiting && i.not_before_ms <= now) {
         const auto hint = b.submission.items[i.index].length_hint;
-        const auto made =
-          static_cast<std::uint64_t>(usual * static_cast<double>(i.text.events));
+        const auto made = static_cast<std::uint64_t>(
+          usual * static_cast<double>(i.text.events));
         const auto expected = expected_run_ms(pace, hint, made);
         waiting.push_back({ open.size(), i.index, b.due_ms, expected });
       }
--- a/cactusford/batches/state.cc
+++ b/cactusford/batches/state.cc
@@ -43,17 +43,18 @@
     auto& i = items[found->second];
     if (i.stage == item_stage::waiting) {
       i.stage = item_stage::finished;
-      note_finished(i.index);
+      note_finished(i.index, 0);
     }
   }
   group_became_whole = false;
 }
 
 void
-batch_state::note_finished(std::size_t index)
+batch_state::note_finished(std::size_t index, std::uint64_t now_ms)
 {
   auto& left = missing[submission.items[index].group];
   if (left > 0 && --left == 0) {
+    whole_since_ms = group_became_whole ? whole_since_ms : now_ms;
     group_became_whole = true;
   }
 }
--- a/cactusford/batches/state.h
+++ b/cactusford/batches/state.h
@@ -82,7 +82,7 @@
   void recount();
 
   // An item has its result; notes whether its group is whole by that.
-  void note_finished(std::size_t index);
+  void note_finished(std::size_t index, std::uint64_t now_ms);
 
   const item* find_item(const std::string& id) const;
 
@@ -98,10 +98,15 @@
   bool owned = false;
   bool loaded = false;
   bool load_again = false;
+  // It ended while this instance owned it and knew all its chunks: nothing is
+  // listed any more.
+  bool complete = false;
   bool taking_over = false;
   bool group_became_whole = false;
   // On the steady clock.
   std::uint64_t due_ms = 0;
+  // When a group became whole that is not yet written.
+  std::uint64_t whole_since_ms = 0;
   // The kept text of running items: when it was last written, and whether it
   // stands in the store.
   std::uint64_t saved_ms = 0;
