--- /dev/null
+++ b/cactusford/store/paths.cc
@@ -0,0 +1,71 @@
+#include "cactusford/store/paths.h"
+
+#include <algorithm>
+
+namespace cactusford::store {
+
+namespace {
+
+// The direct path is worth asking again soon; a relay that failed has likely
+// ended, and its successor has another address.
+constexpr std::uint64_t avoid_direct_ms = 1500;
+constexpr std::uint64_t avoid_relay_ms = 4000;
+
+// How long one try a call is enough.
+constexpr std::uint64_t away_ms = 700;
+
+} // namespace
+
+path_table
+make_paths(std::size_t relays)
+{
+  path_table t;
+  t.bad_until_ms.assign(relays + 1, 0);
+  return t;
+}
+
+std::optional<std::size_t>
+next_path(const path_table& t,
+          const std::vector<std::size_t>& tried,
+          std::uint64_t now_ms)
+{
+  if (tried.size() >= max_tries) {
+    return std::nullopt;
+  }
+  if (now_ms < t.away_until_ms) {
+    return tried.empty() ? std::optional{ direct_path } : std::nullopt;
+  }
+  std::optional<std::size_t> best;
+  for (std::size_t path = 0; path < t.bad_until_ms.size(); ++path) {
+    if (std::find(tried.begin(), tried.end(), path) != tried.end()) {
+      continue;
+    }
+    if (t.bad_until_ms[path] <= now_ms) {
+      return path;
+    }
+    if (!best || t.bad_until_ms[path] < t.bad_until_ms[*best]) {
+      best = path;
+    }
+  }
+  return best;
+}
+
+void
+note_path(path_table& t, std::size_t path, path_end end, std::uint64_t now_ms)
+{
+  switch (end) {
+    case path_end::answered:
+      t.bad_until_ms[path] = 0;
+      t.away_until_ms = 0;
+      return;
+    case path_end::failed:
+      t.bad_until_ms[path] =
+        now_ms + (path == direct_path ? avoid_direct_ms : avoid_relay_ms);
+      return;
+    case path_end::store_away:
+      t.away_until_ms = now_ms + away_ms;
+      return;
+  }
+}
+
+} // namespace cactusford::store
--- a/cactusford/store/store.cc
+++ b/cactusford/store/store.cc
@@ -4,13 +4,16 @@
 
 #include <asio/post.hpp>
 
-#include <algorithm>
-
 namespace cactusford::store {
 
 namespace {
 
-constexpr int max_relays = 2;
+// Instances and the store are near; a connection that takes longer is not to
+// be had.
+constexpr std::uint64_t connect_ms = 250;
+
+// A relay that lives and doesn't reach the store says so.
+constexpr std::string_view away_header = "Store-Away";
 
 // A relay adds its own wait for the store.
 constexpr std::uint64_t relay_extra_ms = 300;
@@ -57,9 +60,9 @@
   http::request request;
   handler done;
   std::uint64_t timeout_ms = 0;
-  int relays_tried = 0;
-  bool direct_tried = false;
-  bool unknown_before = false;
+  std::vector<std::size_t> tried;
+  // Some try had no answer: it may have been done, or may be done later.
+  bool unknown = false;
 };
 
 client::client(asio::io_context& io,
@@ -70,6 +73,7 @@
   , http_{ http }
   , dialect_{ d }
   , settings_{ std::move(s) }
+  , paths_{ make_paths(settings_.relays.size()) }
 {
 }
 
@@ -81,82 +85,80 @@
   a->request = dialect_.encode(c);
   a->done = std::move(done);
   a->timeout_ms = c.wait_ms + settings_.answer_ms;
-  if (http::now_ms() < path_.direct_bad_until && !settings_.relays.empty()) {
-    try_relay(a);
-  } else {
-    try_direct(a);
-  }
+  try_next(a);
 }
 
 void
-client::try_direct(const std::shared_ptr<attempt>& a)
+client::try_next(const std::shared_ptr<attempt>& a)
 {
-  a->direct_tried = true;
-  ++calls_;
-  http::exchange_options o;
-  o.timeout_ms = a->timeout_ms;
-  http_.fetch(settings_.address,
-              a->request,
-              o,
-              [this, a](http::end_state end, http::response&& r) {
-                take(a, true, end, std::move(r));
-              });
+  const auto path = next_path(paths_, a->tried, http::now_ms());
+  if (path) {
+    try_path(a, *path);
+  } else {
+    give_up(a);
+  }
 }
 
 void
-client::try_relay(const std::shared_ptr<attempt>& a)
+client::try_path(const std::shared_ptr<attempt>& a, std::size_t path)
 {
-  ++a->relays_tried;
-  ++relayed_;
-  const auto& relay = settings_.relays[path_.relay % settings_.relays.size()];
+  a->tried.push_back(path);
+  const bool direct = path == direct_path;
+  ++(direct ? calls_ : relayed_);
   http::exchange_options o;
-  o.timeout_ms = a->timeout_ms + relay_extra_ms;
-  http_.fetch(relay,
-              wrap(a->request, a->timeout_ms),
+  o.timeout_ms = a->timeout_ms + (direct ? 0 : relay_extra_ms);
+  o.connect_timeout_ms = connect_ms;
+  http_.fetch(direct ? settings_.address : settings_.relays[path - 1],
+              direct ? a->request : wrap(a->request, a->timeout_ms),
               o,
-              [this, a](http::end_state end, http::response&& r) {
-                take(a, false, end, std::move(r));
+              [this, a, path](http::end_state end, http::response&& r) {
+                take(a, path, end, std::move(r));
               });
 }
 
 void
 client::take(const std::shared_ptr<attempt>& a,
-             bool direct,
+             std::size_t path,
              http::end_state end,
              http::response&& r)
 {
+  const auto now = http::now_ms();
+  const bool complete = end == http::end_state::complete;
   reply answer;
   answer.what =
     end == http::end_state::not_sent ? verdict::refused : verdict::unknown;
-  if (end == http::end_state::complete) {
+  if (complete) {
     answer = dialect_.decode(a->call, r);
   }
   const bool settled =
     answer.what != verdict::refused && answer.what != verdict::unknown;
   if (settled) {
+    note_path(paths_, path, path_end::answered, now);
     note_answer();
-    answer.after_unknown = a->unknown_before;
+    answer.after_unknown = a->unknown;
     a->done(std::move(answer));
     return;
   }
   // The store ends waiting watches now and then; the next call tells whether
   // it is reached.
-  const bool ended_watch =
-    a->call.op == operation::watch && answer.what == verdict::unknown;
-  if (ended_watch) {
+  if (a->call.op == operation::watch && answer.what == verdict::unknown) {
     a->done(std::move(answer));
     return;
   }
-  note_failure(direct, http::name_of(end));
-  a->unknown_before = a->unknown_before || answer.what == verdict::unknown;
-  const auto relays =
-    std::min<std::size_t>(settings_.relays.size(), max_relays);
-  if (a->relays_tried < static_cast<int>(relays)) {
-    try_relay(a);
-    return;
-  }
-  answer.what = a->unknown_before ? verdict::unknown : verdict::refused;
-  answer.after_unknown = a->unknown_before;
+  const bool away =
+    path != direct_path && complete && http::find(r.fields, away_header);
+  note_path(paths_, path, away ? path_end::store_away : path_end::failed, now);
+  note_failure(http::name_of(end));
+  a->unknown = a->unknown || answer.what == verdict::unknown;
+  try_next(a);
+}
+
+void
+client::give_up(const std::shared_ptr<attempt>& a)
+{
+  reply answer;
+  answer.what = a->unknown ? verdict::unknown : verdict::refused;
+  answer.after_unknown = a->unknown;
   a->done(std::move(answer));
 }
 
@@ -173,13 +175,8 @@
 }
 
 void
-client::note_failure(bool direct, std::string_view why)
+client::note_failure(std::string_view why)
 {
-  if (direct) {
-    path_.direct_bad_until = http::now_ms() + settings_.avoid_direct_ms;
-  } else {
-    ++path_.relay;
-  }
   if (!lost_) {
     lost_ = true;
     if (on_lost) {
@@ -212,18 +209,20 @@
   o.timeout_ms = body.value("timeout_ms", settings_.answer_ms);
   ++calls_;
   auto sent = std::make_shared<http::pending>();
-  *sent = http_.fetch(settings_.address,
-                      inner,
-                      o,
-                      [caller](http::end_state end, http::response&& r) {
-                        if (end == http::end_state::complete) {
-                          caller.respond({ r.status, {}, std::move(r.body) });
-                          return;
-                        }
-                        // 503 says that nothing was done; 504 leaves it open.
-                        const bool nothing = end == http::end_state::not_sent;
-                        caller.respond({ nothing ? 503 : 504, {}, "" });
-                      });
+  *sent = http_.fetch(
+    settings_.address,
+    inner,
+    o,
+    [caller](http::end_state end, http::response&& r) {
+      if (end == http::end_state::complete) {
+        caller.respond({ r.status, {}, std::move(r.body) });
+        return;
+      }
+      // 503 says that nothing was done; 504 leaves it open.
+      const bool nothing = end == http::end_state::not_sent;
+      caller.respond(
+        { nothing ? 503 : 504, { { std::string{ away_header }, "1" } }, "" });
+    });
   caller.on_gone([sent] { sent->cancel(); });
 }
 
--- a/cactusford/store/store.h
+++ b/cactusford/store/store.h
@@ -4,6 +4,7 @@
 
 #include "cactusford/http/client.h"
 #include "cactusford/http/server.h"
+#include "cactusford/store/paths.h"
 
 #include <asio/io_context.hpp>
 #include <asio/steady_timer.hpp>
@@ -107,17 +108,6 @@
   std::function<reply(const call&, const http::response&)> decode;
 };
 
-// Where a call goes first, from what the last calls have met. Pure.
-struct path_state
-{
-  // The direct path failed and is not tried again before this time.
-  std::uint64_t direct_bad_until = 0;
-  // Index of the relay that worked last.
-  std::size_t relay = 0;
-
-  friend bool operator==(const path_state&, const path_state&) = default;
-};
-
 struct client_settings
 {
   std::string address;
@@ -126,8 +116,6 @@
   // How long an answer may take, beyond the wait that the call asks for. The
   // store answers in milliseconds; a slow one in some hundred.
   std::uint64_t answer_ms = 1200;
-  // After a failure of the direct path, calls go through a relay this long.
-  std::uint64_t avoid_direct_ms = 1500;
 };
 
 class client
@@ -140,7 +128,7 @@
          const dialect& d,
          client_settings s);
 
-  // Tries the direct path and then at most two relays.
+  // Tries up to three paths.
   void perform(const call& c, handler done);
 
   // Makes the call of another instance and answers with what the store said.
@@ -158,20 +146,21 @@
 
 private:
   struct attempt;
-  void try_direct(const std::shared_ptr<attempt>& a);
-  void try_relay(const std::shared_ptr<attempt>& a);
+  void try_next(const std::shared_ptr<attempt>& a);
+  void try_path(const std::shared_ptr<attempt>& a, std::size_t path);
   void take(const std::shared_ptr<attempt>& a,
-            bool direct,
+            std::size_t path,
             http::end_state end,
             http::response&& r);
+  void give_up(const std::shared_ptr<attempt>& a);
   void note_answer();
-  void note_failure(bool direct, std::string_view why);
+  void note_failure(std::string_view why);
 
   asio::io_context& io_;
   http::client& http_;
   const dialect& dialect_;
   client_settings settings_;
-  path_state path_;
+  path_table paths_;
   std::uint64_t last_answer_ms_ = 0;
   std::uint64_t calls_ = 0;
   std::uint64_t relayed_ = 0;
