A new owner fences the ledger before it shows results

Change: a tenure begins with an empty chunk of its epoch; an older owner meets it as a conflict and stops.

--- a/cactusford/batches/keeper_impl.h
+++ b/cactusford/batches/keeper_impl.h
@@ -45,8 +45,10 @@
 
   // Ownership
   void own(batch_state& b);
+  void begin_tenure(const std::string& id);
   void disown(batch_state& b, std::string_view why);
   void load_chunks(const std::string& id, std::function<void(bool)> done);
+  void fence(const std::string& id, int tries, std::function<void(bool)> done);
   void ask_owners(std::uint64_t now);
   void take_over(batch_state& b, std::string_view why);
   void write_status(const std::string& id,
@@ -99,7 +101,7 @@
   void write_results(batch_state& b);
   void maybe_write(batch_state& b, std::uint64_t now);
   void read_back(const std::string& id, std::uint64_t chunk);
-  void on_chunk(const std::string& id, std::vector<item_result> results);
+  void on_chunk(const std::string& id, stored_chunk chunk);
   void answer_readers(batch_state& b, std::uint64_t now);
   void respond_page(const http::call& c, batch_state& b, std::uint64_t after);
   void read_from_owner(const http::call& caller,
--- a/cactusford/batches/ledger-test.cc
+++ b/cactusford/batches/ledger-test.cc
@@ -77,9 +77,9 @@
 
 Test(ledger, reads_back_what_it_stores)
 {
-  const std::vector<item_result> results{ result_of("a"),
-                                          { "b", false, "", {}, "" } };
-  cr_assert(decode_chunk(encode_chunk(results)) == results);
+  const stored_chunk chunk{ 12,
+                            { result_of("a"), { "b", false, "", {}, "" } } };
+  cr_assert(decode_chunk(encode_chunk(chunk)) == chunk);
   cr_assert(decode_chunk({ { "other", 1 } }) == std::nullopt);
   stored_batch b;
   b.id = "x";
--- a/cactusford/batches/ledger.cc
+++ b/cactusford/batches/ledger.cc
@@ -128,23 +128,24 @@
 }
 
 nlohmann::json
-encode_chunk(const std::vector<item_result>& results)
+encode_chunk(const stored_chunk& c)
 {
   auto list = nlohmann::json::array();
-  for (const auto& r : results) {
+  for (const auto& r : c.results) {
     list.push_back({ { "item", r.id },
                      { "done", r.done },
                      { "text", r.text },
                      { "weights", r.versions },
                      { "score", r.score } });
   }
-  return { { "list", std::move(list) } };
+  return { { "epoch", c.epoch }, { "list", std::move(list) } };
 }
 
-std::optional<std::vector<item_result>>
+std::optional<stored_chunk>
 decode_chunk(const nlohmann::json& spec)
 try {
-  std::vector<item_result> results;
+  stored_chunk c;
+  c.epoch = spec.at("epoch").get<std::uint64_t>();
   for (const auto& j : spec.at("list")) {
     item_result r;
     r.id = j.at("item").get<std::string>();
@@ -152,9 +153,9 @@
     r.text = j.at("text").get<std::string>();
     r.versions = j.at("weights").get<std::vector<std::uint64_t>>();
     r.score = j.at("score").get<std::string>();
-    results.push_back(std::move(r));
+    c.results.push_back(std::move(r));
   }
-  return results;
+  return c;
 } catch (const nlohmann::json::exception&) {
   return std::nullopt;
 }
--- a/cactusford/batches/ledger.h
+++ b/cactusford/batches/ledger.h
@@ -1,6 +1,11 @@
 // Positions of a batch's results. A result gets its position when the store
 // has acknowledged its chunk: chunk k is created once and never replaced, by
 // one who has read all chunks before it. Pure.
+//
+// An owner that was paused or cut off may still write after another has taken
+// over. So a new owner begins with an empty chunk, and shows results only when
+// that stands: a late write of the old owner meets it as a conflict, and its
+// higher epoch tells the old owner to stop.
 #pragma once
 
 #include "cactusford/batches/batch.h"
@@ -15,6 +20,15 @@
 
 namespace cactusford::batches {
 
+struct stored_chunk
+{
+  // Revision of the batch at which its writer became the owner.
+  std::uint64_t epoch = 0;
+  std::vector<item_result> results;
+
+  friend bool operator==(const stored_chunk&, const stored_chunk&) = default;
+};
+
 struct ledger
 {
   // In the store, in the order of their positions.
@@ -64,9 +78,9 @@
 chunk_name(const std::string& batch, std::uint64_t chunk);
 
 nlohmann::json
-encode_chunk(const std::vector<item_result>& results);
+encode_chunk(const stored_chunk& c);
 
-std::optional<std::vector<item_result>>
+std::optional<stored_chunk>
 decode_chunk(const nlohmann::json& spec);
 
 nlohmann::json
--- a/cactusford/batches/ownership.cc
+++ b/cactusford/batches/ownership.cc
@@ -26,6 +26,7 @@
     return;
   }
   b.owned = true;
+  b.epoch = b.stored.revision;
   process::log_line(timeline::event{ "batch_owned" }
                       .with("batch", b.stored.id)
                       .with("items", b.items.size())
@@ -45,7 +46,26 @@
     if (!ok) {
       return;
     }
-    loaded->drop_listed();
+    self->begin_tenure(id);
+  });
+}
+
+// All chunks are read. Once the fence stands nobody else can add one, and
+// results may be shown.
+void
+keeper::impl::begin_tenure(const std::string& id)
+{
+  constexpr int fence_tries = 5;
+  fence(id, fence_tries, [self = shared_from_this(), id](bool fenced) {
+    auto* b = self->known(id);
+    if (b == nullptr || !b->owned) {
+      return;
+    }
+    b->load_again = !fenced;
+    if (!fenced) {
+      return;
+    }
+    b->drop_listed();
     self->load_progress(id, [self, id] {
       auto* ready = self->known(id);
       if (ready != nullptr && ready->owned) {
@@ -88,6 +108,54 @@
                       .with("why", why));
 }
 
+void
+keeper::impl::fence(const std::string& id,
+                    int tries,
+                    std::function<void(bool)> done)
+{
+  auto* b = known(id);
+  if (b == nullptr || !b->owned || tries == 0) {
+    done(false);
+    return;
+  }
+  const auto chunk = b->ledger.chunks;
+  const stored_chunk empty{ b->epoch, {} };
+  store::call c;
+  c.op = store::operation::create;
+  c.kind = chunk_kind;
+  c.name = chunk_name(id, chunk);
+  c.body = encode_chunk(empty);
+  p.store.perform(c,
+                  [self = shared_from_this(), id, chunk, empty, tries, done](
+                    store::reply&& r) {
+                    auto* now = self->known(id);
+                    if (now == nullptr || !now->owned) {
+                      done(false);
+                      return;
+                    }
+                    if (r.what == store::verdict::done) {
+                      if (now->ledger.chunks == chunk) {
+                        self->on_chunk(id, empty);
+                      }
+                      done(true);
+                      return;
+                    }
+                    if (r.what == store::verdict::refused) {
+                      done(false);
+                      return;
+                    }
+                    // Somebody's chunk stands there, or ours whose answer was
+                    // lost.
+                    self->load_chunks(id, [self, id, tries, done](bool ok) {
+                      if (ok) {
+                        self->fence(id, tries - 1, done);
+                      } else {
+                        done(false);
+                      }
+                    });
+                  });
+}
+
 // Reads the chunks behind those that are known, until there is none.
 void
 keeper::impl::load_chunks(const std::string& id, std::function<void(bool)> done)
@@ -114,15 +182,15 @@
         done(false);
         return;
       }
-      auto results = decode_chunk(r.items.front().spec);
-      if (!results) {
+      auto found = decode_chunk(r.items.front().spec);
+      if (!found) {
         process::log_line(
           timeline::event{ "chunk_unreadable" }.with("batch", id));
         done(false);
         return;
       }
       if (now->ledger.chunks == chunk) {
-        self->on_chunk(id, std::move(*results));
+        self->on_chunk(id, std::move(*found));
       }
       self->load_chunks(id, done);
     });
--- a/cactusford/batches/results.cc
+++ b/cactusford/batches/results.cc
@@ -60,15 +60,16 @@
   c.op = store::operation::create;
   c.kind = chunk_kind;
   c.name = chunk_name(id, chunk);
-  c.body = encode_chunk(results);
+  const stored_chunk written{ b.epoch, results };
+  c.body = encode_chunk(written);
   p.store.perform(
-    c, [self = shared_from_this(), id, chunk, results](store::reply&& r) {
+    c, [self = shared_from_this(), id, chunk, written](store::reply&& r) {
       auto* now = self->known(id);
       if (now == nullptr || now->ledger.chunks != chunk) {
         return;
       }
       if (r.what == store::verdict::done) {
-        self->on_chunk(id, results);
+        self->on_chunk(id, written);
         self->maybe_write(*now, http::now_ms());
         return;
       }
@@ -110,19 +111,22 @@
 }
 
 void
-keeper::impl::on_chunk(const std::string& id, std::vector<item_result> results)
+keeper::impl::on_chunk(const std::string& id, stored_chunk chunk)
 {
   auto* b = known(id);
   if (b == nullptr) {
     return;
   }
-  adopt_chunk(b->ledger, std::move(results));
+  adopt_chunk(b->ledger, std::move(chunk.results));
   process::log_line(timeline::event{ "results_listed" }
                       .with("batch", id)
                       .with("chunk", b->ledger.chunks - 1)
                       .with("listed", b->ledger.listed.size())
                       .with("total", b->submission.items.size()));
   answer_readers(*b, http::now_ms());
+  if (b->owned && chunk.epoch > b->epoch) {
+    disown(*b, "fenced");
+  }
 }
 
 void
--- a/cactusford/batches/state.h
+++ b/cactusford/batches/state.h
@@ -103,6 +103,8 @@
   bool complete = false;
   bool taking_over = false;
   bool group_became_whole = false;
+  // Revision at which this instance became the owner.
+  std::uint64_t epoch = 0;
   // On the steady clock.
   std::uint64_t due_ms = 0;
   // When a group became whole that is not yet written.
--- a/cactusford/store/store.h
+++ b/cactusford/store/store.h
@@ -114,8 +114,9 @@
   // Instances that make calls for others, "ip:port".
   std::vector<std::string> relays;
   // How long an answer may take, beyond the wait that the call asks for. The
-  // store answers in milliseconds; a slow one in some hundred.
-  std::uint64_t answer_ms = 1200;
+  // store answers in milliseconds; a slow one in some hundred. A result that
+  // another instance has shown must be shown here within a second.
+  std::uint64_t answer_ms = 800;
 };
 
 class client
