--- a/cactusford/edge/edge.cc
+++ b/cactusford/edge/edge.cc
@@ -25,7 +25,7 @@
 // Changes of backend servers gather this long: their weight versions change
 // one by one after each load, and each answer of the watch is a priced call.
 // Far below the seconds in which a leaving one must get no new work.
-constexpr std::uint64_t backend_gather_ms = 250;
+constexpr std::uint64_t backend_gather_ms = 600;
 
 // When a refused caller may come back: a backend server is avoided for a
 // quarter of a second after a failure, and a plain call takes less.
--- a/cactusford/edge/side.cc
+++ b/cactusford/edge/side.cc
@@ -28,7 +28,8 @@
 {
   host h{ path, s };
   http::client http{ h.io };
-  store::client store{ h.io, http, d.store, { s.store, s.peers } };
+  // There is a sidecar for each engine, and all wait for the same versions.
+  store::client store{ h.io, http, d.store, { s.store, s.peers, true } };
   const auto where =
     orders::place_of(s.instance, s.data_centre, s.data_centres);
   orders::loader loader{ h.io, http, d, { s.instance, s.engine, where } };
--- a/cactusford/store/paths-test.cc
+++ b/cactusford/store/paths-test.cc
@@ -34,6 +34,16 @@
   }
 }
 
+// Sidecars learn weight versions through relays, which join their watches. The
+// relays are spread, and the direct path remains.
+Test(paths, begins_with_a_relay_where_that_is_wished)
+{
+  auto t = make_paths(2, 2);
+  cr_assert_eq(*next_path(t, {}, 0), 2);
+  cr_assert_eq(*next_path(t, { 2 }, 0), direct_path);
+  cr_assert_eq(*next_path(t, { 2, direct_path }, 0), 1);
+}
+
 // The store is down for everybody. Tries through relays would be three priced
 // calls in place of one, and find nothing.
 Test(paths, makes_one_try_while_the_store_is_away_for_all)
--- a/cactusford/store/paths.cc
+++ b/cactusford/store/paths.cc
@@ -17,9 +17,10 @@
 } // namespace
 
 path_table
-make_paths(std::size_t relays)
+make_paths(std::size_t relays, std::size_t first)
 {
   path_table t;
+  t.first = first;
   t.bad_until_ms.assign(relays + 1, 0);
   return t;
 }
@@ -36,7 +37,8 @@
     return tried.empty() ? std::optional{ direct_path } : std::nullopt;
   }
   std::optional<std::size_t> best;
-  for (std::size_t path = 0; path < t.bad_until_ms.size(); ++path) {
+  for (std::size_t i = 0; i < t.bad_until_ms.size(); ++i) {
+    const auto path = (t.first + i) % t.bad_until_ms.size();
     if (std::find(tried.begin(), tried.end(), path) != tried.end()) {
       continue;
     }
--- a/cactusford/store/paths.h
+++ b/cactusford/store/paths.h
@@ -23,6 +23,8 @@
 {
   // A path that failed is avoided until this time.
   std::vector<std::uint64_t> bad_until_ms;
+  // The path that is tried first; the others follow in turn.
+  std::size_t first = direct_path;
   // A relay that lives could not reach the store either: it is away for all,
   // and more tries would only be more calls.
   std::uint64_t away_until_ms = 0;
@@ -31,7 +33,7 @@
 };
 
 path_table
-make_paths(std::size_t relays);
+make_paths(std::size_t relays, std::size_t first = direct_path);
 
 // The path for the next try of a call; nothing when it should be given up.
 std::optional<std::size_t>
--- a/cactusford/store/store.cc
+++ b/cactusford/store/store.cc
@@ -4,6 +4,8 @@
 
 #include <asio/post.hpp>
 
+#include <random>
+
 namespace cactusford::store {
 
 namespace {
@@ -18,13 +20,29 @@
 // A relay adds its own wait for the store.
 constexpr std::uint64_t relay_extra_ms = 300;
 
+void
+respond_relayed(const http::call& caller,
+                http::end_state end,
+                const http::response& r)
+{
+  if (end == http::end_state::complete) {
+    caller.respond({ r.status, {}, r.body });
+    return;
+  }
+  // 503 says that nothing was done; 504 leaves it open.
+  const bool nothing = end == http::end_state::not_sent;
+  caller.respond(
+    { nothing ? 503 : 504, { { std::string{ away_header }, "1" } }, "" });
+}
+
 http::request
-wrap(const http::request& inner, std::uint64_t timeout_ms)
+wrap(const http::request& inner, std::uint64_t timeout_ms, bool shared)
 {
   const nlohmann::json body{ { "method", inner.method },
                              { "target", inner.target },
                              { "body", inner.body },
-                             { "timeout_ms", timeout_ms } };
+                             { "timeout_ms", timeout_ms },
+                             { "shared", shared } };
   http::request r;
   r.method = "POST";
   r.target = std::string{ relay_path };
@@ -54,6 +72,20 @@
   return "unknown";
 }
 
+namespace {
+
+// Spread over the relays by chance; all instances see the same list.
+std::size_t
+first_path(const client_settings& s)
+{
+  if (!s.prefer_relays || s.relays.empty()) {
+    return direct_path;
+  }
+  return 1 + std::random_device{}() % s.relays.size();
+}
+
+} // namespace
+
 struct client::attempt
 {
   store::call call;
@@ -73,7 +105,7 @@
   , http_{ http }
   , dialect_{ d }
   , settings_{ std::move(s) }
-  , paths_{ make_paths(settings_.relays.size()) }
+  , paths_{ make_paths(settings_.relays.size(), first_path(settings_)) }
 {
 }
 
@@ -108,12 +140,14 @@
   http::exchange_options o;
   o.timeout_ms = a->timeout_ms + (direct ? 0 : relay_extra_ms);
   o.connect_timeout_ms = connect_ms;
-  http_.fetch(direct ? settings_.address : settings_.relays[path - 1],
-              direct ? a->request : wrap(a->request, a->timeout_ms),
-              o,
-              [this, a, path](http::end_state end, http::response&& r) {
-                take(a, path, end, std::move(r));
-              });
+  http_.fetch(
+    direct ? settings_.address : settings_.relays[path - 1],
+    direct ? a->request
+           : wrap(a->request, a->timeout_ms, a->call.op == operation::watch),
+    o,
+    [this, a, path](http::end_state end, http::response&& r) {
+      take(a, path, end, std::move(r));
+    });
 }
 
 void
@@ -205,25 +239,49 @@
     inner.fields.push_back({ "Content-Type", "application/json" });
   }
   inner.fields.push_back({ "Host", settings_.address });
+  const auto timeout_ms = body.value("timeout_ms", settings_.answer_ms);
+  if (body.value("shared", false)) {
+    relay_watch(caller, inner, timeout_ms);
+    return;
+  }
   http::exchange_options o;
-  o.timeout_ms = body.value("timeout_ms", settings_.answer_ms);
+  o.timeout_ms = timeout_ms;
   ++calls_;
   auto sent = std::make_shared<http::pending>();
-  *sent = http_.fetch(
+  *sent = http_.fetch(settings_.address,
+                      inner,
+                      o,
+                      [caller](http::end_state end, http::response&& r) {
+                        respond_relayed(caller, end, r);
+                      });
+  caller.on_gone([sent] { sent->cancel(); });
+}
+
+// Instances that follow the same kind from the same revision share one call.
+void
+client::relay_watch(const http::call& caller,
+                    const http::request& inner,
+                    std::uint64_t timeout_ms)
+{
+  auto& waiting = joined_[inner.target];
+  waiting.push_back(caller);
+  if (waiting.size() > 1) {
+    return;
+  }
+  http::exchange_options o;
+  o.timeout_ms = timeout_ms;
+  ++calls_;
+  http_.fetch(
     settings_.address,
     inner,
     o,
-    [caller](http::end_state end, http::response&& r) {
-      if (end == http::end_state::complete) {
-        caller.respond({ r.status, {}, std::move(r.body) });
-        return;
+    [this, target = inner.target](http::end_state end, http::response&& r) {
+      const auto callers = std::move(joined_[target]);
+      joined_.erase(target);
+      for (const auto& c : callers) {
+        respond_relayed(c, end, r);
       }
-      // 503 says that nothing was done; 504 leaves it open.
-      const bool nothing = end == http::end_state::not_sent;
-      caller.respond(
-        { nothing ? 503 : 504, { { std::string{ away_header }, "1" } }, "" });
     });
-  caller.on_gone([sent] { sent->cancel(); });
 }
 
 } // namespace cactusford::store
--- a/cactusford/store/store.h
+++ b/cactusford/store/store.h
@@ -12,6 +12,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
 #include <string>
 #include <vector>
@@ -113,6 +114,9 @@
   std::string address;
   // Instances that make calls for others, "ip:port".
   std::vector<std::string> relays;
+  // Calls go through a relay as long as one answers. Relays join equal watches
+  // of many instances into one call.
+  bool prefer_relays = false;
   // How long an answer may take, beyond the wait that the call asks for. The
   // store answers in milliseconds; a slow one in some hundred. A result that
   // another instance has shown must be shown here within a second.
@@ -154,6 +158,9 @@
             http::end_state end,
             http::response&& r);
   void give_up(const std::shared_ptr<attempt>& a);
+  void relay_watch(const http::call& caller,
+                   const http::request& inner,
+                   std::uint64_t timeout_ms);
   void note_answer();
   void note_failure(std::string_view why);
 
@@ -166,6 +173,8 @@
   std::uint64_t calls_ = 0;
   std::uint64_t relayed_ = 0;
   bool lost_ = false;
+  // Callers that wait for the same relayed watch, by its target.
+  std::map<std::string, std::vector<http::call>> joined_;
 };
 
 // Path of the relay on the port that instances use among themselves.
