--- a/cactusford/batches/keeper_impl.h
+++ b/cactusford/batches/keeper_impl.h
@@ -47,6 +47,7 @@
   void own(batch_state& b);
   void begin_tenure(const std::string& id);
   void disown(batch_state& b, std::string_view why);
+  bool take_chunk(const std::string& id, const store::object& o);
   void load_chunks(const std::string& id, std::function<void(bool)> done);
   void fence(const std::string& id, int tries, std::function<void(bool)> done);
   void ask_owners(std::uint64_t now);
--- a/cactusford/batches/ownership.cc
+++ b/cactusford/batches/ownership.cc
@@ -156,7 +156,9 @@
                   });
 }
 
-// Reads the chunks behind those that are known, until there is none.
+// Reads the chunks behind those that are known, until there is none. With none
+// known a list brings many at once; later a single one is looked for, as a list
+// would bring the chunks of other batches.
 void
 keeper::impl::load_chunks(const std::string& id, std::function<void(bool)> done)
 {
@@ -165,35 +167,55 @@
     done(false);
     return;
   }
+  const auto first = b->ledger.chunks;
   store::call c;
-  c.op = store::operation::get;
   c.kind = chunk_kind;
-  c.name = chunk_name(id, b->ledger.chunks);
-  p.store.perform(
-    c,
-    [self = shared_from_this(), id, done, chunk = b->ledger.chunks](
-      store::reply&& r) {
-      auto* now = self->known(id);
-      if (now == nullptr || r.what == store::verdict::missing) {
-        done(now != nullptr);
-        return;
-      }
-      if (r.what != store::verdict::done || r.items.empty()) {
-        done(false);
-        return;
-      }
-      auto found = decode_chunk(r.items.front().spec);
-      if (!found) {
-        process::log_line(
-          timeline::event{ "chunk_unreadable" }.with("batch", id));
-        done(false);
-        return;
-      }
-      if (now->ledger.chunks == chunk) {
-        self->on_chunk(id, std::move(*found));
-      }
+  if (first == 0) {
+    c.op = store::operation::list;
+    c.after = id;
+  } else {
+    c.op = store::operation::get;
+    c.name = chunk_name(id, first);
+  }
+  p.store.perform(c, [self = shared_from_this(), id, done](store::reply&& r) {
+    const bool absent = r.what == store::verdict::missing;
+    if (self->known(id) == nullptr ||
+        (r.what != store::verdict::done && !absent)) {
+      done(false);
+      return;
+    }
+    std::size_t taken = 0;
+    for (const auto& o : r.items) {
+      taken += self->take_chunk(id, o) ? 1 : 0;
+    }
+    if (taken == 0) {
+      done(true);
+    } else if (taken < r.items.size() && !r.more) {
+      // The list went on to other batches: ours has no more.
+      done(true);
+    } else {
       self->load_chunks(id, done);
-    });
+    }
+  });
+}
+
+// Takes in the chunk that is next; others are passed over.
+bool
+keeper::impl::take_chunk(const std::string& id, const store::object& o)
+{
+  auto* b = known(id);
+  if (b == nullptr || o.name != chunk_name(id, b->ledger.chunks)) {
+    return false;
+  }
+  auto chunk = decode_chunk(o.spec);
+  if (!chunk) {
+    process::log_line(timeline::event{ "chunk_unreadable" }
+                        .with("batch", id)
+                        .with("chunk", o.name));
+    return false;
+  }
+  on_chunk(id, std::move(*chunk));
+  return true;
 }
 
 // Changes the status on the condition that nobody changed it meanwhile; a
