--- /dev/null
+++ b/standins/object_store.cc
@@ -0,0 +1,387 @@
+#include "standins/object_store.h"
+
+#include "cactusford/http/socket.h"
+
+#include <asio/steady_timer.hpp>
+#include <nlohmann/json.hpp>
+
+namespace cactusford::standins {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr std::uint64_t tick_ms = 20;
+
+json
+to_json(const store::object& o)
+{
+  return { { "name", o.name },
+           { "revision", o.revision },
+           { "spec", o.spec },
+           { "status", o.status } };
+}
+
+store::object
+object_from(const json& j)
+{
+  store::object o;
+  o.name = j.at("name").get<std::string>();
+  o.revision = j.at("revision").get<std::uint64_t>();
+  o.spec = j.at("spec");
+  o.status = j.at("status");
+  return o;
+}
+
+json
+to_json(const store::call& c)
+{
+  return { { "op", static_cast<int>(c.op) },
+           { "kind", c.kind },
+           { "name", c.name },
+           { "revision", c.revision },
+           { "after", c.after },
+           { "since", c.since },
+           { "wait_ms", c.wait_ms },
+           { "body", c.body } };
+}
+
+store::call
+call_from(const json& j)
+{
+  store::call c;
+  c.op = static_cast<store::operation>(j.at("op").get<int>());
+  c.kind = j.at("kind").get<std::string>();
+  c.name = j.at("name").get<std::string>();
+  c.revision = j.at("revision").get<std::uint64_t>();
+  c.after = j.at("after").get<std::string>();
+  c.since = j.at("since").get<std::uint64_t>();
+  c.wait_ms = j.at("wait_ms").get<std::uint64_t>();
+  c.body = j.at("body");
+  return c;
+}
+
+std::string
+encode_reply(const store::reply& r)
+{
+  json j{ { "what", static_cast<int>(r.what) },
+          { "more", r.more },
+          { "as_of", r.as_of },
+          { "items", json::array() },
+          { "changes", json::array() } };
+  for (const auto& o : r.items) {
+    j["items"].push_back(to_json(o));
+  }
+  for (const auto& c : r.changes) {
+    j["changes"].push_back(
+      { { "object", to_json(c.value) }, { "deleted", c.deleted } });
+  }
+  return j.dump();
+}
+
+store::reply
+decode_reply(const store::call&, const http::response& a)
+{
+  store::reply r;
+  const auto j = json::parse(a.body, nullptr, false);
+  if (a.status == 503) {
+    r.what = store::verdict::refused;
+    return r;
+  }
+  if (!j.is_object()) {
+    return r;
+  }
+  r.what = static_cast<store::verdict>(j.at("what").get<int>());
+  r.more = j.at("more").get<bool>();
+  r.as_of = j.at("as_of").get<std::uint64_t>();
+  for (const auto& o : j.at("items")) {
+    r.items.push_back(object_from(o));
+  }
+  for (const auto& c : j.at("changes")) {
+    r.changes.push_back(
+      { object_from(c.at("object")), c.at("deleted").get<bool>() });
+  }
+  return r;
+}
+
+batches::submission
+submission_from(const json& j)
+{
+  batches::submission s;
+  s.model = j.at("model").get<std::string>();
+  s.min_version = j.at("min_version").get<std::uint64_t>();
+  for (const auto& i : j.at("items")) {
+    batches::item item;
+    item.id = i.at("id").get<std::string>();
+    item.path = "/run/";
+    item.body = "b";
+    item.group = i.at("group").get<std::string>();
+    item.length_hint = i.value("hint", std::uint64_t{ 0 });
+    if (i.contains("scorer")) {
+      item.scorer = batches::scorer_call{
+        i.at("scorer").get<std::string>(), "h", "/score/", "s"
+      };
+    }
+    s.items.push_back(std::move(item));
+  }
+  return s;
+}
+
+std::string
+encode_page(const batches::result_page& p)
+{
+  json j{ { "total", p.total },
+          { "next", p.next },
+          { "results", json::array() } };
+  for (const auto& r : p.results) {
+    j["results"].push_back({ { "id", r.id },
+                             { "done", r.done },
+                             { "text", r.text },
+                             { "versions", r.versions },
+                             { "score", r.score } });
+  }
+  return j.dump();
+}
+
+} // namespace
+
+edge::dialect
+plain_dialect()
+{
+  edge::dialect d;
+  d.headers = { "Id",      "Wait",           "Signature",   "Expect",
+                "Backend", "Load",           "Not-Run",     "Last",
+                "Version", "Expect-Version", "Reader-Wait", "Retry-After" };
+  d.kinds = { "configuration", "main", "backends", "versions", "retired" };
+  d.version_line = "version";
+  d.store.encode = [](const store::call& c) {
+    return http::request{ "POST", "/", { { "Host", "s" } }, to_json(c).dump() };
+  };
+  d.store.decode = decode_reply;
+  d.submission_from =
+    [](std::string_view body) -> std::optional<batches::submission> {
+    try {
+      return submission_from(json::parse(body));
+    } catch (const json::exception&) {
+      return std::nullopt;
+    }
+  };
+  d.encode_page = encode_page;
+  d.load_from = [](std::string_view) {
+    return std::optional<backends::reported_load>{};
+  };
+  return d;
+}
+
+object_store::object_store(asio::io_context& io)
+  : io_{ io }
+  , server_{ io, {}, [this](const http::call& c) { serve(c); } }
+{
+  server_.listen("127.0.0.1:0");
+  tick();
+}
+
+std::string
+object_store::address() const
+{
+  return "127.0.0.1:" + std::to_string(server_.port());
+}
+
+std::uint64_t
+object_store::put(const std::string& kind,
+                  const std::string& name,
+                  const json& spec)
+{
+  auto& o = objects_[kind][name];
+  o.name = name;
+  o.spec = spec;
+  o.revision = ++revision_;
+  note_change(kind, o, false);
+  return revision_;
+}
+
+const store::object*
+object_store::find(const std::string& kind, const std::string& name) const
+{
+  const auto k = objects_.find(kind);
+  if (k == objects_.end()) {
+    return nullptr;
+  }
+  const auto o = k->second.find(name);
+  return o == k->second.end() ? nullptr : &o->second;
+}
+
+std::vector<store::object>
+object_store::all(const std::string& kind) const
+{
+  std::vector<store::object> list;
+  const auto k = objects_.find(kind);
+  if (k != objects_.end()) {
+    for (const auto& [name, o] : k->second) {
+      list.push_back(o);
+    }
+  }
+  return list;
+}
+
+void
+object_store::compact()
+{
+  history_.clear();
+  history_from_ = revision_;
+  auto cut = std::move(watches_);
+  watches_.clear();
+  for (const auto& w : cut) {
+    w.caller.abort();
+  }
+}
+
+void
+object_store::note_change(const std::string& kind,
+                          store::object o,
+                          bool deleted)
+{
+  history_[kind].push_back({ std::move(o), deleted });
+  answer_watches();
+}
+
+void
+object_store::answer_watches()
+{
+  auto waiting = std::move(watches_);
+  watches_.clear();
+  for (auto& w : waiting) {
+    const auto r = perform(w.call);
+    const bool over = http::now_ms() >= w.until_ms;
+    if (!r.changes.empty() || r.what != store::verdict::done || over) {
+      w.caller.respond({ 200, {}, encode_reply(r) });
+    } else if (w.caller.is_open()) {
+      watches_.push_back(std::move(w));
+    }
+  }
+}
+
+void
+object_store::tick()
+{
+  auto t = std::make_shared<asio::steady_timer>(
+    io_, std::chrono::milliseconds{ tick_ms });
+  t->async_wait([this, t](asio::error_code ec) {
+    if (!ec) {
+      answer_watches();
+      tick();
+    }
+  });
+}
+
+void
+object_store::serve(const http::call& c)
+{
+  const auto j = json::parse(c.request().body, nullptr, false);
+  if (!j.is_object()) {
+    c.respond({ 400, {}, "" });
+    return;
+  }
+  const auto call = call_from(j);
+  ++calls_;
+  const auto f = faults ? faults(call) : fault::none;
+  if (f == fault::refuse) {
+    c.respond({ 503, {}, "" });
+    return;
+  }
+  if (f == fault::silent) {
+    unanswered_.push_back(c);
+    return;
+  }
+  if (call.op == store::operation::watch && f == fault::none) {
+    watches_.push_back({ c, call, http::now_ms() + call.wait_ms });
+    answer_watches();
+    return;
+  }
+  const auto r = perform(call);
+  if (f == fault::lose_answer) {
+    unanswered_.push_back(c);
+    return;
+  }
+  c.respond({ 200, {}, encode_reply(r) });
+}
+
+store::reply
+object_store::perform(const store::call& c)
+{
+  using store::operation;
+  using store::verdict;
+  store::reply r;
+  r.what = verdict::done;
+  r.as_of = revision_;
+  auto& kind = objects_[c.kind];
+  const auto found = kind.find(c.name);
+  const bool exists = found != kind.end();
+  switch (c.op) {
+    case operation::list:
+      for (auto at = kind.upper_bound(c.after); at != kind.end(); ++at) {
+        r.items.push_back(at->second);
+      }
+      return r;
+    case operation::watch:
+      if (c.since < history_from_) {
+        r.what = verdict::history_gone;
+        return r;
+      }
+      for (const auto& change : history_[c.kind]) {
+        if (change.value.revision > c.since) {
+          r.changes.push_back(change);
+        }
+      }
+      return r;
+    case operation::get:
+      r.what = exists ? verdict::done : verdict::missing;
+      if (exists) {
+        r.items.push_back(found->second);
+      }
+      return r;
+    case operation::create: {
+      if (exists) {
+        r.what = verdict::conflict;
+        r.items.push_back(found->second);
+        return r;
+      }
+      store::object o;
+      o.name = c.name;
+      o.spec = c.body;
+      o.revision = ++revision_;
+      kind[c.name] = o;
+      r.items.push_back(o);
+      note_change(c.kind, o, false);
+      return r;
+    }
+    case operation::replace:
+    case operation::replace_status:
+      if (!exists) {
+        r.what = verdict::missing;
+        return r;
+      }
+      if (c.revision != 0 && c.revision != found->second.revision) {
+        r.what = verdict::conflict;
+        r.items.push_back(found->second);
+        return r;
+      }
+      (c.op == operation::replace ? found->second.spec : found->second.status) =
+        c.body;
+      found->second.revision = ++revision_;
+      r.items.push_back(found->second);
+      note_change(c.kind, found->second, false);
+      return r;
+    case operation::remove:
+      if (exists) {
+        auto gone = found->second;
+        gone.revision = ++revision_;
+        kind.erase(found);
+        note_change(c.kind, gone, true);
+      }
+      return r;
+  }
+  return r;
+}
+
+} // namespace cactusford::standins
--- /dev/null
+++ b/standins/stream_engine.cc
@@ -0,0 +1,96 @@
+#include "standins/stream_engine.h"
+
+#include <asio/steady_timer.hpp>
+
+namespace cactusford::standins {
+
+namespace {
+
+std::string
+data_of(const std::string& item, std::uint64_t event)
+{
+  return item + "-" + std::to_string(event);
+}
+
+} // namespace
+
+stream_engine::stream_engine(asio::io_context& io, std::string id)
+  : io_{ io }
+  , id_{ std::move(id) }
+  , server_{ io, {}, [this](const http::call& c) { serve(c); } }
+{
+  server_.listen("127.0.0.1:0");
+}
+
+std::string
+stream_engine::address() const
+{
+  return "127.0.0.1:" + std::to_string(server_.port());
+}
+
+std::string
+stream_engine::text_of(const std::string& item, std::uint64_t events)
+{
+  std::string text;
+  for (std::uint64_t e = 1; e <= events; ++e) {
+    text += (e > 1 ? "\n" : "") + data_of(item, e);
+  }
+  return text;
+}
+
+void
+stream_engine::serve(const http::call& c)
+{
+  const auto& r = c.request();
+  const auto item = std::string{ http::find(r.fields, "Id").value_or("") };
+  if (r.target == "/score/") {
+    ++scores[item];
+    c.respond({ 200, { { "Id", item }, { "Signature", "sig-" + item } }, "" });
+    return;
+  }
+  if (http::find(r.fields, "Expect").value_or(id_) != id_) {
+    c.respond({ 421, {}, "" });
+    return;
+  }
+  if (loading) {
+    c.respond({ 503, { { "Id", item }, { "Not-Run", "1" } }, "" });
+    return;
+  }
+  const auto last = http::number(r.fields, "Last").value_or(0);
+  runs.push_back({ item, last });
+  ++streaming;
+  c.on_gone([this] { --streaming; });
+  c.begin(200, { { "Id", item }, { "Version", std::to_string(version) } });
+  stream(c, item, last + 1);
+}
+
+void
+stream_engine::stream(const http::call& c,
+                      const std::string& item,
+                      std::uint64_t next)
+{
+  auto t = std::make_shared<asio::steady_timer>(
+    io_, std::chrono::milliseconds{ gap_ms });
+  t->async_wait([this, t, c, item, next](asio::error_code ec) {
+    if (ec || !c.is_open()) {
+      return;
+    }
+    if (next > events) {
+      --streaming;
+      c.finish();
+      return;
+    }
+    const bool first_run = runs.back().resumed_at == 0;
+    if (next == cut_inside_event && first_run) {
+      c.write("id: " + std::to_string(next) + "\nda");
+      --streaming;
+      c.abort();
+      return;
+    }
+    c.write("id: " + std::to_string(next) + "\ndata: " + data_of(item, next) +
+            "\n\n");
+    stream(c, item, next + 1);
+  });
+}
+
+} // namespace cactusford::standins
--- /dev/null
+++ b/tests/batches-test.cc
@@ -0,0 +1,454 @@
+// Entries that share batches through a store, in one process: each entry has
+// its own event loop, so that one can be paused and woken.
+#include "cactusford/batches/keeper.h"
+#include "cactusford/http/socket.h"
+#include "cactusford/store/watcher.h"
+#include "cactusford/testing/section.h"
+#include "standins/object_store.h"
+#include "standins/stream_engine.h"
+
+#include <criterion/criterion.h>
+#include <nlohmann/json.hpp>
+
+#include <memory>
+#include <set>
+
+using namespace cactusford;
+using nlohmann::json;
+using standins::object_store;
+using standins::stream_engine;
+
+namespace {
+
+constexpr std::string_view batch_id = "batch-1";
+
+// Longer than any step here takes; reached only when something hangs.
+constexpr std::uint64_t hang_ms = 30000;
+
+routes::table_ptr
+table_of_tests()
+{
+  auto t = std::make_shared<routes::table>();
+  routes::route batch;
+  batch.host = "h";
+  batch.path_prefix = "/b/";
+  batch.kind = routes::call_kind::rollout;
+  batch.services = { { "engines", 1 } };
+  batch.max_attempts = 3;
+  batch.due_ms = 7500;
+  batch.give_up_ms = 40000;
+  routes::route score;
+  score.host = "h";
+  score.path_prefix = "/score/";
+  score.kind = routes::call_kind::idempotent;
+  score.services = { { "scorers", 1 } };
+  score.max_attempts = 4;
+  score.timeout_ms = 1500;
+  t->routes = { batch, score };
+  return t;
+}
+
+struct entry
+{
+  asio::io_context io;
+  http::client http{ io };
+  edge::dialect dialect = standins::plain_dialect();
+  backends::registry registry;
+  routes::table_ptr table = table_of_tests();
+  http::server peer;
+  http::server front;
+  store::client store;
+  edge::forwarder forwarder;
+  std::unique_ptr<batches::keeper> keeper;
+  std::unique_ptr<store::watcher> watcher;
+  bool running = true;
+
+  entry(const std::string& name, const std::string& store_address)
+    : peer{ io, {}, [this](const http::call& c) { on_peer(c); } }
+    , front{ io, {}, [this](const http::call& c) { on_caller(c); } }
+    , store{ io, http, dialect.store, { store_address, {} } }
+    , forwarder{ io, http, registry, dialect, "a" }
+  {
+    cr_assert_not(peer.listen("127.0.0.1:0"));
+    cr_assert_not(front.listen("127.0.0.1:0"));
+    keeper = std::make_unique<batches::keeper>(
+      batches::keeper_parts{ io,
+                             http,
+                             store,
+                             registry,
+                             dialect,
+                             forwarder,
+                             [this] { return table; },
+                             name,
+                             "127.0.0.1:" + std::to_string(peer.port()),
+                             "a" });
+    watcher = std::make_unique<store::watcher>(
+      io,
+      store,
+      store::watch_settings{ std::string{ batches::batch_kind }, 1000 },
+      store::watch_events{
+        [this](std::vector<store::object>&& all) {
+          keeper->on_list(std::move(all));
+        },
+        [this](store::change&& c) { keeper->on_change(std::move(c)); },
+        {} });
+    store.on_regained = [this] { watcher->refresh(); };
+    keeper->start();
+    watcher->start();
+  }
+
+  std::string front_address() const
+  {
+    return "127.0.0.1:" + std::to_string(front.port());
+  }
+
+  void on_peer(const http::call& c)
+  {
+    const auto path = http::path_of(c.request().target);
+    if (path == batches::peer_alive_path) {
+      c.respond({ 200, {}, "" });
+      return;
+    }
+    edge::batch_request r;
+    r.id = path.substr(batches::peer_results_path.size());
+    r.after = http::parse_number(
+                http::query_value(c.request().target, "after").value_or("0"))
+                .value_or(0);
+    keeper->read(c, r, true);
+  }
+
+  void on_caller(const http::call& c)
+  {
+    const auto& r = c.request();
+    edge::batch_request b;
+    b.id = std::string{ http::find(r.fields, "Id").value_or("") };
+    if (r.method == "POST") {
+      keeper->accept(c, b.id, http::now_ms() + 1500);
+    } else if (r.method == "DELETE") {
+      keeper->end(c, b.id);
+    } else {
+      b.after = http::number(r.fields, "After").value_or(0);
+      keeper->read(c, b, false);
+    }
+  }
+
+  void know(const std::string& id,
+            const std::string& service,
+            const std::string& address,
+            std::uint64_t version)
+  {
+    backends::announcement a;
+    a.id = id;
+    a.service = service;
+    a.address = address;
+    a.slots = 8;
+    a.versions["m"] = version;
+    backends::announce(registry, a);
+    keeper->on_backends();
+  }
+};
+
+struct world
+{
+  asio::io_context io;
+  object_store store{ io };
+  stream_engine engine{ io, "e1" };
+  stream_engine scorer{ io, "s1" };
+  http::client caller{ io };
+  std::vector<std::unique_ptr<entry>> entries;
+
+  explicit world(int count)
+  {
+    for (int i = 0; i < count; ++i) {
+      add_entry("entry-" + std::to_string(i));
+    }
+    run_until([&] {
+      return std::all_of(entries.begin(), entries.end(), [](const auto& e) {
+        return e->watcher->is_current();
+      });
+    });
+  }
+
+  entry& add_entry(const std::string& name)
+  {
+    entries.push_back(std::make_unique<entry>(name, store.address()));
+    entries.back()->know("e1", "engines", engine.address(), engine.version);
+    entries.back()->know("s1", "scorers", scorer.address(), 0);
+    return *entries.back();
+  }
+
+  void run_until(const std::function<bool()>& done)
+  {
+    const auto limit = http::now_ms() + hang_ms;
+    while (!done()) {
+      cr_assert_lt(http::now_ms(), limit, "it hangs");
+      std::size_t ran = io.poll();
+      for (const auto& e : entries) {
+        ran += e->running ? e->io.poll() : 0;
+      }
+      if (ran == 0) {
+        io.run_one_for(std::chrono::milliseconds{ 1 });
+      }
+    }
+  }
+
+  int call(entry& e, const char* method, const std::string& body = {})
+  {
+    int status = 0;
+    bool done = false;
+    http::request r{ method,
+                     "/b/",
+                     { { "Host", "h" }, { "Id", std::string{ batch_id } } },
+                     body };
+    http::exchange_options o;
+    o.timeout_ms = hang_ms;
+    caller.fetch(
+      e.front_address(), r, o, [&](http::end_state, http::response&& a) {
+        status = a.status;
+        done = true;
+      });
+    run_until([&] { return done; });
+    return status;
+  }
+
+  // The results from a position onward, or nothing when refused.
+  std::optional<json> read(entry& e, std::size_t after = 0)
+  {
+    std::optional<json> page;
+    bool done = false;
+    http::request r{ "GET",
+                     "/b/",
+                     { { "Host", "h" },
+                       { "Id", std::string{ batch_id } },
+                       { "After", std::to_string(after) } },
+                     "" };
+    http::exchange_options o;
+    o.timeout_ms = hang_ms;
+    caller.fetch(
+      e.front_address(), r, o, [&](http::end_state, http::response&& a) {
+        if (a.status == 200) {
+          page = json::parse(a.body);
+        }
+        done = true;
+      });
+    run_until([&] { return done; });
+    return page;
+  }
+
+  // Reads until all items are listed.
+  json read_whole(entry& e, std::size_t total)
+  {
+    json all = json::array();
+    while (all.size() < total) {
+      const auto page = read(e, all.size());
+      if (page) {
+        for (const auto& r : page->at("results")) {
+          all.push_back(r);
+        }
+      }
+    }
+    return all;
+  }
+
+  // Who owns the batch, by the store.
+  std::string owner() const
+  {
+    const auto* o =
+      store.find(std::string{ batches::batch_kind }, std::string{ batch_id });
+    const auto b =
+      batches::decode_batch(o->name, o->revision, o->spec, o->status);
+    return b->owner;
+  }
+
+  entry& by_name(const std::string& name)
+  {
+    return *entries.at(static_cast<std::size_t>(name.back() - '0'));
+  }
+};
+
+std::string
+submission(int items, std::uint64_t min_version = 1)
+{
+  json j{ { "model", "m" },
+          { "min_version", min_version },
+          { "items", json::array() } };
+  for (int i = 0; i < items; ++i) {
+    const auto id = "item" + std::to_string(i);
+    j["items"].push_back({ { "id", id },
+                           { "group", "g" + std::to_string(i / 2) },
+                           { "scorer", "score-" + id } });
+  }
+  return j.dump();
+}
+
+// Each item stands once, whole, scored by its own call.
+void
+check_whole(const json& all, const stream_engine& engine)
+{
+  std::set<std::string> seen;
+  for (const auto& r : all) {
+    const auto id = r.at("id").get<std::string>();
+    cr_assert(seen.insert(id).second, "%s stands twice", id.c_str());
+    cr_assert(r.at("done").get<bool>());
+    cr_assert(r.at("text") == stream_engine::text_of(id, engine.events));
+    cr_assert(r.at("score") == "sig-score-" + id);
+  }
+}
+
+} // namespace
+
+Test(batches, runs_scores_and_lists_each_item_once)
+{
+  world w{ 2 };
+  cr_assert_eq(w.call(*w.entries[0], "POST", submission(6)), 202);
+  SECTION("a repeated submission is accepted once, also elsewhere")
+  {
+    cr_assert_eq(w.call(*w.entries[1], "POST", submission(6)), 202);
+    cr_assert_eq(w.store.all("batches").size(), 1);
+  }
+  SECTION("any entry shows the same results")
+  {
+    const auto all = w.read_whole(*w.entries[1], 6);
+    check_whole(all, w.engine);
+    cr_assert(w.read_whole(*w.entries[0], 6) == all);
+  }
+  SECTION("after its end they stay readable")
+  {
+    const auto all = w.read_whole(*w.entries[0], 6);
+    cr_assert_eq(w.call(*w.entries[1], "DELETE"), 200);
+    cr_assert_eq(w.call(*w.entries[1], "DELETE"), 200);
+    cr_assert(w.read_whole(*w.entries[1], 6) == all);
+  }
+}
+
+// The store carries a write out and its answer is lost. The entry cannot know
+// and makes the write again. A batch accepted twice or a result at two
+// positions would reach the trainer twice.
+Test(batches, survives_lost_answers_to_its_writes)
+{
+  world w{ 1 };
+  std::map<std::string, int> lost;
+  w.store.faults = [&](const store::call& c) {
+    const bool write = c.op == store::operation::create;
+    return write && lost[c.kind]++ == 0 ? object_store::fault::lose_answer
+                                        : object_store::fault::none;
+  };
+  w.call(*w.entries[0], "POST", submission(4));
+  check_whole(w.read_whole(*w.entries[0], 4), w.engine);
+  cr_assert_geq(lost["results"], 2, "the first chunk was written again");
+}
+
+// The store refuses everything. Nothing can be promised, and nothing has been
+// done: the caller is told when to come back and no item runs.
+Test(batches, refuses_at_once_what_it_cannot_keep)
+{
+  world w{ 1 };
+  w.store.faults = [](const store::call&) {
+    return object_store::fault::refuse;
+  };
+  cr_assert_eq(w.call(*w.entries[0], "POST", submission(4)), 503);
+  SECTION("but not when a write may have taken place")
+  {
+    w.store.faults = [](const store::call&) {
+      return object_store::fault::silent;
+    };
+    cr_assert_eq(w.call(*w.entries[0], "POST", submission(4)), 504);
+  }
+  cr_assert(w.engine.runs.empty());
+}
+
+// An engine resets its stream in the middle of an event. The item goes on
+// behind the last whole event; begun anew, or joined with a gap, its text
+// would not be what the engine meant.
+Test(batches, resumes_a_cut_stream_behind_the_last_whole_event)
+{
+  world w{ 1 };
+  w.engine.cut_inside_event = 3;
+  w.call(*w.entries[0], "POST", submission(1));
+  check_whole(w.read_whole(*w.entries[0], 1), w.engine);
+  cr_assert_eq(w.engine.runs.size(), 2);
+  cr_assert_eq(w.engine.runs.back().resumed_at, 2);
+}
+
+// Weights older than the batch allows are loaded on the engine, and the list
+// of engines says otherwise. No text of them may reach the trainer.
+Test(batches, keeps_text_of_old_weights_out)
+{
+  world w{ 1 };
+  w.entries[0]->know("e1", "engines", w.engine.address(), 5);
+  w.engine.version = 4;
+  w.call(*w.entries[0], "POST", submission(1, 5));
+  w.run_until([&] { return !w.engine.runs.empty(); });
+  w.engine.version = 5;
+  w.entries[0]->know("e1", "engines", w.engine.address(), 5);
+  const auto all = w.read_whole(*w.entries[0], 1);
+  cr_assert(all[0].at("versions") == json::array({ 5 }));
+}
+
+// The owner of a batch falls silent after it has run for a while. Another
+// entry takes over and goes on with the text that was kept. Then the old owner
+// wakes, still believing that it owns the batch, and its results arrive late.
+// Readers of both must see the same results at the same positions.
+Test(batches, keeps_one_order_of_results_when_two_believe_they_own_them)
+{
+  world w{ 3 };
+  w.engine.events = 150;
+  w.engine.gap_ms = 20;
+  w.call(*w.entries[0], "POST", submission(4));
+  auto& old = w.by_name(w.owner());
+  w.run_until([&] { return !w.store.all("texts").empty(); });
+  old.running = false;
+  w.run_until([&] { return &w.by_name(w.owner()) != &old; });
+  auto& heir = w.by_name(w.owner());
+  w.run_until([&] { return w.engine.runs.size() > 4; });
+  cr_assert_gt(w.engine.runs.back().resumed_at, 0, "the kept text was used");
+  old.running = true;
+  const auto all = w.read_whole(heir, 4);
+  check_whole(all, w.engine);
+  cr_assert(w.read_whole(old, 4) == all);
+  const auto chunks = w.store.all("results");
+  const auto first = batches::decode_chunk(chunks.front().spec);
+  cr_assert(first->results.empty(), "the heir fenced the ledger first");
+}
+
+// A batch ends while its items run. What nobody reads any more is cancelled.
+Test(batches, stops_the_runs_of_an_ended_batch)
+{
+  world w{ 2 };
+  w.engine.events = 100000;
+  w.call(*w.entries[0], "POST", submission(4));
+  w.run_until([&] { return w.engine.streaming == 4; });
+  cr_assert_eq(w.call(*w.entries[1], "DELETE"), 200);
+  w.run_until([&] { return w.engine.streaming == 0; });
+  cr_assert(w.entries[0]->keeper->owned() == 0);
+}
+
+// A planned stop: the batch is given away at once with its text, and no reader
+// waits for the silence of its owner.
+Test(batches, gives_its_batches_away_when_it_leaves)
+{
+  world w{ 2 };
+  w.engine.events = 100;
+  w.engine.gap_ms = 10;
+  w.call(*w.entries[0], "POST", submission(2));
+  w.run_until([&] { return w.engine.streaming == 2; });
+  bool left = false;
+  w.entries[0]->keeper->leave([&] { left = true; });
+  w.run_until([&] { return left && w.owner() == "entry-1"; });
+  check_whole(w.read_whole(*w.entries[1], 2), w.engine);
+}
+
+// The store cuts a waiting watch and drops its history. A watch from the old
+// revision would show nothing for as long as it is held.
+Test(watcher, lists_again_after_its_watch_was_cut)
+{
+  world w{ 1 };
+  w.store.faults = [&](const store::call& c) {
+    return c.op == store::operation::watch ? object_store::fault::silent
+                                           : object_store::fault::none;
+  };
+  w.store.compact();
+  w.store.put("batches", "unreadable", { { "x", 1 } });
+  const auto before = w.entries[0]->watcher->as_of();
+  w.run_until([&] { return w.entries[0]->watcher->as_of() > before; });
+}
