--- a/cactusford/edge/dialect.h
+++ b/cactusford/edge/dialect.h
@@ -46,7 +46,7 @@
   std::string configuration_name;
   std::string backends;
   std::string versions;
-  std::string retirements;
+  std::string removals;
 };
 
 enum class batch_operation
@@ -149,7 +149,7 @@
     report_from;
   std::function<http::request(const load_order&)> order_request;
   std::function<order_answer(const http::response&)> order_answer_from;
-  std::function<nlohmann::json(bool emptied)> retirement_status;
+  std::function<nlohmann::json(bool emptied)> removal_status;
 };
 
 } // namespace cactusford::edge
--- a/cactusford/edge/side.cc
+++ b/cactusford/edge/side.cc
@@ -65,13 +65,13 @@
   http::client http{ h.io };
   store::client store{ h.io, http, d.store, { s.store, s.peers } };
   const auto take = [&](const store::object& o) {
-    const auto status = d.retirement_status(true);
+    const auto status = d.removal_status(true);
     if (o.name != s.instance || o.status == status) {
       return;
     }
     store::call c;
     c.op = store::operation::replace_status;
-    c.kind = d.kinds.retirements;
+    c.kind = d.kinds.removals;
     c.name = o.name;
     c.body = status;
     store.perform(c, [name = o.name](store::reply&& r) {
@@ -82,21 +82,21 @@
   };
   // Nothing here is urgent: the longest wait that the store allows.
   constexpr std::uint64_t wait_ms = 30000;
-  store::watcher retirements{ h.io,
-                              store,
-                              { d.kinds.retirements, wait_ms },
-                              { [&](std::vector<store::object>&& all) {
-                                 for (const auto& o : all) {
-                                   take(o);
-                                 }
-                               },
-                                [&](store::change&& c) {
-                                  if (!c.deleted) {
-                                    take(c.value);
-                                  }
-                                },
-                                {} } };
-  follow(store, retirements);
+  store::watcher removals{ h.io,
+                           store,
+                           { d.kinds.removals, wait_ms },
+                           { [&](std::vector<store::object>&& all) {
+                              for (const auto& o : all) {
+                                take(o);
+                              }
+                            },
+                             [&](store::change&& c) {
+                               if (!c.deleted) {
+                                 take(c.value);
+                               }
+                             },
+                             {} } };
+  follow(store, removals);
   h.run([&] { h.stop(); });
   return 0;
 }
--- a/standins/object_store.cc
+++ b/standins/object_store.cc
@@ -151,7 +151,7 @@
   edge::dialect d;
   d.headers = { "Id",      "Wait",           "Signature",   "Expect",
                 "Backend", "Load",           "Not-Run",     "Last",
-                "Version", "Expect-Version", "Reader-Wait", "Retry-After" };
+                "Version", "Only-Version", "Reader-Wait", "Retry-After" };
   d.kinds = { "configuration", "main", "backends", "versions", "retired" };
   d.version_line = "version";
   d.store.encode = [](const store::call& c) {
