--- a/cactusford/batches/ownership.cc
+++ b/cactusford/batches/ownership.cc
@@ -177,26 +177,32 @@
     c.op = store::operation::get;
     c.name = chunk_name(id, first);
   }
-  p.store.perform(c, [self = shared_from_this(), id, done](store::reply&& r) {
-    const bool absent = r.what == store::verdict::missing;
-    if (self->known(id) == nullptr ||
-        (r.what != store::verdict::done && !absent)) {
-      done(false);
-      return;
-    }
-    std::size_t taken = 0;
-    for (const auto& o : r.items) {
-      taken += self->take_chunk(id, o) ? 1 : 0;
-    }
-    if (taken == 0) {
-      done(true);
-    } else if (taken < r.items.size() && !r.more) {
-      // The list went on to other batches: ours has no more.
-      done(true);
-    } else {
-      self->load_chunks(id, done);
-    }
-  });
+  p.store.perform(
+    c, [self = shared_from_this(), id, first, done](store::reply&& r) {
+      const bool absent = r.what == store::verdict::missing;
+      auto* now = self->known(id);
+      if (now == nullptr || (r.what != store::verdict::done && !absent)) {
+        done(false);
+        return;
+      }
+      // Another reader was faster and may be at it still: what this answer
+      // holds is no longer what comes next.
+      if (now->ledger.chunks != first) {
+        self->load_chunks(id, done);
+        return;
+      }
+      std::size_t taken = 0;
+      for (const auto& o : r.items) {
+        taken += self->take_chunk(id, o) ? 1 : 0;
+      }
+      // A list that went on to other batches has shown all of ours.
+      const bool passed_ours = taken < r.items.size() && !r.more;
+      if (taken == 0 || passed_ours) {
+        done(true);
+      } else {
+        self->load_chunks(id, done);
+      }
+    });
 }
 
 // Takes in the chunk that is next; others are passed over.
--- a/standins/object_store.cc
+++ b/standins/object_store.cc
@@ -149,8 +149,8 @@
 plain_dialect()
 {
   edge::dialect d;
-  d.headers = { "Id",      "Wait",           "Signature",   "Expect",
-                "Backend", "Load",           "Not-Run",     "Last",
+  d.headers = { "Id",      "Wait",         "Signature",   "Expect",
+                "Backend", "Load",         "Not-Run",     "Last",
                 "Version", "Only-Version", "Reader-Wait", "Retry-After" };
   d.kinds = { "configuration", "main", "backends", "versions", "retired" };
   d.version_line = "version";
@@ -320,6 +320,10 @@
   switch (c.op) {
     case operation::list:
       for (auto at = kind.upper_bound(c.after); at != kind.end(); ++at) {
+        r.more = r.items.size() == page_size;
+        if (r.more) {
+          return r;
+        }
         r.items.push_back(at->second);
       }
       return r;
--- a/standins/object_store.h
+++ b/standins/object_store.h
@@ -31,6 +31,9 @@
                     const std::string& name,
                     const nlohmann::json& spec);
 
+  // Carries out a call of somebody who is not served over the wire.
+  store::reply write(const store::call& c) { return perform(c); }
+
   const store::object* find(const std::string& kind,
                             const std::string& name) const;
 
@@ -53,6 +56,9 @@
   };
   std::function<fault(const store::call&)> faults;
 
+  // Objects in one answer to a list.
+  std::size_t page_size = 500;
+
   std::uint64_t calls() const { return calls_; }
 
 private:
--- a/tests/batches-test.cc
+++ b/tests/batches-test.cc
@@ -438,6 +438,57 @@
   check_whole(w.read_whole(*w.entries[1], 2), w.engine);
 }
 
+// An entry has just started and knows no results yet. Two callers read the same
+// ended batch at once, and its chunks come in several answers. The one that
+// finds the first chunks taken in already must not take them for all: positions
+// that had been read would seem to be gone.
+Test(batches, shows_all_results_to_readers_that_come_together)
+{
+  world w{ 0 };
+  constexpr std::size_t chunks = 6;
+  w.store.page_size = 2;
+  batches::stored_batch b;
+  b.host = "h";
+  b.target = "/b/";
+  b.body = submission(chunks);
+  b.owner = "gone";
+  b.owner_address = "127.0.0.1:9";
+  auto spec = batches::encode_spec(b);
+  w.store.put("batches", std::string{ batch_id }, spec);
+  for (std::size_t i = 0; i < chunks; ++i) {
+    const batches::item_result r{
+      "item" + std::to_string(i), true, "t", {}, ""
+    };
+    w.store.put("results",
+                batches::chunk_name(std::string{ batch_id }, i),
+                batches::encode_chunk({ 1, { r } }));
+  }
+  // Nobody takes it over meanwhile: it is shown as ended.
+  store::call end;
+  end.op = store::operation::replace_status;
+  end.kind = "batches";
+  end.name = batch_id;
+  b.ended = true;
+  end.body = batches::encode_status(b);
+  w.store.write(end);
+  auto& e = w.add_entry("entry-0");
+  w.run_until([&] { return e.watcher->is_current(); });
+  std::vector<std::size_t> seen;
+  for (int reader = 0; reader < 3; ++reader) {
+    http::request r{
+      "GET", "/b/", { { "Host", "h" }, { "Id", std::string{ batch_id } } }, ""
+    };
+    w.caller.fetch(
+      e.front_address(), r, {}, [&](http::end_state, http::response&& a) {
+        seen.push_back(json::parse(a.body).at("results").size());
+      });
+  }
+  w.run_until([&] { return seen.size() == 3; });
+  for (const auto size : seen) {
+    cr_assert_eq(size, chunks);
+  }
+}
+
 // The store cuts a waiting watch and drops its history. A watch from the old
 // revision would show nothing for as long as it is held.
 Test(watcher, lists_again_after_its_watch_was_cut)
