Ended batches are removed after their time; settings are read again when they change

Cause: the store and the memory of each entry grew by every batch for ever; changed settings had no effect. Change: the last owner removes chunks, text and batch after keep_batches_s, another entry a minute later; new peers are taken over at once.

--- a/cactusford/batches/keeper.cc
+++ b/cactusford/batches/keeper.cc
@@ -199,6 +199,7 @@
   });
   const auto now = http::now_ms();
   ask_owners(now);
+  remove_expired(now);
   bool waiting = false;
   for (auto& [id, b] : batches) {
     if (!b->readers.empty()) {
--- a/cactusford/batches/keeper.h
+++ b/cactusford/batches/keeper.h
@@ -43,6 +43,8 @@
   // Where other instances reach this one.
   std::string address;
   std::string data_centre;
+  // How long a batch stays readable after it was accepted.
+  std::uint64_t keep_ms = 120000;
 };
 
 class keeper
--- a/cactusford/batches/keeper_impl.h
+++ b/cactusford/batches/keeper_impl.h
@@ -110,6 +110,11 @@
                        const edge::batch_request& r);
   void read_from_store(const http::call& caller, const edge::batch_request& r);
 
+  // Ended batches
+  void remove_expired(std::uint64_t now);
+  void remove_chunk(const std::string& id, std::uint64_t chunk);
+  void remove_rest(const std::string& id);
+
   std::optional<std::string_view> owner_silence(const batch_state& b,
                                                 std::uint64_t now);
   void tick();
@@ -123,6 +128,7 @@
   std::map<std::string, std::uint64_t> owner_refused;
   std::map<std::string, bool> owner_asked;
   std::uint64_t last_ask = 0;
+  std::uint64_t last_expiry_look = 0;
   token_pace pace;
   std::uint64_t next_run = 1;
   bool plan_posted = false;
--- a/cactusford/batches/state.h
+++ b/cactusford/batches/state.h
@@ -102,6 +102,7 @@
   // listed any more.
   bool complete = false;
   bool taking_over = false;
+  bool removing = false;
   bool group_became_whole = false;
   // Revision at which this instance became the owner.
   std::uint64_t epoch = 0;
--- a/cactusford/edge/edge.cc
+++ b/cactusford/edge/edge.cc
@@ -107,7 +107,8 @@
               [this] { return table; },
               s.instance,
               s.peer,
-              s.data_centre } }
+              s.data_centre,
+              s.keep_batches_ms } }
   , configuration{ h.io,
                    store,
                    { d.kinds.configuration },
@@ -447,6 +448,9 @@
     process::flush_line_log();
     return 1;
   }
+  h.on_reload = [this](const hosted_settings& fresh) {
+    store.use_relays(fresh.peers);
+  };
   keeper.start();
   watch_all();
   h.run([this] { leave(); });
--- a/cactusford/edge/host.cc
+++ b/cactusford/edge/host.cc
@@ -104,6 +104,8 @@
                       .with("data_centre", settings.data_centre)
                       .with("store", settings.store));
   wait_for_signal();
+  settings_text_ = settings::read_file(path_).value;
+  look_at_settings();
   const auto keep = asio::make_work_guard(io);
   io.run();
   process::log_line(timeline::event{ "process_stopped" });
@@ -128,10 +130,23 @@
   });
 }
 
+void
+host::look_at_settings()
+{
+  constexpr std::uint64_t look_ms = 5000;
+  after(look_ms, [this] {
+    if (settings::read_file(path_).value != settings_text_) {
+      reload();
+    }
+    look_at_settings();
+  });
+}
+
 // Settings that are not valid leave the present ones in force.
 void
 host::reload()
 {
+  settings_text_ = settings::read_file(path_).value;
   const auto fresh = load(path_);
   if (!fresh) {
     process::log_line(timeline::event{ "settings_refused" }.with(
--- a/cactusford/edge/hosted.h
+++ b/cactusford/edge/hosted.h
@@ -36,11 +36,14 @@
 private:
   void wait_for_signal();
   void reload();
+  // Settings may change without a signal.
+  void look_at_settings();
 
   std::string path_;
   asio::signal_set signals_;
   std::function<void()> on_leave_;
   bool leaving_ = false;
+  std::string settings_text_;
 };
 
 // Callers' HTTP, batches, readiness; one of several behind the balancer.
--- a/cactusford/edge/settings.cc
+++ b/cactusford/edge/settings.cc
@@ -27,9 +27,10 @@
   "peers": {"type": "array", "maxItems": 64,
             "items": {"type": "string"}},
   "engine": {"type": "string"},
+  "keep_batches_s": {"type": "number", "minimum": 1, "maximum": 86400},
   "log_lines_per_second": {"type": "integer", "minimum": 1,
                            "maximum": 100000},
-  "grace_ms": {"type": "integer", "minimum": 500, "maximum": 600000}
+  "grace_s": {"type": "number", "minimum": 1, "maximum": 600}
   }})";
 
 template<typename T>
@@ -42,6 +43,17 @@
   }
 }
 
+// Seconds in the file, milliseconds here.
+void
+read_seconds(const json& document, const char* key, std::uint64_t& ms)
+{
+  constexpr double ms_per_second = 1000;
+  const auto found = document.find(key);
+  if (found != document.end()) {
+    ms = static_cast<std::uint64_t>(found->get<double>() * ms_per_second);
+  }
+}
+
 } // namespace
 
 result<hosted_settings>
@@ -65,8 +77,9 @@
   read_key(document, "store", s.store);
   read_key(document, "peers", s.peers);
   read_key(document, "engine", s.engine);
+  read_seconds(document, "keep_batches_s", s.keep_batches_ms);
   read_key(document, "log_lines_per_second", s.log_lines_per_second);
-  read_key(document, "grace_ms", s.grace_ms);
+  read_seconds(document, "grace_s", s.grace_ms);
   std::erase(s.peers, s.peer);
   return { s, {} };
 }
--- a/cactusford/edge/settings.h
+++ b/cactusford/edge/settings.h
@@ -28,6 +28,8 @@
   std::vector<std::string> peers;
   // The engine beside a sidecar.
   std::string engine;
+  // How long a batch stays readable after it was accepted.
+  std::uint64_t keep_batches_ms = 120000;
   // Log lines of one event name in a second; the rest are counted.
   std::uint32_t log_lines_per_second = 40;
   // Time between SIGTERM and the end, in milliseconds. The platform kills
--- a/cactusford/store/store.cc
+++ b/cactusford/store/store.cc
@@ -109,6 +109,13 @@
 {
 }
 
+void
+client::use_relays(std::vector<std::string> relays)
+{
+  settings_.relays = std::move(relays);
+  paths_ = make_paths(settings_.relays.size(), first_path(settings_));
+}
+
 void
 client::perform(const call& c, handler done)
 {
@@ -157,6 +164,8 @@
              http::response&& r)
 {
   const auto now = http::now_ms();
+  // The relays may have been exchanged since the call was sent.
+  path = path < paths_.bad_until_ms.size() ? path : direct_path;
   const bool complete = end == http::end_state::complete;
   reply answer;
   answer.what =
--- a/cactusford/store/store.h
+++ b/cactusford/store/store.h
@@ -136,6 +136,9 @@
   // Tries up to three paths.
   void perform(const call& c, handler done);
 
+  // Other instances that make calls for this one, from now on.
+  void use_relays(std::vector<std::string> relays);
+
   // Makes the call of another instance and answers with what the store said.
   void relay(const http::call& caller);
 
--- a/standins/object_store.cc
+++ b/standins/object_store.cc
@@ -377,6 +377,7 @@
       note_change(c.kind, found->second, false);
       return r;
     case operation::remove:
+      r.what = exists ? verdict::done : verdict::missing;
       if (exists) {
         auto gone = found->second;
         gone.revision = ++revision_;
--- a/tests/batches-test.cc
+++ b/tests/batches-test.cc
@@ -48,6 +48,9 @@
   return t;
 }
 
+// Long enough for every test that reads, short enough to wait for.
+constexpr std::uint64_t keep_ms = 2000;
+
 struct entry
 {
   asio::io_context io;
@@ -81,7 +84,8 @@
                              [this] { return table; },
                              name,
                              "127.0.0.1:" + std::to_string(peer.port()),
-                             "a" });
+                             "a",
+                             keep_ms });
     watcher = std::make_unique<store::watcher>(
       io,
       store,
@@ -489,6 +493,20 @@
   }
 }
 
+// Nobody reads an ended batch for ever. Kept for ever, batches would fill the
+// store and the memory of every entry.
+Test(batches, removes_what_has_ended_long_ago)
+{
+  world w{ 2 };
+  w.call(*w.entries[0], "POST", submission(4));
+  w.read_whole(*w.entries[0], 4);
+  w.call(*w.entries[0], "DELETE");
+  w.run_until([&] { return w.store.all("batches").empty(); });
+  cr_assert(w.store.all("results").empty());
+  cr_assert(w.store.all("texts").empty());
+  w.run_until([&] { return !w.read(*w.entries[1]); });
+}
+
 // The store cuts a waiting watch and drops its history. A watch from the old
 // revision would show nothing for as long as it is held.
 Test(watcher, lists_again_after_its_watch_was_cut)
