--- a/cactusford/batches/runs.cc
+++ b/cactusford/batches/runs.cc
@@ -147,6 +147,15 @@
   i.events_in_run = 0;
   i.reader = event_reader{ p.dialect.version_line };
   ++i.tries;
+  process::log_line(
+    timeline::event{ "item_started" }
+      .with("request", item.id)
+      .with("batch", b.stored.id)
+      .with("backend", backend->said.id)
+      .with("in_flight", backend->in_flight)
+      .with("version", backend->said.versions[b.submission.model])
+      .with("resumed_at", i.text.last_event)
+      .with("try", i.tries));
   ++backend->in_flight;
   http::exchange_options o;
   o.timeout_ms = run_limit_ms;
--- a/cactusford/edge/forward.cc
+++ b/cactusford/edge/forward.cc
@@ -205,6 +205,16 @@
   const auto now = http::now_ms();
   f->tried.push_back(b.said.id);
   f->attempts.push_back({ {}, b.said.id, now, false });
+  process::log_line(
+    timeline::event{ "call_sent" }
+      .with("request", f->ask.id)
+      .with("route", f->ask.route.name)
+      .with("backend", b.said.id)
+      .with("address", b.said.address)
+      .with("attempt", f->attempts.size())
+      .with("in_flight", b.in_flight)
+      .with("others", b.others)
+      .with("left_ms", f->ask.give_up_ms > now ? f->ask.give_up_ms - now : 0));
   ++b.in_flight;
   ++f->runs;
   http::exchange_options o;
