--- a/cactusford/edge/edge.cc
+++ b/cactusford/edge/edge.cc
@@ -417,6 +417,7 @@
   leaving = true;
   leave_since = http::now_ms();
   front.leave();
+  store.stop_relaying();
   keeper.leave([this] { keeper_left = true; });
   wait_for_end();
 }
--- a/cactusford/store/store.cc
+++ b/cactusford/store/store.cc
@@ -228,9 +228,28 @@
   }
 }
 
+// A relayed watch may be held for seconds, and the next one follows at once: an
+// instance that leaves would never be idle.
+void
+client::stop_relaying()
+{
+  relaying_ = false;
+  const auto all = std::move(joined_);
+  joined_.clear();
+  for (const auto& [target, callers] : all) {
+    for (const auto& c : callers) {
+      c.respond({ 503, {}, "" });
+    }
+  }
+}
+
 void
 client::relay(const http::call& caller)
 {
+  if (!relaying_) {
+    caller.respond({ 503, {}, "" });
+    return;
+  }
   const auto body =
     nlohmann::json::parse(caller.request().body, nullptr, false);
   const auto text = [&](const char* key) {
--- a/cactusford/store/store.h
+++ b/cactusford/store/store.h
@@ -142,6 +142,9 @@
   // Makes the call of another instance and answers with what the store said.
   void relay(const http::call& caller);
 
+  // Sends those whose calls this instance relays elsewhere.
+  void stop_relaying();
+
   // The last answer of the store, on the steady clock; 0 before the first.
   std::uint64_t last_answer_ms() const { return last_answer_ms_; }
 
@@ -176,6 +179,7 @@
   std::uint64_t calls_ = 0;
   std::uint64_t relayed_ = 0;
   bool lost_ = false;
+  bool relaying_ = true;
   // Callers that wait for the same relayed watch, by its target.
   std::map<std::string, std::vector<http::call>> joined_;
 };
