--- a/cactusford/batches/finish.cc
+++ b/cactusford/batches/finish.cc
@@ -44,9 +44,7 @@
   }
   auto& i = b->items[at];
   const auto& call = *b->submission.items[at].scorer;
-  const auto table = p.table();
-  const auto* route =
-    table ? routes::match(*table, call.host, call.path) : nullptr;
+  const auto route = route_to(call.host, call.path);
   if (route == nullptr) {
     i.score_again_ms = http::now_ms() + scorer_pause_ms;
     return;
@@ -99,10 +97,7 @@
     return;
   }
   i.failed_scores += o.failed_runs;
-  const auto table = p.table();
-  const auto* route =
-    table ? routes::match(*table, item.scorer->host, item.scorer->path)
-          : nullptr;
+  const auto route = route_to(item.scorer->host, item.scorer->path);
   if (route != nullptr && i.failed_scores >= route->max_attempts) {
     process::log_line(timeline::event{ "item_score_failed" }
                         .with("request", item.id)
@@ -134,9 +129,7 @@
 void
 keeper::impl::give_up_late(batch_state& b)
 {
-  const auto table = p.table();
-  const auto* route =
-    table ? routes::match(*table, b.stored.host, b.stored.target) : nullptr;
+  const auto route = route_to(b.stored.host, b.stored.target);
   const auto wall = timeline::wall_ms();
   if (route == nullptr || route->give_up_ms == 0 ||
       wall < b.stored.accepted_wall_ms + route->give_up_ms + clock_margin_ms) {
--- a/cactusford/batches/keeper.cc
+++ b/cactusford/batches/keeper.cc
@@ -88,6 +88,15 @@
   return b;
 }
 
+// The route in force; it stays as it is while the pointer is held.
+std::shared_ptr<const routes::route>
+keeper::impl::route_to(const std::string& host, const std::string& path) const
+{
+  const auto table = p.table();
+  const auto* route = table ? routes::match(*table, host, path) : nullptr;
+  return { table, route };
+}
+
 // When the results are due, on the steady clock. Clocks of instances differ,
 // so the age of a batch is bounded.
 std::uint64_t
@@ -98,9 +107,7 @@
   const auto accepted = b.stored.accepted_wall_ms;
   const auto age =
     std::min(wall > accepted ? wall - accepted : 0, longest_age_ms);
-  const auto table = p.table();
-  const auto* route =
-    table ? routes::match(*table, b.stored.host, b.stored.target) : nullptr;
+  const auto route = route_to(b.stored.host, b.stored.target);
   const auto due = route == nullptr ? 0 : route->due_ms;
   return http::now_ms() + due - std::min(age, http::now_ms());
 }
--- a/cactusford/batches/keeper_impl.h
+++ b/cactusford/batches/keeper_impl.h
@@ -40,6 +40,8 @@
   batch_state* learn(const store::object& o);
   void update(batch_state& b, stored_batch&& s);
   void forget(const std::string& id);
+  std::shared_ptr<const routes::route> route_to(const std::string& host,
+                                                const std::string& path) const;
   std::uint64_t due_of(const batch_state& b) const;
   void lookup(const std::string& id, std::function<void(batch_state*, bool)>);
 
--- a/cactusford/batches/runs.cc
+++ b/cactusford/batches/runs.cc
@@ -42,9 +42,7 @@
 {
   // Before any stream was seen: what engines of this class need.
   constexpr double before_any_ms = 40;
-  const auto table = p.table();
-  const auto* route =
-    table ? routes::match(*table, b.stored.host, b.stored.target) : nullptr;
+  const auto route = route_to(b.stored.host, b.stored.target);
   if (route == nullptr || route->services.empty()) {
     return before_any_ms;
   }
@@ -91,9 +89,7 @@
 bool
 keeper::impl::launch(batch_state& b, item_state& i)
 {
-  const auto table = p.table();
-  const auto* route =
-    table ? routes::match(*table, b.stored.host, b.stored.target) : nullptr;
+  const auto route = route_to(b.stored.host, b.stored.target);
   if (route == nullptr || route->services.empty()) {
     return false;
   }
@@ -218,12 +214,8 @@
   if (h.status != ok) {
     return;
   }
-  const auto* table_route = [&]() -> const routes::route* {
-    const auto table = p.table();
-    return table ? routes::match(*table, b.stored.host, b.stored.target)
-                 : nullptr;
-  }();
-  const bool single = table_route != nullptr && table_route->single_version;
+  const auto route = route_to(b.stored.host, b.stored.target);
+  const bool single = route != nullptr && route->single_version;
   const bool too_old = version && *version < b.submission.min_version;
   const bool mixed =
     single && i->text.events > 0 && version && *version != i->text.version;
@@ -335,9 +327,7 @@
   i->not_on = i->backend;
   if (complete && i->status == server_error) {
     ++i->failed_runs;
-    const auto table = p.table();
-    const auto* route =
-      table ? routes::match(*table, b.stored.host, b.stored.target) : nullptr;
+    const auto route = route_to(b.stored.host, b.stored.target);
     if (route != nullptr && i->failed_runs >= route->max_attempts) {
       finish_item(b, *i, { b.submission.items[at].id, false, "", {}, "" });
       return;
