--- a/cactusford/batches/keeper.cc
+++ b/cactusford/batches/keeper.cc
@@ -362,12 +362,11 @@
         self->answer_readers(*b, now);
         return;
       }
-      if (b->complete) {
+      const bool has_more = b->ledger.listed.size() > r.after;
+      if (b->complete || (has_more && !from_peer)) {
         self->respond_page(caller, *b, r.after);
       } else if (from_peer) {
         caller.respond(come_back(self->p.dialect));
-      } else if (b->ledger.listed.size() > r.after) {
-        self->respond_page(caller, *b, r.after);
       } else if (b->stored.owner != self->p.instance &&
                  !b->stored.owner_address.empty()) {
         self->read_from_owner(caller, *b, r);
