Engines of many trainers keep up with two of them

Cause: on a deployment of four trainers and 38 engines each engine loaded every second version of all four models, 76 loads in the time in which the deployment carries out 34. Change: an engine keeps up with two models, spread by its place. The first two sites have one and two trainers and are as before.

--- a/cactusford/orders/load_plan-test.cc
+++ b/cactusford/orders/load_plan-test.cc
@@ -63,6 +63,45 @@
   }
 }
 
+// Four trainers share 38 engines, and 8 engines load at the same time, 0.95 s
+// each: 34 loads in the four seconds of a step. Were every engine to keep up
+// with all four, 76 would be due; all fall behind, and items of a step wait up
+// to ten seconds for an engine with weights that it accepts.
+Test(load_plan, keeps_the_loads_of_many_trainers_within_the_rate)
+{
+  constexpr std::size_t models = 4;
+  constexpr std::size_t engines = 38;
+  constexpr double loads_in_a_step = 8 / 0.95 * 4;
+  std::size_t due = 0;
+  std::vector<std::size_t> kept(models, 0);
+  std::vector<std::set<std::uint32_t>> kept_in(models);
+  for (std::uint32_t i = 0; i < engines; ++i) {
+    const auto centre = centres[i % centres.size()];
+    const auto row = i / centres.size() + 1;
+    const auto p =
+      place_of("side-" + centre + "-" + std::to_string(row), centre, centres);
+    for (std::size_t at = 0; at < models; ++at) {
+      if (!keeps_up_with(at, models, p)) {
+        continue;
+      }
+      ++kept[at];
+      kept_in[at].insert(static_cast<std::uint32_t>(i % centres.size()));
+      const auto model = "m" + std::to_string(at);
+      due += wants(model, 4, 3, models, p) == load_time::now ? 1 : 0;
+    }
+  }
+  cr_assert_leq(due, loads_in_a_step * 1.2);
+  for (std::size_t at = 0; at < models; ++at) {
+    cr_assert_geq(kept[at], engines / 2 - 1, "each model has its share");
+    cr_assert_eq(kept_in[at].size(), centres.size(), "in every data centre");
+  }
+  SECTION("an engine of one or two trainers keeps up with them all")
+  {
+    cr_assert(keeps_up_with(0, 1, { 7, 7 }));
+    cr_assert(keeps_up_with(0, 2, { 7, 7 }) && keeps_up_with(1, 2, { 7, 7 }));
+  }
+}
+
 Test(load_plan, never_goes_back)
 {
   cr_assert(wants("m", 4, 4, 1, { 0 }) == load_time::never);
--- a/cactusford/orders/load_plan.cc
+++ b/cactusford/orders/load_plan.cc
@@ -51,11 +51,20 @@
   const auto at =
     std::find(data_centres.begin(), data_centres.end(), data_centre);
   if (!number || *number == 0 || at == data_centres.end()) {
-    return { small_hash(instance) % 64 };
+    const auto h = small_hash(instance);
+    return { h % 64, h / 64 };
   }
   const auto zone = static_cast<std::uint32_t>(at - data_centres.begin());
   const auto row = static_cast<std::uint32_t>(*number - 1);
-  return { row * static_cast<std::uint32_t>(data_centres.size()) + zone };
+  const auto zones = static_cast<std::uint32_t>(data_centres.size());
+  return { row * zones + zone, row + zone };
+}
+
+bool
+keeps_up_with(std::size_t at, std::size_t models, const place& p)
+{
+  const auto first = p.diagonal % models;
+  return (at + models - first) % models < models_kept;
 }
 
 load_time
--- a/cactusford/orders/load_plan.h
+++ b/cactusford/orders/load_plan.h
@@ -8,7 +8,9 @@
 // when it runs nothing: all engines serve the next step's beginning. As many
 // loads as engines are due to each trainer, so an engine shared by several
 // loads every second version of each, half of the engines the even and half
-// the odd ones.
+// the odd ones. One shared by more than two keeps up with two of them only:
+// the deployment's rate of loads is about one for each engine in the time of a
+// step, and engines that fall behind with all serve none.
 #pragma once
 
 #include <cstdint>
@@ -26,6 +28,8 @@
 struct place
 {
   std::uint32_t index = 0;
+  // Neighbours in a data centre and across them differ in it.
+  std::uint32_t diagonal = 0;
 
   friend bool operator==(const place&, const place&) = default;
 };
@@ -44,7 +48,17 @@
   when_idle,
 };
 
-// When an engine of `models` models that holds `loaded` should load `named`.
+// Models that an engine keeps up with.
+constexpr std::size_t models_kept = 2;
+
+// True when the engine at this place keeps up with its model number `at` of
+// `models`, counted in the order of their names. Each model has as many
+// engines as any other, spread over the data centres.
+bool
+keeps_up_with(std::size_t at, std::size_t models, const place& p);
+
+// When an engine of `models` models that holds `loaded` of one that it keeps
+// up with should load `named`.
 load_time
 wants(std::string_view model,
       std::uint64_t named,
--- a/cactusford/orders/loader.cc
+++ b/cactusford/orders/loader.cc
@@ -121,7 +121,10 @@
   std::uint64_t next = idle_look_ms;
   for (const auto& [model, n] : named_) {
     const auto found = r.versions.find(model);
-    if (found == r.versions.end()) {
+    const auto at =
+      static_cast<std::size_t>(std::distance(r.versions.begin(), found));
+    if (found == r.versions.end() ||
+        !keeps_up_with(at, r.versions.size(), settings_.where)) {
       continue;
     }
     const auto when = wants(
