A held-up run moves on after six usual pauses

Cause: an engine that loads weights holds its runs for 0.95 s. The owner moved them after 0.7 s, by which time the longest items (157 events at 48 ms) could no longer end in the 8.2 s of their step; and each of an engine's streams that failed together doubled the pause before it got new work. Change: the limit follows the usual pace, 250 to 700 ms; failures within a pause count once.

--- a/cactusford/backends/registry-test.cc
+++ b/cactusford/backends/registry-test.cc
@@ -157,3 +157,22 @@
               "y");
   }
 }
+
+// An engine pauses and its six streams fail within some milliseconds. That is
+// one failure: counted as six, the pause of each further one doubled, the
+// engine would stand idle for two seconds after it is well again.
+Test(registry, counts_failures_that_come_together_once)
+{
+  auto r = two_engines();
+  auto& b = *find(r, "b");
+  for (std::uint64_t i = 0; i < 6; ++i) {
+    note_failure(b, 1000 + i);
+  }
+  cr_assert_leq(b.avoided_until_ms, 1300);
+  SECTION("a later one counts and doubles the pause")
+  {
+    const auto now = b.avoided_until_ms + 1;
+    note_failure(b, now);
+    cr_assert_gt(b.avoided_until_ms, now + 300);
+  }
+}
--- a/cactusford/backends/registry.cc
+++ b/cactusford/backends/registry.cc
@@ -146,6 +146,12 @@
 void
 note_failure(backend& b, std::uint64_t now_ms)
 {
+  // Requests that were out there together fail together: one event, not many.
+  // Counted singly, six streams of an engine that paused would keep it without
+  // work for the longest pause.
+  if (now_ms < b.avoided_until_ms) {
+    return;
+  }
   constexpr std::uint32_t doublings = 3;
   const auto pause = std::min(first_avoid_ms << std::min(b.failures, doublings),
                               longest_avoid_ms);
--- a/cactusford/batches/runs.cc
+++ b/cactusford/batches/runs.cc
@@ -10,10 +10,9 @@
 
 namespace {
 
-// A run without an event for this long goes on elsewhere: several times the
-// usual pause, and longer than a prompt takes to be read.
+// A run without its first event for this long goes on elsewhere: longer than a
+// prompt takes to be read.
 constexpr std::uint64_t first_event_limit_ms = 1500;
-constexpr std::uint64_t event_limit_ms = 700;
 
 // A run is moved off a slow engine at most this often.
 constexpr std::uint64_t move_pause_ms = 600;
@@ -374,6 +373,7 @@
 void
 keeper::impl::watch_runs(batch_state& b, std::uint64_t now)
 {
+  const auto silence_limit = silence_limit_ms(usual_event_ms(b));
   for (auto& i : b.items) {
     if (i.stage == item_stage::scoring && i.score_again_ms != 0 &&
         i.score_again_ms <= now) {
@@ -384,7 +384,7 @@
     }
     auto* backend = backends::find(p.registry, i.backend);
     const auto limit =
-      i.events_in_run > 0 ? event_limit_ms : first_event_limit_ms;
+      i.events_in_run > 0 ? silence_limit : first_event_limit_ms;
     if (now - i.last_event_ms > limit) {
       if (backend != nullptr) {
         backends::note_failure(*backend, now);
--- a/cactusford/batches/schedule-test.cc
+++ b/cactusford/batches/schedule-test.cc
@@ -114,3 +114,25 @@
                least_slack,
                as_they_come);
 }
+
+// An engine loads weights and holds its runs up for 950 ms. An item of the
+// longest kind, 157 events at 48 ms, then ends 8.5 s after its step began, of
+// which the group counts in full until 8.2 s. It has to move on early enough to
+// end in time, and must stay where it is over the pauses of a healthy engine.
+Test(schedule, moves_long_runs_off_an_engine_that_loads)
+{
+  constexpr std::uint64_t longest_text_ms = 157 * 48;
+  constexpr std::uint64_t read_again_ms = 40;
+  constexpr std::uint64_t counts_until_ms = 8200;
+  cr_assert_leq(longest_text_ms + silence_limit_ms(48) + read_again_ms,
+                counts_until_ms);
+  cr_assert_geq(silence_limit_ms(48), 5 * 48);
+  SECTION("slower engines are given more time")
+  {
+    cr_assert_gt(silence_limit_ms(90), silence_limit_ms(48));
+  }
+  SECTION("before any pace is known it waits longest")
+  {
+    cr_assert_geq(silence_limit_ms(0), silence_limit_ms(1000));
+  }
+}
--- a/cactusford/batches/schedule.cc
+++ b/cactusford/batches/schedule.cc
@@ -13,6 +13,12 @@
 constexpr double least_ratio = 0.3;
 constexpr double largest_ratio = 3;
 
+// Pauses of healthy engines stay within a few times the usual one, as prompts
+// of others are read in between.
+constexpr double silent_pauses = 6;
+constexpr std::uint64_t least_silence_ms = 250;
+constexpr std::uint64_t longest_silence_ms = 700;
+
 std::int64_t
 latest_start(const waiting_item& i)
 {
@@ -43,6 +49,17 @@
   return std::max(left, made_ms / 2);
 }
 
+std::uint64_t
+silence_limit_ms(double usual_event_ms)
+{
+  if (usual_event_ms <= 0) {
+    return longest_silence_ms;
+  }
+  return std::clamp(static_cast<std::uint64_t>(silent_pauses * usual_event_ms),
+                    least_silence_ms,
+                    longest_silence_ms);
+}
+
 void
 sort_by_slack(std::vector<waiting_item>& items)
 {
--- a/cactusford/batches/schedule.h
+++ b/cactusford/batches/schedule.h
@@ -35,6 +35,15 @@
                 std::uint64_t hint,
                 std::uint64_t made_ms = 0);
 
+// How long a run may stay without an event before it goes on elsewhere, given
+// the usual pause between two events; 0: not known.
+//
+// Pattern: an engine that loads weights holds the runs of that model up for
+// about a second, and the longest texts of a step have half a second to spare.
+// Going on elsewhere costs the reading of the text so far, some 40 ms.
+std::uint64_t
+silence_limit_ms(double usual_event_ms);
+
 struct waiting_item
 {
   // Which batch and which of its items.
