Readers are not told that there is nothing while the owner can't be sure

The owner, on 0.09 of a core just after a restart of everything, had written a chunk; another entry read it from the store and showed it; the owner had not read the acknowledgement 1.7 s later and answered that there was nothing behind that position. Two more ways to the same end were read from the code: an owner that was replaced while it stood still or while its watch was behind. Change: an empty page is given by an owner only that has no write on its way and no reason to doubt that it owns the batch (it stood still for 0.7 s, or the new owner told it); readers of a batch that is given up are sent away.

--- a/cactusford/batches/keeper.cc
+++ b/cactusford/batches/keeper.cc
@@ -205,6 +205,7 @@
     }
   });
   const auto now = http::now_ms();
+  note_alive(now);
   ask_owners(now);
   remove_expired(now);
   bool waiting = false;
@@ -212,6 +213,9 @@
     if (!b->readers.empty()) {
       answer_readers(*b, now);
     }
+    if (b->owned && b->doubted) {
+      verify(*b);
+    }
     if (b->owned && b->load_again) {
       b->load_again = false;
       own(*b);
@@ -356,6 +360,7 @@
         return;
       }
       const auto now = http::now_ms();
+      self->note_alive(now);
       if (b->owned && b->loaded) {
         b->readers.push_back({ caller, r.after, now + r.wait_ms });
         self->maybe_write(*b, now);
@@ -411,7 +416,8 @@
       [self, caller, id](store::verdict v) {
         const bool done = v == store::verdict::done;
         if (done) {
-          self->tell_owner(id);
+          self->tell(
+            self->known(id)->stored.owner_address, peer_ended_path, id);
         }
         caller.respond(done ? answer(200) : come_back(self->p.dialect));
       },
@@ -435,6 +441,14 @@
   impl_->disown(*b, "ended");
 }
 
+void
+keeper::on_taken(const std::string& id)
+{
+  if (auto* b = impl_->known(id)) {
+    impl_->doubt(*b, "taken");
+  }
+}
+
 void
 keeper::on_list(std::vector<store::object>&& all)
 {
--- a/cactusford/batches/keeper.h
+++ b/cactusford/batches/keeper.h
@@ -29,6 +29,7 @@
 constexpr std::string_view peer_results_path = "/results/";
 constexpr std::string_view peer_alive_path = "/alive";
 constexpr std::string_view peer_ended_path = "/ended/";
+constexpr std::string_view peer_taken_path = "/taken/";
 
 // What the keeper works with; all outlive it.
 struct keeper_parts
@@ -75,6 +76,9 @@
   // Another instance says that a batch has ended.
   void on_ended(const std::string& id);
 
+  // Another instance says that it has taken a batch over.
+  void on_taken(const std::string& id);
+
   // From the watch of the batches.
   void on_list(std::vector<store::object>&& all);
   void on_change(store::change&& c);
--- a/cactusford/batches/keeper_impl.h
+++ b/cactusford/batches/keeper_impl.h
@@ -11,6 +11,7 @@
 using detail::batch_state;
 using detail::item_stage;
 using detail::item_state;
+using detail::waiting_reader;
 
 // When a caller that was refused may come back: the store usually answers
 // again within a second.
@@ -59,7 +60,12 @@
                     std::function<void(store::verdict)> done,
                     int tries);
 
-  void tell_owner(const std::string& id);
+  void tell(const std::string& address,
+            std::string_view path,
+            const std::string& id);
+  void doubt(batch_state& b, std::string_view why);
+  void verify(batch_state& b);
+  void note_alive(std::uint64_t now);
 
   // Runs
   void plan_soon();
@@ -108,6 +114,7 @@
   void read_back(const std::string& id, std::uint64_t chunk);
   void on_chunk(const std::string& id, stored_chunk chunk);
   void answer_readers(batch_state& b, std::uint64_t now);
+  void answer_reader(const waiting_reader& r, batch_state& b);
   void respond_page(const http::call& c, batch_state& b, std::uint64_t after);
   void read_from_owner(const http::call& caller,
                        batch_state& b,
@@ -132,6 +139,9 @@
   std::map<std::string, std::uint64_t> owner_refused;
   std::map<std::string, bool> owner_asked;
   std::uint64_t last_ask = 0;
+  // When this process last looked at the clock.
+  std::uint64_t alive_ms = 0;
+  std::uint64_t alive_wall_ms = 0;
   std::uint64_t last_expiry_look = 0;
   token_pace pace;
   std::uint64_t next_run = 1;
--- a/cactusford/batches/ownership.cc
+++ b/cactusford/batches/ownership.cc
@@ -1,9 +1,11 @@
 #include "cactusford/batches/keeper_impl.h"
 #include "cactusford/http/socket.h"
 #include "cactusford/process/line_log.h"
+#include "cactusford/timeline/clock.h"
 
 #include <algorithm>
 #include <set>
+#include <utility>
 
 namespace cactusford::batches {
 
@@ -17,6 +19,10 @@
 // A connection that fails faster was refused: no process listens there.
 constexpr std::uint64_t refusal_limit_ms = 200;
 
+// Others take an owner to be gone after 1.3 s of silence. One that notices that
+// it stood still for more than half of that asks the store whether they have.
+constexpr std::uint64_t standstill_ms = 700;
+
 } // namespace
 
 void
@@ -83,9 +89,12 @@
   if (!b.owned) {
     return;
   }
-  b.complete = b.loaded && b.stored.ended && b.stored.owner == p.instance;
+  // A write on its way may stand already, and others may have shown it.
+  b.complete = b.loaded && b.stored.ended && b.stored.owner == p.instance &&
+               b.ledger.writing == 0 && !b.doubted;
   b.owned = false;
   b.loaded = false;
+  b.doubted = false;
   for (auto& i : b.items) {
     if (i.stage == item_stage::running) {
       stop_run(i);
@@ -326,32 +335,98 @@
   }
 }
 
-// The owner's watch may be behind, as after a restart of everything on a small
-// instance; its items would run on for nobody. What it doesn't hear now its
-// watch will show.
+// Says to another instance what its watch may not have shown it yet, as after
+// a restart of everything on a small instance. Without it an owner would run
+// items of a batch that has ended, or show results as if it still owned one.
+// What it doesn't hear now its watch will show.
 void
-keeper::impl::tell_owner(const std::string& id)
+keeper::impl::tell(const std::string& address,
+                   std::string_view path,
+                   const std::string& id)
 {
-  const auto* b = known(id);
-  if (b == nullptr || b->stored.owner == p.instance ||
-      b->stored.owner_address.empty()) {
+  if (address.empty() || address == p.address) {
     return;
   }
   http::request r;
   r.method = "POST";
-  r.target = std::string{ peer_ended_path } + id;
+  r.target = std::string{ path } + id;
   http::exchange_options o;
   o.timeout_ms = owner_answer_ms;
   p.http.fetch(
-    b->stored.owner_address, r, o, [id](http::end_state end, http::response&&) {
+    address, r, o, [id, address](http::end_state end, http::response&&) {
       if (end != http::end_state::complete) {
         process::log_line(timeline::event{ "owner_not_told" }
                             .with("batch", id)
+                            .with("address", address)
                             .with("end", http::name_of(end)));
       }
     });
 }
 
+// Another instance may have taken the batch over, and may have listed results
+// that this one does not know. Until the store has said who owns it, readers
+// whom it could only tell that there is nothing more are sent away.
+void
+keeper::impl::doubt(batch_state& b, std::string_view why)
+{
+  if (!b.owned || b.doubted) {
+    return;
+  }
+  b.doubted = true;
+  process::log_line(timeline::event{ "batch_doubted" }
+                      .with("batch", b.stored.id)
+                      .with("why", why)
+                      .with("revision", b.stored.revision));
+  verify(b);
+}
+
+// Asks the store who owns a batch of ours.
+void
+keeper::impl::verify(batch_state& b)
+{
+  if (b.verifying) {
+    return;
+  }
+  b.verifying = true;
+  const auto id = b.stored.id;
+  store::call c;
+  c.op = store::operation::get;
+  c.kind = batch_kind;
+  c.name = id;
+  p.store.perform(c, [self = shared_from_this(), id](store::reply&& r) {
+    auto* now = self->known(id);
+    if (now == nullptr) {
+      return;
+    }
+    now->verifying = false;
+    // Nothing is known yet: the next look asks again.
+    if (r.what == store::verdict::done && !r.items.empty()) {
+      now->doubted = false;
+      self->learn(r.items.front());
+    }
+  });
+}
+
+// Doubts all batches after this process stood still for long enough to be taken
+// for gone. The steady clock does not count the time in which an instance is
+// suspended; the time of day does, and a step of that costs one question.
+void
+keeper::impl::note_alive(std::uint64_t now)
+{
+  const auto wall = timeline::wall_ms();
+  const auto before = std::exchange(alive_ms, now);
+  const auto wall_before = std::exchange(alive_wall_ms, wall);
+  const bool first = before == 0;
+  const auto stood = std::max(now - before, wall - std::min(wall, wall_before));
+  if (first || stood < standstill_ms) {
+    return;
+  }
+  process::log_line(timeline::event{ "stood_still" }.with("for_ms", stood));
+  for (auto& entry : batches) {
+    doubt(*entry.second, "stood_still");
+  }
+}
+
 void
 keeper::impl::take_over(batch_state& b, std::string_view why)
 {
@@ -360,6 +435,7 @@
   }
   b.taking_over = true;
   const auto from = b.stored.owner;
+  const auto address = b.stored.owner_address;
   const auto id = b.stored.id;
   process::log_line(timeline::event{ "batch_takeover" }
                       .with("batch", id)
@@ -374,10 +450,15 @@
         s.owner_address = self->p.address;
       }
     },
-    [self = shared_from_this(), id](store::verdict) {
-      if (auto* now = self->known(id)) {
-        now->taking_over = false;
-        now->owner_since_ms = http::now_ms();
+    [self = shared_from_this(), id, address](store::verdict) {
+      auto* now = self->known(id);
+      if (now == nullptr) {
+        return;
+      }
+      now->taking_over = false;
+      now->owner_since_ms = http::now_ms();
+      if (now->owned) {
+        self->tell(address, peer_taken_path, id);
       }
     },
     2);
--- a/cactusford/batches/results.cc
+++ b/cactusford/batches/results.cc
@@ -147,13 +147,30 @@
   for (auto& r : readers) {
     const bool more = b.ledger.listed.size() > r.after;
     if (more || !b.owned || now >= r.until_ms || leaving) {
-      respond_page(r.caller, b, r.after);
+      answer_reader(r, b);
     } else if (r.caller.is_open()) {
       b.readers.push_back(std::move(r));
     }
   }
 }
 
+// An empty page says that nothing stands behind the reader's position. Only an
+// owner can say so, and not while a write is on its way: it may stand already,
+// and others may have read it from the store. Shown fewer results than before,
+// a trainer would take them for lost.
+void
+keeper::impl::answer_reader(const waiting_reader& r, batch_state& b)
+{
+  const bool more = b.ledger.listed.size() > r.after;
+  const bool knows_all =
+    b.complete || (b.owned && b.loaded && !b.doubted && b.ledger.writing == 0);
+  if (more || knows_all) {
+    respond_page(r.caller, b, r.after);
+  } else {
+    r.caller.respond(come_back(p.dialect));
+  }
+}
+
 void
 keeper::impl::read_from_owner(const http::call& caller,
                               batch_state& b,
@@ -198,10 +215,11 @@
     respond_page(caller, *b, r.after);
     return;
   }
-  load_chunks(r.id, [self = shared_from_this(), caller, r](bool ok) {
+  // The look shows what stands when it begins, however late its answer is read.
+  load_chunks(r.id, [self = shared_from_this(), caller, r, now](bool ok) {
     auto* found = self->known(r.id);
     if (found != nullptr && ok) {
-      found->looked_ms = http::now_ms();
+      found->looked_ms = std::max(found->looked_ms, now);
     }
     // Without the store nothing is known of the positions behind ours.
     if (found == nullptr || (!ok && found->ledger.listed.size() <= r.after)) {
--- a/cactusford/batches/state.h
+++ b/cactusford/batches/state.h
@@ -101,6 +101,10 @@
   // It ended while this instance owned it and knew all its chunks: nothing is
   // listed any more.
   bool complete = false;
+  // Somebody else may own it by now; until the store has been asked, nobody is
+  // told that there is nothing more.
+  bool doubted = false;
+  bool verifying = false;
   bool taking_over = false;
   bool removing = false;
   bool group_became_whole = false;
--- a/tests/batches-test.cc
+++ b/tests/batches-test.cc
@@ -65,6 +65,9 @@
   std::unique_ptr<batches::keeper> keeper;
   std::unique_ptr<store::watcher> watcher;
   bool running = true;
+  // Does not tell others that it lives.
+  bool is_mute = false;
+  std::vector<http::call> unanswered;
 
   entry(const std::string& name, const std::string& store_address)
     : peer{ io, {}, [this](const http::call& c) { on_peer(c); } }
@@ -110,6 +113,16 @@
   {
     const auto path = http::path_of(c.request().target);
     if (path == batches::peer_alive_path) {
+      if (is_mute) {
+        unanswered.push_back(c);
+      } else {
+        c.respond({ 200, {}, "" });
+      }
+      return;
+    }
+    if (path.starts_with(batches::peer_taken_path)) {
+      keeper->on_taken(
+        std::string{ path.substr(batches::peer_taken_path.size()) });
       c.respond({ 200, {}, "" });
       return;
     }
@@ -260,6 +273,23 @@
     return all;
   }
 
+  // A chunk with results stands in the store.
+  bool has_results() const
+  {
+    const auto chunks = store.all("results");
+    return std::any_of(chunks.begin(), chunks.end(), [](const auto& o) {
+      const auto chunk = batches::decode_chunk(o.spec);
+      return chunk && !chunk->results.empty();
+    });
+  }
+
+  // An answer that says nothing is listed denies results that were shown.
+  bool denies_results(entry& e)
+  {
+    const auto page = read(e);
+    return page && page->at("results").empty();
+  }
+
   // Who owns the batch, by the store.
   std::string owner() const
   {
@@ -348,6 +378,61 @@
   cr_assert_geq(lost["results"], 2, "the first chunk was written again");
 }
 
+// The owner's write of results stands, and its acknowledgement is lost, or the
+// owner is too busy to read it. Another entry reads the results from the store
+// and shows them. Then a caller asks the owner: it must not say that there are
+// none, as it can't be sure.
+Test(batches, does_not_deny_results_of_a_write_that_is_not_settled)
+{
+  world w{ 1 };
+  w.store.faults = [&](const store::call& c) {
+    const bool results =
+      c.op == store::operation::create && c.kind == batches::chunk_kind;
+    return results ? object_store::fault::lose_answer
+                   : object_store::fault::none;
+  };
+  w.call(*w.entries[0], "POST", submission(2));
+  w.run_until([&] { return w.has_results(); });
+  cr_assert_not(w.denies_results(*w.entries[0]));
+}
+
+// The owner is paused, or so short of processor time that it falls silent.
+// Another entry takes over, and its results are read. When the old owner wakes,
+// callers ask it before it has heard of all this: what it holds is out of date,
+// and it knows that from its own clock.
+Test(batches, does_not_deny_results_after_a_pause)
+{
+  world w{ 2 };
+  w.engine.events = 40;
+  w.engine.gap_ms = 10;
+  w.call(*w.entries[0], "POST", submission(2));
+  auto& old = w.by_name(w.owner());
+  old.watcher->stop();
+  w.run_until([&] { return w.engine.streaming > 0; });
+  old.running = false;
+  w.run_until([&] { return &w.by_name(w.owner()) != &old; });
+  w.read_whole(w.by_name(w.owner()), 2);
+  old.running = true;
+  cr_assert_not(w.denies_results(old));
+}
+
+// The owner lives and its answers to the others are lost. Another entry takes
+// over, and its results are read. The old owner's watch is behind. It must not
+// go on as if it still owned the batch: the new owner has told it.
+Test(batches, tells_the_old_owner_that_it_was_replaced)
+{
+  world w{ 2 };
+  auto& old = *w.entries[0];
+  // It cannot run the items itself and learn of the other that way.
+  backends::withdraw(old.registry, "e1", http::now_ms());
+  w.call(old, "POST", submission(2));
+  old.watcher->stop();
+  old.is_mute = true;
+  w.run_until([&] { return &w.by_name(w.owner()) != &old; });
+  w.read_whole(w.by_name(w.owner()), 2);
+  cr_assert_not(w.denies_results(old));
+}
+
 // The store refuses everything. Nothing can be promised, and nothing has been
 // done: the caller is told when to come back and no item runs.
 Test(batches, refuses_at_once_what_it_cannot_keep)
