Small heads of batches, submissions in parts of their own

Cause: each entry's watch brought every submission whole, again at each change of its owner: on grown sites 22 entries read some 3 MB of JSON after a restart of everything, those of 0.09 cores for seconds. A fresh batch also paid a list, a fence and a look for kept text. Change: batches/ID holds a small head, submissions/ID.N the parts; who runs a batch or is asked for a body reads them. A batch that this instance has just created begins at once.

--- a/cactusford/batches/batch.h
+++ b/cactusford/batches/batch.h
@@ -72,8 +72,11 @@
   friend bool operator==(const result_page&, const result_page&) = default;
 };
 
-// What the store holds of a batch: `batches/ID`. The specification is written
-// once, the status changes with the owner and at the end.
+// What the store holds of a batch under `batches/ID`: small, as every entry
+// follows this kind. The submission stands in parts of its own and is read by
+// those alone who run the batch or are asked for a body. The specification is
+// written once, after all parts; the status changes with the owner and at the
+// end.
 struct stored_batch
 {
   std::string id;
@@ -81,8 +84,9 @@
   std::string host;
   std::string target;
   std::uint64_t accepted_wall_ms = 0;
-  // The submission as it came.
-  std::string body;
+  // How many items it has, and in how many parts its submission stands.
+  std::uint64_t items = 0;
+  std::uint64_t parts = 0;
   std::string owner;
   std::string owner_address;
   bool ended = false;
--- a/cactusford/batches/keeper.cc
+++ b/cactusford/batches/keeper.cc
@@ -62,32 +62,35 @@
       timeline::event{ "batch_unreadable" }.with("batch", o.name));
     return nullptr;
   }
-  auto* b = known(o.name);
-  if (b == nullptr) {
-    auto submission = p.dialect.submission_from(s->body);
-    if (!submission) {
-      process::log_line(
-        timeline::event{ "batch_unreadable" }.with("batch", o.name));
-      return nullptr;
-    }
-    auto fresh = std::make_unique<batch_state>();
-    fresh->set(std::move(*submission), p.dialect.version_line);
-    b = fresh.get();
-    batches.emplace(o.name, std::move(fresh));
-    s->body.clear();
-    b->stored = *s;
-    b->owner_since_ms = http::now_ms();
-    b->due_ms = due_of(*b);
-    if (!s->ended && s->owner == p.instance) {
-      own(*b);
-    }
+  if (auto* b = known(o.name)) {
+    update(*b, std::move(*s));
     return b;
   }
-  s->body.clear();
-  update(*b, std::move(*s));
+  auto fresh = std::make_unique<batch_state>();
+  auto* b = fresh.get();
+  batches.emplace(o.name, std::move(fresh));
+  b->stored = std::move(*s);
+  b->owner_since_ms = http::now_ms();
+  b->due_ms = due_of(*b);
+  const auto mine = accepting.find(o.name);
+  if (mine != accepting.end()) {
+    b->set(mine->second->submission, p.dialect.version_line);
+  }
+  own_ours(*b);
   return b;
 }
 
+// Begins what the store says is ours. One that is being accepted begins when
+// its write has been answered: then it is known that nothing is listed.
+void
+keeper::impl::own_ours(batch_state& b)
+{
+  const bool ours = b.is_open() && b.stored.owner == p.instance;
+  if (ours && !b.owned && !accepting.contains(b.stored.id)) {
+    own(b);
+  }
+}
+
 // The route in force; it stays as it is while the pointer is held.
 std::shared_ptr<const routes::route>
 keeper::impl::route_to(const std::string& host, const std::string& path) const
@@ -132,12 +135,22 @@
     process::log_line(timeline::event{ "batch_ended" }
                         .with("batch", b.stored.id)
                         .with("listed", b.ledger.listed.size()));
-    remember(b);
-    disown(b, "ended");
+    close(b);
   } else if (b.owned && b.stored.owner != p.instance) {
     disown(b, "other_owner");
-  } else if (!b.owned && !b.stored.ended && b.stored.owner == p.instance) {
-    own(b);
+  } else {
+    own_ours(b);
+  }
+}
+
+// The batch has ended. Its texts may serve a later batch.
+void
+keeper::impl::close(batch_state& b)
+{
+  remember(b);
+  disown(b, "ended");
+  if (b.want_submission.empty()) {
+    b.release();
   }
 }
 
@@ -146,6 +159,7 @@
 {
   if (auto* b = known(id)) {
     disown(*b, "removed");
+    end_read(id, false);
     batches.erase(id);
   }
 }
@@ -231,6 +245,10 @@
     if (b->owned || !b->is_open() || leaving) {
       continue;
     }
+    if (b->stored.owner == p.instance) {
+      own_ours(*b);
+      continue;
+    }
     const auto silent = owner_silence(*b, now);
     if (silent) {
       take_over(*b, *silent);
@@ -257,96 +275,6 @@
   impl_->tick();
 }
 
-void
-keeper::accept(const http::call& caller,
-               const std::string& id,
-               std::uint64_t give_up_ms)
-{
-  const auto& request = caller.request();
-  if (impl_->known(id) != nullptr) {
-    caller.respond(answer(202));
-    return;
-  }
-  auto submission = impl_->p.dialect.submission_from(request.body);
-  if (!submission || id.empty()) {
-    caller.respond(answer(400));
-    return;
-  }
-  stored_batch s;
-  s.id = id;
-  s.host = std::string{ http::find(request.fields, "Host").value_or("") };
-  s.target = request.target;
-  s.accepted_wall_ms = timeline::wall_ms();
-  s.body = request.body;
-  // A leaving instance accepts for the others.
-  if (!impl_->leaving) {
-    s.owner = impl_->p.instance;
-    s.owner_address = impl_->p.address;
-  }
-  store::call c;
-  c.op = store::operation::create;
-  c.kind = batch_kind;
-  c.name = id;
-  c.body = encode_spec(s);
-  // A create that met nobody's batch is made again until the caller's time is
-  // nearly up: it takes place once, whatever gets lost.
-  struct creator : std::enable_shared_from_this<creator>
-  {
-    std::shared_ptr<impl> self;
-    store::call c;
-    http::call caller;
-    std::string id;
-    std::uint64_t until_ms = 0;
-    bool unknown = false;
-
-    void go()
-    {
-      self->p.store.perform(
-        c, [me = shared_from_this()](store::reply&& r) { me->on(r); });
-    }
-
-    void on(const store::reply& r)
-    {
-      const bool accepted =
-        r.what == store::verdict::done || r.what == store::verdict::conflict;
-      if (accepted) {
-        for (const auto& o : r.items) {
-          auto* b = self->learn(o);
-          if (b != nullptr && r.what == store::verdict::done &&
-              !r.after_unknown) {
-            b->loaded = true;
-          }
-        }
-        process::log_line(timeline::event{ "batch_accepted" }
-                            .with("batch", id)
-                            .with("verdict", store::name_of(r.what)));
-        caller.respond(answer(202));
-        return;
-      }
-      unknown = unknown || r.what == store::verdict::unknown;
-      if (http::now_ms() < until_ms && caller.is_open()) {
-        auto wait = std::make_shared<asio::steady_timer>(
-          self->p.io, std::chrono::milliseconds{ failed_pause_ms });
-        wait->async_wait(
-          [me = shared_from_this(), wait](asio::error_code) { me->go(); });
-        return;
-      }
-      process::log_line(timeline::event{ "batch_refused" }
-                          .with("batch", id)
-                          .with("unknown", unknown ? 1U : 0U));
-      // 503 promises that no item runs, which a lost write does not allow.
-      caller.respond(unknown ? answer(504) : come_back(self->p.dialect));
-    }
-  };
-  auto create = std::make_shared<creator>();
-  create->self = impl_;
-  create->c = std::move(c);
-  create->caller = caller;
-  create->id = id;
-  create->until_ms = give_up_ms;
-  create->go();
-}
-
 void
 keeper::read(const http::call& caller,
              const edge::batch_request& r,
@@ -389,16 +317,23 @@
       caller.respond(sure ? answer(404) : come_back(self->p.dialect));
       return;
     }
-    const auto* item = b->find_item(r.item);
-    if (item == nullptr) {
-      caller.respond(answer(404));
-      return;
-    }
-    http::response a;
-    a.status = 200;
-    a.fields.push_back({ "Content-Type", "application/octet-stream" });
-    a.body = item->body;
-    caller.respond(std::move(a));
+    self->with_submission(*b, [self, caller, r](bool ok) {
+      const auto* read = self->known(r.id);
+      if (!ok || read == nullptr) {
+        caller.respond(come_back(self->p.dialect));
+        return;
+      }
+      const auto* item = read->find_item(r.item);
+      if (item == nullptr) {
+        caller.respond(answer(404));
+        return;
+      }
+      http::response a;
+      a.status = 200;
+      a.fields.push_back({ "Content-Type", "application/octet-stream" });
+      a.body = item->body;
+      caller.respond(std::move(a));
+    });
   });
 }
 
@@ -437,8 +372,7 @@
                       .with("told_by", "peer")
                       .with("listed", b->ledger.listed.size()));
   b->stored.ended = true;
-  impl_->remember(*b);
-  impl_->disown(*b, "ended");
+  impl_->close(*b);
 }
 
 void
--- a/cactusford/batches/keeper.h
+++ b/cactusford/batches/keeper.h
@@ -22,6 +22,7 @@
 
 // Kinds of our own in the store.
 constexpr std::string_view batch_kind = "batches";
+constexpr std::string_view part_kind = "submissions";
 constexpr std::string_view chunk_kind = "results";
 constexpr std::string_view progress_kind = "texts";
 
--- a/cactusford/batches/keeper_impl.h
+++ b/cactusford/batches/keeper_impl.h
@@ -28,6 +28,25 @@
 http::response
 come_back(const edge::dialect& d);
 
+namespace detail {
+
+// A batch on its way into the store.
+struct acceptance
+{
+  http::call caller;
+  std::string id;
+  batches::submission submission;
+  stored_batch head;
+  std::vector<std::string_view> parts;
+  std::uint64_t next_part = 0;
+  // When the caller gives up, on the steady clock.
+  std::uint64_t until_ms = 0;
+  // A write of the head had no answer: it may stand, or stand later.
+  bool unknown = false;
+};
+
+} // namespace detail
+
 struct keeper::impl : std::enable_shared_from_this<keeper::impl>
 {
   explicit impl(keeper_parts parts)
@@ -39,15 +58,36 @@
   // Knowledge
   batch_state* known(const std::string& id);
   batch_state* learn(const store::object& o);
+  void own_ours(batch_state& b);
   void update(batch_state& b, stored_batch&& s);
+  void close(batch_state& b);
   void forget(const std::string& id);
   std::shared_ptr<const routes::route> route_to(const std::string& host,
                                                 const std::string& path) const;
   std::uint64_t due_of(const batch_state& b) const;
   void lookup(const std::string& id, std::function<void(batch_state*, bool)>);
 
+  // Submissions
+  void write_parts(const std::shared_ptr<detail::acceptance>& a);
+  void write_head(const std::shared_ptr<detail::acceptance>& a);
+  void on_head(const std::shared_ptr<detail::acceptance>& a,
+               const store::reply& r);
+  void accept_again(
+    const std::shared_ptr<detail::acceptance>& a,
+    void (impl::*step)(const std::shared_ptr<detail::acceptance>&));
+  void refuse(const detail::acceptance& a);
+  void remove_unclaimed(const std::string& id, std::uint64_t parts);
+  void remove_parts(const std::string& id,
+                    std::uint64_t part,
+                    std::uint64_t parts,
+                    std::function<void(bool)> done);
+  void with_submission(batch_state& b, std::function<void(bool)> done);
+  void read_part(const std::string& id, std::uint64_t part, std::string sofar);
+  void end_read(const std::string& id, bool ok);
+
   // Ownership
   void own(batch_state& b);
+  void load_tenure(const std::string& id);
   void begin_tenure(const std::string& id);
   void disown(batch_state& b, std::string_view why);
   bool take_chunk(const std::string& id, const store::object& o);
@@ -72,10 +112,10 @@
   double usual_event_ms(const batch_state& b) const;
   void plan();
   bool launch(batch_state& b, item_state& i);
-  void on_head(const std::string& id,
-               std::size_t at,
-               std::uint64_t run,
-               const http::head& h);
+  void on_run_head(const std::string& id,
+                   std::size_t at,
+                   std::uint64_t run,
+                   const http::head& h);
   void on_body(const std::string& id,
                std::size_t at,
                std::uint64_t run,
@@ -125,6 +165,7 @@
   void remove_expired(std::uint64_t now);
   void remove_chunk(const std::string& id, std::uint64_t chunk);
   void remove_rest(const std::string& id);
+  void remove_head(const std::string& id);
 
   std::optional<std::string_view> owner_silence(const batch_state& b,
                                                 std::uint64_t now);
@@ -133,6 +174,9 @@
   keeper_parts p;
   asio::steady_timer timer;
   std::unordered_map<std::string, std::unique_ptr<batch_state>> batches;
+  // Submissions that this instance is accepting: it need not read them back.
+  std::unordered_map<std::string, std::shared_ptr<detail::acceptance>>
+    accepting;
   std::unordered_map<std::string, detail::carried_item> carried;
   // When an owner's address last answered, on the steady clock.
   std::map<std::string, std::uint64_t> owner_seen;
--- a/cactusford/batches/ledger-test.cc
+++ b/cactusford/batches/ledger-test.cc
@@ -87,7 +87,8 @@
   b.host = "h";
   b.target = "/p/";
   b.accepted_wall_ms = 12;
-  b.body = "{}";
+  b.items = 5;
+  b.parts = 2;
   b.owner = "entry-1";
   b.owner_address = "10.0.0.1:1";
   cr_assert(decode_batch("x", 7, encode_spec(b), nullptr) == b);
--- a/cactusford/batches/ledger.cc
+++ b/cactusford/batches/ledger.cc
@@ -166,7 +166,8 @@
   return { { "caller_host", b.host },
            { "target", b.target },
            { "accepted_ms", b.accepted_wall_ms },
-           { "submission", b.body },
+           { "items", b.items },
+           { "parts", b.parts },
            { "first_owner", b.owner },
            { "first_address", b.owner_address } };
 }
@@ -191,7 +192,8 @@
   b.host = spec.at("caller_host").get<std::string>();
   b.target = spec.at("target").get<std::string>();
   b.accepted_wall_ms = spec.at("accepted_ms").get<std::uint64_t>();
-  b.body = spec.at("submission").get<std::string>();
+  b.items = spec.at("items").get<std::uint64_t>();
+  b.parts = spec.at("parts").get<std::uint64_t>();
   b.owner = spec.at("first_owner").get<std::string>();
   b.owner_address = spec.at("first_address").get<std::string>();
   if (status.is_object() && !status.empty()) {
--- a/cactusford/batches/ownership.cc
+++ b/cactusford/batches/ownership.cc
@@ -35,24 +35,39 @@
   b.epoch = b.stored.revision;
   process::log_line(timeline::event{ "batch_owned" }
                       .with("batch", b.stored.id)
-                      .with("items", b.items.size())
-                      .with("min_version", b.submission.min_version)
+                      .with("items", b.stored.items)
                       .with("revision", b.stored.revision));
-  if (b.loaded) {
+  if (b.loaded && b.has_submission) {
     plan_soon();
     return;
   }
+  b.loaded = false;
   const auto id = b.stored.id;
+  with_submission(b, [self = shared_from_this(), id](bool ok) {
+    auto* read = self->known(id);
+    if (read == nullptr || !read->owned) {
+      return;
+    }
+    read->load_again = !ok;
+    if (ok) {
+      self->load_tenure(id);
+    }
+  });
+}
+
+// Reads what is listed before this instance adds to it.
+void
+keeper::impl::load_tenure(const std::string& id)
+{
   load_chunks(id, [self = shared_from_this(), id](bool ok) {
     auto* loaded = self->known(id);
     if (loaded == nullptr || !loaded->owned) {
       return;
     }
     loaded->load_again = !ok;
-    if (!ok) {
-      return;
+    if (ok) {
+      self->begin_tenure(id);
     }
-    self->begin_tenure(id);
   });
 }
 
--- a/cactusford/batches/results.cc
+++ b/cactusford/batches/results.cc
@@ -42,8 +42,8 @@
   const bool whole_long =
     b.group_became_whole && now - b.whole_since_ms >= whole_gather_ms;
   const bool old = now - b.ledger.pending_since_ms >= gather_ms;
-  const bool all = b.ledger.pending.size() + b.ledger.listed.size() ==
-                   b.submission.items.size();
+  const bool all =
+    b.ledger.pending.size() + b.ledger.listed.size() == b.stored.items;
   if (awaited || whole_long || old || all) {
     write_results(b);
   }
@@ -122,7 +122,7 @@
                       .with("batch", id)
                       .with("chunk", b->ledger.chunks - 1)
                       .with("listed", b->ledger.listed.size())
-                      .with("total", b->submission.items.size()));
+                      .with("total", b->stored.items));
   answer_readers(*b, http::now_ms());
   if (b->owned && chunk.epoch > b->epoch) {
     disown(*b, "fenced");
@@ -134,8 +134,7 @@
                            batch_state& b,
                            std::uint64_t after)
 {
-  const auto page =
-    page_of(b.ledger, b.submission.items.size(), after, page_bytes);
+  const auto page = page_of(b.ledger, b.stored.items, after, page_bytes);
   c.respond(answer(200, p.dialect.encode_page(page)));
 }
 
--- a/cactusford/batches/retention.cc
+++ b/cactusford/batches/retention.cc
@@ -42,8 +42,9 @@
   }
 }
 
-// Chunks go in their order, then the kept text, then the batch itself: what
-// was cut short is found again by the batch that still stands.
+// Chunks go in their order, then the kept text, then the submission, then
+// the batch itself: what was cut short is found again by the batch that still
+// stands.
 void
 keeper::impl::remove_chunk(const std::string& id, std::uint64_t chunk)
 {
@@ -70,23 +71,37 @@
   text.kind = progress_kind;
   text.name = id;
   p.store.perform(text, [self = shared_from_this(), id](store::reply&&) {
-    store::call batch;
-    batch.op = store::operation::remove;
-    batch.kind = batch_kind;
-    batch.name = id;
-    self->p.store.perform(batch, [self, id](store::reply&& r) {
-      process::log_line(timeline::event{ "batch_removed" }
-                          .with("batch", id)
-                          .with("verdict", store::name_of(r.what)));
-      const bool gone =
-        r.what == store::verdict::done || r.what == store::verdict::missing;
+    const auto* b = self->known(id);
+    const auto parts = b == nullptr ? 0 : b->stored.parts;
+    self->remove_parts(id, 0, parts, [self, id](bool gone) {
       if (gone) {
-        self->forget(id);
-      } else if (auto* b = self->known(id)) {
-        b->removing = false;
+        self->remove_head(id);
+      } else if (auto* kept = self->known(id)) {
+        kept->removing = false;
       }
     });
   });
 }
 
+void
+keeper::impl::remove_head(const std::string& id)
+{
+  store::call batch;
+  batch.op = store::operation::remove;
+  batch.kind = batch_kind;
+  batch.name = id;
+  p.store.perform(batch, [self = shared_from_this(), id](store::reply&& r) {
+    process::log_line(timeline::event{ "batch_removed" }
+                        .with("batch", id)
+                        .with("verdict", store::name_of(r.what)));
+    const bool gone =
+      r.what == store::verdict::done || r.what == store::verdict::missing;
+    if (gone) {
+      self->forget(id);
+    } else if (auto* b = self->known(id)) {
+      b->removing = false;
+    }
+  });
+}
+
 } // namespace cactusford::batches
--- a/cactusford/batches/runs.cc
+++ b/cactusford/batches/runs.cc
@@ -157,8 +157,10 @@
   o.echo = { names.request_id, item.id };
   http::exchange_events events;
   const auto self = shared_from_this();
-  events.on_head = [self, id = b.stored.id, at = i.index, run = i.run](
-                     const http::head& h) { self->on_head(id, at, run, h); };
+  events.on_head =
+    [self, id = b.stored.id, at = i.index, run = i.run](const http::head& h) {
+      self->on_run_head(id, at, run, h);
+    };
   events.on_body = [self, id = b.stored.id, at = i.index, run = i.run](
                      std::string_view d) { self->on_body(id, at, run, d); };
   events.on_end = [self, id = b.stored.id, at = i.index, run = i.run](
@@ -182,10 +184,10 @@
 }
 
 void
-keeper::impl::on_head(const std::string& id,
-                      std::size_t at,
-                      std::uint64_t run,
-                      const http::head& h)
+keeper::impl::on_run_head(const std::string& id,
+                          std::size_t at,
+                          std::uint64_t run,
+                          const http::head& h)
 {
   auto* i = current_run(id, at, run);
   if (i == nullptr) {
--- a/cactusford/batches/state.cc
+++ b/cactusford/batches/state.cc
@@ -5,7 +5,10 @@
 void
 batch_state::set(batches::submission s, const std::string& version_line)
 {
+  has_submission = true;
   submission = std::move(s);
+  items.clear();
+  index_of.clear();
   items.resize(submission.items.size());
   for (std::size_t at = 0; at < items.size(); ++at) {
     items[at].index = at;
@@ -15,6 +18,16 @@
   recount();
 }
 
+void
+batch_state::release()
+{
+  has_submission = false;
+  submission = {};
+  items.clear();
+  index_of.clear();
+  missing.clear();
+}
+
 void
 batch_state::recount()
 {
--- a/cactusford/batches/state.h
+++ b/cactusford/batches/state.h
@@ -72,6 +72,9 @@
   // Fills in the submission.
   void set(submission s, const std::string& version_line);
 
+  // Drops the submission and its items: nothing is run any more.
+  void release();
+
   // Not ended, and something may be left to do.
   bool is_open() const;
 
@@ -87,6 +90,9 @@
   const item* find_item(const std::string& id) const;
 
   stored_batch stored;
+  bool has_submission = false;
+  // Called when the submission has been read, or could not be.
+  std::vector<std::function<void(bool)>> want_submission;
   batches::submission submission;
   std::vector<item_state> items;
   std::unordered_map<std::string, std::size_t> index_of;
