Calls to the store go round relays that are cut off too

The first relay answered that it did not reach the store, which counted as an outage for all, and it was asked again each time: an owner with 112 results whole listed none for 12 s. Change: a relay that is cut off is left for the next; the store counts as away when no path is left; owners of batches are relays too; an owner that is cut off says so when asked whether it lives, and an entry that is cut off takes nothing over. The test of an outage had one of two relays say so and expected no further try, which is this fault; now both say so.

--- a/cactusford/batches/keeper.cc
+++ b/cactusford/batches/keeper.cc
@@ -72,6 +72,7 @@
   b->stored = std::move(*s);
   b->owner_since_ms = http::now_ms();
   b->due_ms = due_of(*b);
+  note_owner(*b);
   const auto mine = accepting.find(o.name);
   if (mine != accepting.end()) {
     b->set(mine->second->submission, p.dialect.version_line);
@@ -80,6 +81,16 @@
   return b;
 }
 
+// An instance that owns batches may make calls to the store for this one.
+void
+keeper::impl::note_owner(const batch_state& b)
+{
+  const auto& address = b.stored.owner_address;
+  if (b.is_open() && !address.empty() && address != p.address) {
+    p.store.learn_relay(address);
+  }
+}
+
 // Begins what the store says is ours. One that is being accepted begins when
 // its write has been answered: then it is known that nothing is listed.
 void
@@ -126,6 +137,7 @@
   b.stored = std::move(s);
   if (new_owner) {
     b.owner_since_ms = http::now_ms();
+    note_owner(b);
     process::log_line(timeline::event{ "batch_owner" }
                         .with("batch", b.stored.id)
                         .with("owner", b.stored.owner)
@@ -250,7 +262,7 @@
       continue;
     }
     const auto silent = owner_silence(*b, now);
-    if (silent) {
+    if (silent && !p.store.is_cut_off(now)) {
       take_over(*b, *silent);
     }
   }
--- a/cactusford/batches/keeper_impl.h
+++ b/cactusford/batches/keeper_impl.h
@@ -58,6 +58,7 @@
   // Knowledge
   batch_state* known(const std::string& id);
   batch_state* learn(const store::object& o);
+  void note_owner(const batch_state& b);
   void own_ours(batch_state& b);
   void update(batch_state& b, stored_batch&& s);
   void close(batch_state& b);
--- a/cactusford/edge/edge.cc
+++ b/cactusford/edge/edge.cc
@@ -410,7 +410,9 @@
   const auto& request = c.request();
   const auto path = http::path_of(request.target);
   if (path == batches::peer_alive_path) {
-    c.respond(answer(200));
+    // An owner that reaches the store on no path can list nothing: another one
+    // should go on with its batches.
+    c.respond(answer(store.is_cut_off(http::now_ms()) ? 503 : 200));
   } else if (path.starts_with(batches::peer_ended_path)) {
     keeper.on_ended(
       std::string{ path.substr(batches::peer_ended_path.size()) });
--- a/cactusford/store/paths-test.cc
+++ b/cactusford/store/paths-test.cc
@@ -51,6 +51,7 @@
   auto t = make_paths(2);
   note_path(t, direct_path, path_end::failed, 0);
   note_path(t, 1, path_end::store_away, 0);
+  note_path(t, 2, path_end::store_away, 0);
   cr_assert_not(next_path(t, { direct_path, 1 }, 1));
   cr_assert_eq(*next_path(t, {}, 100), direct_path);
   cr_assert_not(next_path(t, { direct_path }, 100));
@@ -60,3 +61,29 @@
     cr_assert(next_path(t, { direct_path }, 201).has_value());
   }
 }
+
+// A partition cuts eight of twenty entries off the store, two of the three
+// relays among them. The first relay says that it does not reach the store.
+// Taken for an outage, it was asked again and again, and an owner that had all
+// results of a step whole could list none of them for twelve seconds.
+Test(paths, goes_round_relays_that_are_cut_off_too)
+{
+  auto t = make_paths(3);
+  note_path(t, direct_path, path_end::failed, 0);
+  note_path(t, 1, path_end::store_away, 1);
+  cr_assert_eq(*next_path(t, { direct_path, 1 }, 2), 2);
+  note_path(t, 2, path_end::store_away, 2);
+  cr_assert_not(next_path(t, { direct_path, 1, 2 }, 3), "three tries a call");
+  SECTION("the next call goes on where this one ended")
+  {
+    cr_assert_eq(*next_path(t, {}, 3), 3);
+    note_path(t, 3, path_end::answered, 4);
+    cr_assert_eq(*next_path(t, {}, 5), 3);
+  }
+  SECTION("and to relays that were learned meanwhile")
+  {
+    note_path(t, 3, path_end::failed, 4);
+    add_path(t);
+    cr_assert_eq(*next_path(t, {}, 5), 4);
+  }
+}
--- a/cactusford/store/paths.cc
+++ b/cactusford/store/paths.cc
@@ -11,6 +11,9 @@
 constexpr std::uint64_t avoid_direct_ms = 1500;
 constexpr std::uint64_t avoid_relay_ms = 4000;
 
+// A relay that does not reach the store may do so again as soon as we.
+constexpr std::uint64_t avoid_away_ms = 1500;
+
 // How long one try a call is enough.
 constexpr std::uint64_t away_ms = 700;
 
@@ -25,6 +28,12 @@
   return t;
 }
 
+void
+add_path(path_table& t)
+{
+  t.bad_until_ms.push_back(0);
+}
+
 std::optional<std::size_t>
 next_path(const path_table& t,
           const std::vector<std::size_t>& tried,
@@ -74,7 +83,14 @@
         now_ms + (path == direct_path ? avoid_direct_ms : avoid_relay_ms);
       return;
     case path_end::store_away:
-      t.away_until_ms = now_ms + away_ms;
+      // A partition may cut off some relays with us: one that is cut off as
+      // well says nothing of the others.
+      t.bad_until_ms[path] = now_ms + avoid_away_ms;
+      if (std::all_of(t.bad_until_ms.begin(),
+                      t.bad_until_ms.end(),
+                      [&](std::uint64_t until) { return until > now_ms; })) {
+        t.away_until_ms = now_ms + away_ms;
+      }
       return;
   }
 }
--- a/cactusford/store/paths.h
+++ b/cactusford/store/paths.h
@@ -25,8 +25,8 @@
   std::vector<std::uint64_t> bad_until_ms;
   // The path that is tried first; the others follow in turn.
   std::size_t first = direct_path;
-  // A relay that lives could not reach the store either: it is away for all,
-  // and more tries would only be more calls.
+  // No path is left: the relays that live could not reach the store either. It
+  // is away for all, and more tries would only be more calls.
   std::uint64_t away_until_ms = 0;
 
   friend bool operator==(const path_table&, const path_table&) = default;
@@ -35,6 +35,10 @@
 path_table
 make_paths(std::size_t relays, std::size_t first = direct_path);
 
+// One more relay is known.
+void
+add_path(path_table& t);
+
 // The path for the next try of a call that begins at `first`; nothing when it
 // should be given up.
 std::optional<std::size_t>
--- a/cactusford/store/shared_watches-test.cc
+++ b/cactusford/store/shared_watches-test.cc
@@ -38,7 +38,8 @@
   int calls = 0;
   std::vector<asker> all(20);
   for (auto& a : all) {
-    w.ask("t", 0, own, [&] { ++calls; }, a.handler());
+    w.ask(
+      "t", 0, own, [&] { ++calls; }, a.handler());
   }
   cr_assert_eq(calls, 1);
   w.settle("t", 10, http::end_state::complete, news, true);
@@ -48,14 +49,16 @@
   SECTION("one that comes a little later gets the same changes")
   {
     asker late;
-    w.ask("t", 100, own, [&] { ++calls; }, late.handler());
+    w.ask(
+      "t", 100, own, [&] { ++calls; }, late.handler());
     cr_assert_eq(late.answers, 1);
     cr_assert_eq(calls, 1);
   }
   SECTION("much later they may be out of date")
   {
     asker late;
-    w.ask("t", 10 + store::reuse_ms, own, [&] { ++calls; }, late.handler());
+    w.ask(
+      "t", 10 + store::reuse_ms, own, [&] { ++calls; }, late.handler());
     cr_assert_eq(late.answers, 0);
     cr_assert_eq(calls, 2);
   }
@@ -68,10 +71,12 @@
   shared_watches w;
   int calls = 0;
   asker first;
-  w.ask("t", 0, own, [&] { ++calls; }, first.handler());
+  w.ask(
+    "t", 0, own, [&] { ++calls; }, first.handler());
   w.settle("t", 1000, http::end_state::complete, { 200, {}, "" }, false);
   asker again;
-  w.ask("t", 1001, own, [&] { ++calls; }, again.handler());
+  w.ask(
+    "t", 1001, own, [&] { ++calls; }, again.handler());
   cr_assert_eq(again.answers, 0);
   cr_assert_eq(calls, 2);
 }
@@ -84,13 +89,16 @@
   int calls = 0;
   asker a;
   asker b;
-  w.ask("t", 0, own, [&] { ++calls; }, a.handler());
-  w.ask("t", 0, own, [&] { ++calls; }, b.handler());
+  w.ask(
+    "t", 0, own, [&] { ++calls; }, a.handler());
+  w.ask(
+    "t", 0, own, [&] { ++calls; }, b.handler());
   w.settle("t", 5, http::end_state::cut, {}, false);
   cr_assert_eq(a.answers + b.answers, 2);
   cr_assert(b.end == http::end_state::cut);
   asker later;
-  w.ask("t", 6, own, [&] { ++calls; }, later.handler());
+  w.ask(
+    "t", 6, own, [&] { ++calls; }, later.handler());
   cr_assert_eq(later.answers, 0);
 }
 
@@ -100,8 +108,10 @@
   int calls = 0;
   asker a;
   asker b;
-  w.ask("t?since=1", 0, own, [&] { ++calls; }, a.handler());
-  w.ask("t?since=2", 0, own, [&] { ++calls; }, b.handler());
+  w.ask(
+    "t?since=1", 0, own, [&] { ++calls; }, a.handler());
+  w.ask(
+    "t?since=2", 0, own, [&] { ++calls; }, b.handler());
   cr_assert_eq(calls, 2);
   w.settle("t?since=1", 5, http::end_state::complete, news, true);
   cr_assert_eq(a.answers, 1);
@@ -116,12 +126,10 @@
   int calls = 0;
   asker mine;
   asker other;
-  w.ask("t", 0, own, [&] { ++calls; }, mine.handler());
-  w.ask("t",
-        0,
-        shared_watches::origin::relayed,
-        [&] { ++calls; },
-        other.handler());
+  w.ask(
+    "t", 0, own, [&] { ++calls; }, mine.handler());
+  w.ask(
+    "t", 0, shared_watches::origin::relayed, [&] { ++calls; }, other.handler());
   cr_assert_eq(w.take_relayed().size(), 1);
   w.settle("t", 5, http::end_state::complete, news, true);
   cr_assert_eq(mine.answers, 1);
--- a/cactusford/store/store.cc
+++ b/cactusford/store/store.cc
@@ -4,6 +4,7 @@
 
 #include <asio/post.hpp>
 
+#include <algorithm>
 #include <random>
 #include <utility>
 
@@ -21,6 +22,13 @@
 // A relay adds its own wait for the store.
 constexpr std::uint64_t relay_extra_ms = 300;
 
+// Relays that are kept in mind, those of the settings included. A partition
+// that cuts off all of them cuts off most instances.
+constexpr std::size_t most_relays = 8;
+
+// A little more than a shared watch takes to be found silent.
+constexpr std::uint64_t cut_off_ms = 2500;
+
 // Relays between an instance and the store, for a watch. Lists of relays may
 // differ, and two that each take the other for the first would go on for ever.
 constexpr std::uint64_t most_hops = 2;
@@ -145,6 +153,23 @@
   first_watch_path_ = first_watch_path(settings_);
 }
 
+void
+client::learn_relay(const std::string& address)
+{
+  auto& all = settings_.relays;
+  const bool known = std::find(all.begin(), all.end(), address) != all.end();
+  if (!known && all.size() < most_relays) {
+    all.push_back(address);
+    add_path(paths_);
+  }
+}
+
+bool
+client::is_cut_off(std::uint64_t now_ms) const
+{
+  return lost_ && now_ms - last_answer_ms_ >= cut_off_ms;
+}
+
 void
 client::perform(const call& c, handler done)
 {
--- a/cactusford/store/store.h
+++ b/cactusford/store/store.h
@@ -155,6 +155,10 @@
   void use_relays(std::vector<std::string> relays,
                   std::optional<std::size_t> rank);
 
+  // One more instance that may make calls for this one, beside those of the
+  // settings: they may all be cut off with it.
+  void learn_relay(const std::string& address);
+
   // Makes the call of another instance and answers with what the store said.
   void relay(const http::call& caller);
 
@@ -164,6 +168,9 @@
   // The last answer of the store, on the steady clock; 0 before the first.
   std::uint64_t last_answer_ms() const { return last_answer_ms_; }
 
+  // No path has reached the store for a while.
+  bool is_cut_off(std::uint64_t now_ms) const;
+
   std::uint64_t calls() const { return calls_; }
   std::uint64_t relayed() const { return relayed_; }
 
--- a/tests/store-test.cc
+++ b/tests/store-test.cc
@@ -58,15 +58,14 @@
       io,
       *store,
       store::watch_settings{ "things", wait_ms, 0, true },
-      store::watch_events{ [this](std::vector<store::object>&& all) {
-                            for (const auto& o : all) {
-                              seen.insert(o.name);
-                            }
-                          },
-                           [this](store::change&& c) {
-                             seen.insert(c.value.name);
-                           },
-                           {} });
+      store::watch_events{
+        [this](std::vector<store::object>&& all) {
+          for (const auto& o : all) {
+            seen.insert(o.name);
+          }
+        },
+        [this](store::change&& c) { seen.insert(c.value.name); },
+        {} });
     watcher->start();
   }
 };
