--- a/cactusford/batches/placement.h
+++ b/cactusford/batches/placement.h
@@ -3,9 +3,9 @@
 // Pattern: a trainer submits a step of about a hundred items every few seconds,
 // each time at another entry, and the next step's unfinished groups come again.
 // An entry that runs a trainer's steps one after the other keeps its hundred
-// connections to the engines, the pace that it has seen of them, and the text of
-// the items that come again; one that starts anew opens a connection for nearly
-// every item. Entries differ in size by a factor of five.
+// connections to the engines, the pace that it has seen of them, and the text
+// of the items that come again; one that starts anew opens a connection for
+// nearly every item. Entries differ in size by a factor of five.
 #pragma once
 
 #include <cstdint>
--- a/standins/object_store.cc
+++ b/standins/object_store.cc
@@ -143,6 +143,67 @@
   return j.dump();
 }
 
+routes::route
+route_from(const json& j)
+{
+  routes::route r;
+  r.name = j.at("name").get<std::string>();
+  r.host = "h";
+  r.path_prefix = j.at("prefix").get<std::string>();
+  r.kind = static_cast<routes::call_kind>(j.at("kind").get<int>());
+  r.services = { { j.at("service").get<std::string>(), 1 } };
+  r.max_attempts = j.at("attempts").get<std::uint32_t>();
+  r.timeout_ms = j.value("timeout_ms", r.timeout_ms);
+  r.due_ms = j.value("due_ms", r.due_ms);
+  r.give_up_ms = j.value("give_up_ms", r.give_up_ms);
+  return r;
+}
+
+std::optional<routes::table>
+table_from(const store::object& o)
+{
+  routes::table t;
+  t.version = o.spec.at("version").get<std::uint64_t>();
+  for (const auto& r : o.spec.at("routes")) {
+    t.routes.push_back(route_from(r));
+  }
+  return t;
+}
+
+std::optional<backends::announcement>
+announcement_from(const store::object& o)
+{
+  backends::announcement a;
+  a.id = o.name;
+  a.service = o.spec.at("service").get<std::string>();
+  a.address = o.spec.at("address").get<std::string>();
+  a.slots = o.spec.at("slots").get<std::uint32_t>();
+  a.versions["m"] = o.spec.value("version", std::uint64_t{ 0 });
+  return a;
+}
+
+// GET /batches/ID?after=N&wait=MS and DELETE /batches/ID.
+edge::batch_request
+batch_request_from(const http::request& r)
+{
+  constexpr std::string_view prefix = "/batches/";
+  edge::batch_request b;
+  const auto path = http::path_of(r.target);
+  if (!path.starts_with(prefix)) {
+    return b;
+  }
+  b.id = path.substr(prefix.size());
+  b.what = r.method == "DELETE" ? edge::batch_operation::end
+                                : edge::batch_operation::read_results;
+  const auto value = [&](std::string_view key) {
+    const auto text = http::query_value(r.target, key).value_or("0");
+    return http::parse_number(text).value_or(0);
+  };
+  b.after = value("after");
+  b.wait_ms = value("wait");
+  return b;
+}
+
 } // namespace
 
 edge::dialect
@@ -167,6 +228,9 @@
     }
   };
   d.encode_page = encode_page;
+  d.table_from = table_from;
+  d.announcement_from = announcement_from;
+  d.batch_request_from = batch_request_from;
   d.load_from = [](std::string_view) {
     return std::optional<backends::reported_load>{};
   };
