Reads never wait

Change: sockets are non-blocking, and a read that finds nothing waits again. Test: failed by its timeout before.

--- a/cactusford/http/client.cc
+++ b/cactusford/http/client.cc
@@ -277,6 +277,10 @@
                       auto& buffer = read_buffer();
                       const auto size =
                         self->socket.read_some(asio::buffer(buffer), ec);
+                      if (is_early(ec)) {
+                        self->read();
+                        return;
+                      }
                       if (ec) {
                         self->on_read_error(ec);
                         return;
--- a/cactusford/http/server.cc
+++ b/cactusford/http/server.cc
@@ -145,6 +145,10 @@
                       if (!ec) {
                         size = self->socket.read_some(asio::buffer(buffer), ec);
                       }
+                      if (is_early(ec)) {
+                        self->read();
+                        return;
+                      }
                       if (ec) {
                         self->lose();
                         return;
--- a/cactusford/http/socket.cc
+++ b/cactusford/http/socket.cc
@@ -58,6 +58,16 @@
   set_option(socket, IPPROTO_TCP, TCP_KEEPINTVL, probe_every_s);
   set_option(socket, IPPROTO_TCP, TCP_KEEPCNT, probe_count);
   set_option(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, unacknowledged_limit_ms);
+  // A wait for bytes may end without any. A read that then waited for them
+  // would hold up the one thread, and with it every other connection, for ever.
+  asio::error_code ignored;
+  socket.non_blocking(true, ignored);
+}
+
+bool
+is_early(const asio::error_code& ec)
+{
+  return ec == asio::error::would_block || ec == asio::error::try_again;
 }
 
 std::uint64_t
--- a/cactusford/http/socket.h
+++ b/cactusford/http/socket.h
@@ -14,10 +14,15 @@
 std::optional<asio::ip::tcp::endpoint>
 endpoint_from(std::string_view address);
 
-// Sends small messages at once, and notices a peer that has gone silent.
+// Sends small messages at once, notices a peer that has gone silent, and never
+// waits in a read.
 void
 tune(asio::ip::tcp::socket& socket);
 
+// A read found no bytes yet: to be tried again.
+bool
+is_early(const asio::error_code& ec);
+
 // Milliseconds of the steady clock.
 std::uint64_t
 now_ms();
