--- a/cactusford/orders/load_plan-test.cc
+++ b/cactusford/orders/load_plan-test.cc
@@ -56,10 +56,10 @@
   }
   SECTION("few at the same time")
   {
-    const auto first = delay_ms(load_time::when_idle, { 0 });
+    const auto first = delay_ms(load_time::when_idle, 1, { 0 });
     cr_assert_geq(first, 1000, "not in the beginning");
-    cr_assert_eq(delay_ms(load_time::when_idle, { 1 }), first);
-    cr_assert_gt(delay_ms(load_time::when_idle, { 2 }), first);
+    cr_assert_eq(delay_ms(load_time::when_idle, 1, { 1 }), first);
+    cr_assert_gt(delay_ms(load_time::when_idle, 1, { 2 }), first);
   }
 }
 
--- a/cactusford/orders/load_plan.cc
+++ b/cactusford/orders/load_plan.cc
@@ -3,6 +3,7 @@
 #include "cactusford/http/message.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace cactusford::orders {
 
@@ -19,6 +20,11 @@
 // Waiting longer than this would let a step meet engines that are too old.
 constexpr std::uint64_t longest_delay_ms = 2000;
 
+// With many trainers a quarter of all engines is due at each naming, and of 38
+// engines 8 load at the same time: about ten loads take little more than the
+// time of one.
+constexpr double many_models_spread_ms = 1000;
+
 // An engine that is too old for the younger step waits this long at most.
 constexpr std::uint64_t longest_quiet_wait_ms = 1600;
 
@@ -36,6 +42,17 @@
   return h;
 }
 
+// Where in the row of loads this place stands, from 0 to 1. Multiples of the
+// golden ratio spread any number of engines evenly without their number being
+// known.
+double
+turn_of(const place& p)
+{
+  constexpr double golden = 0.6180339887498949;
+  const auto turn = golden * p.index;
+  return turn - std::floor(turn);
+}
+
 } // namespace
 
 place
@@ -98,12 +115,15 @@
 }
 
 std::uint64_t
-delay_ms(load_time t, const place& p)
+delay_ms(load_time t, std::size_t models, const place& p)
 {
   if (t == load_time::when_idle) {
     const auto turn = p.index / loads_at_once;
     return step_begin_ms + std::min(turn * load_ms, longest_idle_delay_ms);
   }
+  if (models > models_kept) {
+    return static_cast<std::uint64_t>(turn_of(p) * many_models_spread_ms);
+  }
   const auto turn = p.index / halves / loads_at_once;
   return std::min(turn * load_ms, longest_delay_ms);
 }
--- a/cactusford/orders/load_plan.h
+++ b/cactusford/orders/load_plan.h
@@ -73,9 +73,10 @@
 bool
 waits_for_quiet(load_time t, std::uint64_t since_naming_ms, const place& p);
 
-// How long after the naming it starts at the earliest, so that few load at the
-// same time and the beginning of a step is left alone, in milliseconds.
+// How long after the naming an engine of `models` models starts at the
+// earliest, so that few load at the same time and the beginning of a step is
+// left alone, in milliseconds.
 std::uint64_t
-delay_ms(load_time t, const place& p);
+delay_ms(load_time t, std::size_t models, const place& p);
 
 } // namespace cactusford::orders
--- a/cactusford/orders/loader.cc
+++ b/cactusford/orders/loader.cc
@@ -132,7 +132,8 @@
     if (when == load_time::never) {
       continue;
     }
-    const auto due = n.since_ms + delay_ms(when, settings_.where);
+    const auto due =
+      n.since_ms + delay_ms(when, r.versions.size(), settings_.where);
     if (due > now) {
       next = std::min(next, due - now);
       continue;
--- a/soak/judge.cc
+++ b/soak/judge.cc
@@ -172,8 +172,7 @@
 judge::finish()
 {
   for (const auto& [id, b] : batches_) {
-    if (b.accepted && b.ended_ms == 0 &&
-        b.positions.size() != b.items.size()) {
+    if (b.accepted && b.ended_ms == 0 && b.positions.size() != b.items.size()) {
       broken("lost",
              id + " has " + std::to_string(b.positions.size()) + " of " +
                std::to_string(b.items.size()) + " results");
--- a/soak/main.cc
+++ b/soak/main.cc
@@ -29,8 +29,20 @@
   char* folder = nullptr;
   const poptOption options[] = {
     { "seed", 0, POPT_ARG_INT, &c.seed, 0, "the first seed", "N" },
-    { "seeds", 0, POPT_ARG_INT, &c.seeds, 0, "how many, one after the other", "N" },
-    { "seconds", 0, POPT_ARG_INT, &c.seconds, 0, "of faults, for each seed", "S" },
+    { "seeds",
+      0,
+      POPT_ARG_INT,
+      &c.seeds,
+      0,
+      "how many, one after the other",
+      "N" },
+    { "seconds",
+      0,
+      POPT_ARG_INT,
+      &c.seconds,
+      0,
+      "of faults, for each seed",
+      "S" },
     { "entries", 0, POPT_ARG_INT, &c.entries, 0, "entry processes", "N" },
     { "engines", 0, POPT_ARG_INT, &c.engines, 0, "stand-ins of engines", "N" },
     { "folder", 0, POPT_ARG_STRING, &folder, 0, "where the logs go", "PATH" },
@@ -44,7 +56,8 @@
                    0);
   const int rc = poptGetNextOpt(context);
   if (rc < -1) {
-    c.wrong = std::string{ poptBadOption(context, 0) } + ": " + poptStrerror(rc);
+    c.wrong =
+      std::string{ poptBadOption(context, 0) } + ": " + poptStrerror(rc);
   }
   poptFreeContext(context);
   if (folder != nullptr) {
--- a/soak/plan.cc
+++ b/soak/plan.cc
@@ -26,10 +26,10 @@
 name_of(fault_kind k) noexcept
 {
   constexpr std::array<std::string_view, fault_kinds> names{
-    "kill_entry",   "stop_entry",         "pause_entry",    "reload_entry",
-    "kill_all",     "delay_store",        "reset_store",    "cut_store_one_way",
-    "silence_store", "delay_engine",      "reset_engine",   "cut_engine_one_way",
-    "silence_engine", "refuse_store",     "lose_answers",   "compact_store",
+    "kill_entry",     "stop_entry",   "pause_entry",  "reload_entry",
+    "kill_all",       "delay_store",  "reset_store",  "cut_store_one_way",
+    "silence_store",  "delay_engine", "reset_engine", "cut_engine_one_way",
+    "silence_engine", "refuse_store", "lose_answers", "compact_store",
   };
   return names.at(static_cast<std::size_t>(k));
 }
--- a/soak/world.cc
+++ b/soak/world.cc
@@ -49,9 +49,8 @@
 free_port(asio::io_context& io)
 {
   using asio::ip::tcp;
-  const tcp::acceptor a{
-    io, tcp::endpoint{ asio::ip::address_v4::loopback(), 0 }
-  };
+  const tcp::acceptor a{ io,
+                         tcp::endpoint{ asio::ip::address_v4::loopback(), 0 } };
   return a.local_endpoint().port();
 }
 
@@ -100,15 +99,17 @@
   : options_{ std::move(o) }
   , random_{ options_.plan.seed }
   , store_{ io_ }
-  , service_{ io_, {}, [this](const http::call& c) {
-               const auto& fields = c.request().fields;
-               const auto id =
-                 std::string{ http::find(fields, "Id").value_or("") };
-               judge_.on_call_run(id);
-               c.respond({ 200,
-                           { { "Id", id }, { "Signature", "sig-" + id } },
-                           "answer-" + id });
-             } }
+  , service_{ io_,
+              {},
+              [this](const http::call& c) {
+                const auto& fields = c.request().fields;
+                const auto id =
+                  std::string{ http::find(fields, "Id").value_or("") };
+                judge_.on_call_run(id);
+                c.respond({ 200,
+                            { { "Id", id }, { "Signature", "sig-" + id } },
+                            "answer-" + id });
+              } }
   , callers_{ io_ }
 {
   std::filesystem::create_directories(options_.folder);
@@ -141,19 +142,24 @@
     trainers_.push_back(std::make_unique<trainer>());
   }
   const auto route = [](const char* name, const char* service, int kind) {
-    return json{ { "name", name },      { "prefix", std::string{ "/" } + name + "/" },
-                 { "service", service }, { "kind", kind },
-                 { "attempts", 3 },      { "timeout_ms", 2000 },
-                 { "due_ms", 3000 },     { "give_up_ms", 600000 } };
+    return json{
+      { "name", name },       { "prefix", std::string{ "/" } + name + "/" },
+      { "service", service }, { "kind", kind },
+      { "attempts", 3 },      { "timeout_ms", 2000 },
+      { "due_ms", 3000 },     { "give_up_ms", 600000 }
+    };
   };
   using routes::call_kind;
-  store_.put("configuration",
-             "main",
-             { { "version", 1 },
-               { "routes",
-                 { route("b", "engines", static_cast<int>(call_kind::rollout)),
-                   route("score", "scorers", static_cast<int>(call_kind::idempotent)),
-                   route("call", "calls", static_cast<int>(call_kind::non_idempotent)) } } });
+  store_.put(
+    "configuration",
+    "main",
+    { { "version", 1 },
+      { "routes",
+        { route("b", "engines", static_cast<int>(call_kind::rollout)),
+          route("score", "scorers", static_cast<int>(call_kind::idempotent)),
+          route("call",
+                "calls",
+                static_cast<int>(call_kind::non_idempotent)) } } });
   const auto announce = [&](const std::string& id,
                             const char* service,
                             const std::string& address) {
@@ -193,23 +199,24 @@
     peers.push_back(entries_[i]->peer);
   }
   e.settings = options_.folder + "/" + e.name + ".json";
-  std::ofstream{ e.settings } << json{ { "instance", e.name },
-                                       { "data_centre", "a" },
-                                       { "callers", e.callers },
-                                       { "peer", e.peer },
-                                       { "store", e.to_store->address() },
-                                       { "grace_s", 3 },
-                                       { "peers", peers } }
-                                   .dump();
+  std::ofstream{ e.settings } << json{
+    { "instance", e.name },
+    { "data_centre", "a" },
+    { "callers", e.callers },
+    { "peer", e.peer },
+    { "store", e.to_store->address() },
+    { "grace_s", 3 },
+    { "peers", peers }
+  }.dump();
 }
 
 void
 world::start(entry& e)
 {
   write_settings(e);
-  e.pid = standins::spawn_program(
-    { options_.program, "--settings", e.settings },
-    options_.folder + "/" + e.name + ".log");
+  e.pid =
+    standins::spawn_program({ options_.program, "--settings", e.settings },
+                            options_.folder + "/" + e.name + ".log");
 }
 
 // Entries that ended are started again when it is time.
@@ -235,8 +242,8 @@
 void
 world::after(std::uint64_t ms, std::function<void()> run)
 {
-  auto t = std::make_shared<asio::steady_timer>(
-    io_, std::chrono::milliseconds{ ms });
+  auto t =
+    std::make_shared<asio::steady_timer>(io_, std::chrono::milliseconds{ ms });
   t->async_wait([t, run = std::move(run)](asio::error_code ec) {
     if (!ec) {
       run();
@@ -402,9 +409,9 @@
         read(t);
         return;
       }
-      const bool not_run = end == http::end_state::not_sent ||
-                           (end == http::end_state::complete &&
-                            a.status == refused);
+      const bool not_run =
+        end == http::end_state::not_sent ||
+        (end == http::end_state::complete && a.status == refused);
       t.only_refused = t.only_refused && not_run;
       const bool gives_up = t.only_refused && random_() % give_up_of == 0;
       if (gives_up || (winding_up_ && t.only_refused)) {
@@ -427,8 +434,8 @@
   const auto from = random_() % 4 == 0 ? 0 : t.next;
   const auto asked = http::now_ms();
   const http::request r{ "GET",
-                         "/batches/" + t.batch + "?after=" +
-                           std::to_string(from) + "&wait=500",
+                         "/batches/" + t.batch +
+                           "?after=" + std::to_string(from) + "&wait=500",
                          { { "Host", "h" } },
                          "" };
   http::exchange_options o;
@@ -451,13 +458,14 @@
           page.is_object()) {
         std::vector<seen_result> results;
         for (const auto& x : page.at("results")) {
-          results.push_back({ x.at("id"), x.at("done"), x.at("text"), x.at("score") });
+          results.push_back(
+            { x.at("id"), x.at("done"), x.at("text"), x.at("score") });
         }
         judge_.on_page(t.batch, asked, http::now_ms(), from, results);
         t.next = judge_.shown(t.batch);
       }
-      const bool early =
-        !winding_up_ && t.next > 0 && random_() % (early_end_of * items_of_step) == 0;
+      const bool early = !winding_up_ && t.next > 0 &&
+                         random_() % (early_end_of * items_of_step) == 0;
       if (t.next == items_of_step || early) {
         end_batch(t);
         return;
@@ -513,17 +521,17 @@
   };
   http::exchange_options o;
   o.timeout_ms = answer_limit_ms;
-  callers_.fetch(any_entry().callers,
-                 r,
-                 o,
-                 [this, id](http::end_state end, http::response&& a) {
-                   if (end == http::end_state::complete) {
-                     const auto signature = std::string{
-                       http::find(a.fields, "Signature").value_or("")
-                     };
-                     judge_.on_call_answer(id, a.status, a.body, signature);
-                   }
-                 });
+  callers_.fetch(
+    any_entry().callers,
+    r,
+    o,
+    [this, id](http::end_state end, http::response&& a) {
+      if (end == http::end_state::complete) {
+        const auto signature =
+          std::string{ http::find(a.fields, "Signature").value_or("") };
+        judge_.on_call_answer(id, a.status, a.body, signature);
+      }
+    });
   after(call_gap_ms, [this] { call_plain(); });
 }
 
@@ -541,9 +549,8 @@
 bool
 world::all_work_done() const
 {
-  return std::all_of(trainers_.begin(), trainers_.end(), [](const auto& t) {
-    return t->idle;
-  });
+  return std::all_of(
+    trainers_.begin(), trainers_.end(), [](const auto& t) { return t->idle; });
 }
 
 void
