--- a/cactusford/http/socket-test.cc
+++ b/cactusford/http/socket-test.cc
@@ -11,8 +11,8 @@
 
 // The system says that bytes have come, and there are none: another wait on the
 // same socket took them, or the notice was about something else. A server that
-// then reads must not wait there. It once did: one entry of a soak run, and with
-// it each of its callers, stood still until it was killed.
+// then reads must not wait there. It once did: one entry of a soak run, and
+// with it each of its callers, stood still until it was killed.
 Test(socket, never_waits_in_a_read, .timeout = 10)
 {
   asio::io_context io;
--- a/soak/world.cc
+++ b/soak/world.cc
@@ -44,15 +44,28 @@
   return "127.0.0.1:" + std::to_string(port);
 }
 
-// A port that is free now. The entry that is told to use it starts at once.
-std::uint16_t
-free_port(asio::io_context& io)
+// Ports that are free now, held until all others of this process are bound: one
+// of ours would else get the port that an entry was told to use.
+class reserved_ports
 {
-  using asio::ip::tcp;
-  const tcp::acceptor a{ io,
-                         tcp::endpoint{ asio::ip::address_v4::loopback(), 0 } };
-  return a.local_endpoint().port();
-}
+public:
+  explicit reserved_ports(asio::io_context& io)
+    : io_{ io }
+  {
+  }
+
+  std::string next()
+  {
+    using asio::ip::tcp;
+    const tcp::endpoint any{ asio::ip::address_v4::loopback(), 0 };
+    held_.emplace_back(io_, any);
+    return address_of(held_.back().local_endpoint().port());
+  }
+
+private:
+  asio::io_context& io_;
+  std::vector<asio::ip::tcp::acceptor> held_;
+};
 
 } // namespace
 
@@ -126,6 +139,7 @@
     const bool lose = losing_ && write && random_() % lost_of == 0;
     return lose ? fault::lose_answer : fault::none;
   };
+  reserved_ports ports{ io_ };
   for (std::size_t i = 0; i < options_.plan.engines; ++i) {
     engines_.push_back(
       std::make_unique<engine>(io_, "engine-" + std::to_string(i)));
@@ -133,8 +147,8 @@
   for (std::size_t i = 0; i < options_.plan.entries; ++i) {
     auto e = std::make_unique<entry>();
     e->name = "entry-" + std::to_string(i);
-    e->callers = address_of(free_port(io_));
-    e->peer = address_of(free_port(io_));
+    e->callers = ports.next();
+    e->peer = ports.next();
     e->to_store = std::make_unique<proxy>(io_, store_.address());
     entries_.push_back(std::move(e));
   }
--- a/standins/object_store.cc
+++ b/standins/object_store.cc
@@ -342,7 +342,7 @@
 object_store::serve(const http::call& c)
 {
   const auto j = json::parse(c.request().body, nullptr, false);
-  if (!j.is_object()) {
+  if (!j.is_object() || !j.contains("op")) {
     c.respond({ 400, {}, "" });
     return;
   }
