No takeover while the store is away for all

Owners said that they could not list, as they do since they may be cut off alone; all other entries began takeovers, which were carried out when the store was back: steps went on from text that was 5 s old. Change: whoever begins a takeover has heard from the store within 1.3 s.

--- a/cactusford/batches/keeper.cc
+++ b/cactusford/batches/keeper.cc
@@ -20,6 +20,11 @@
 // in its memory.
 constexpr std::uint64_t owner_refused_ms = 500;
 
+// A takeover is a write: whoever begins one has heard from the store within
+// this time. Watches bring an answer each second. While the store is away for
+// all, the owner's memory is the best there is.
+constexpr std::uint64_t store_answer_age_ms = 1300;
+
 // Spread of the takeovers by several instances, so that one write wins before
 // the others are tried.
 constexpr std::uint64_t takeover_spread_ms = 300;
@@ -262,7 +267,7 @@
       continue;
     }
     const auto silent = owner_silence(*b, now);
-    if (silent && !p.store.is_cut_off(now)) {
+    if (silent && now - p.store.last_answer_ms() <= store_answer_age_ms) {
       take_over(*b, *silent);
     }
   }
--- a/tests/batches-test.cc
+++ b/tests/batches-test.cc
@@ -118,10 +118,14 @@
         unanswered.push_back(c);
       } else {
         ++alive_answers;
-        c.respond({ 200, {}, "" });
+        c.respond({ keeper->can_own() ? 200 : 503, {}, "" });
       }
       return;
     }
+    if (path == store::relay_path) {
+      store.relay(c);
+      return;
+    }
     if (path.starts_with(batches::peer_given_path)) {
       keeper->on_given(
         std::string{ path.substr(batches::peer_given_path.size()) },
@@ -576,6 +580,27 @@
   cr_assert(w.read_whole(acceptor, 4) == listed);
 }
 
+// The store is silent for everybody. The owner cannot list, and says so; it
+// holds seconds of text that nobody else has. Another entry that took the batch
+// over when the store is back would begin from text that was kept before.
+Test(batches, stay_with_their_owner_while_the_store_is_away_for_all)
+{
+  world w{ 2 };
+  w.engine.events = 100000;
+  w.call(*w.entries[0], "POST", submission(2));
+  w.run_until([&] { return w.engine.streaming == 2; });
+  w.store.faults = [](const store::call&) {
+    return object_store::fault::silent;
+  };
+  constexpr std::uint64_t away_ms = 5000;
+  const auto back = http::now_ms() + away_ms;
+  w.run_until([&] { return http::now_ms() >= back; });
+  w.store.faults = nullptr;
+  const auto calls = w.store.calls();
+  w.run_until([&] { return w.store.calls() > calls + 20; });
+  cr_assert_eq(w.owner(), "entry-0");
+}
+
 // A planned stop: the batch is given away at once with its text, and no reader
 // waits for the silence of its owner.
 Test(batches, gives_its_batches_away_when_it_leaves)
--- a/tests/edge-test.cc
+++ b/tests/edge-test.cc
@@ -39,8 +39,7 @@
   const tcp::endpoint any{ asio::ip::address_v4::loopback(), 0 };
   std::vector<tcp::acceptor> held;
   const auto next = [&] {
-    return static_cast<int>(
-      held.emplace_back(io, any).local_endpoint().port());
+    return static_cast<int>(held.emplace_back(io, any).local_endpoint().port());
   };
   ports p;
   p.callers = next();
@@ -57,9 +56,12 @@
   const auto folder = std::string{ CACTUSFORD_BINARY } + "/tests/edge";
   std::filesystem::create_directories(folder);
   const auto at = [](int port) { return "127.0.0.1:" + std::to_string(port); };
-  json s{ { "instance", "entry" },        { "data_centre", "a" },
-          { "callers", at(p.callers) }, { "metrics", at(p.metrics) },
-          { "peer", at(p.peer) },       { "store", "127.0.0.1:9" },
+  json s{ { "instance", "entry" },
+          { "data_centre", "a" },
+          { "callers", at(p.callers) },
+          { "metrics", at(p.metrics) },
+          { "peer", at(p.peer) },
+          { "store", "127.0.0.1:9" },
           { "grace_s", 3 } };
   s.merge_patch(extra);
   const auto path = folder + "/" + name + ".json";
@@ -100,8 +102,8 @@
 
 } // namespace
 
-// The store is away when the entry starts. It knows no route yet, so a caller is
-// told to come back, not that there is no such route; the metrics count it.
+// The store is away when the entry starts. It knows no route yet, so a caller
+// is told to come back, not that there is no such route; the metrics count it.
 Test(edge, refuses_before_it_knows_a_configuration)
 {
   const auto p = choose_ports();
@@ -128,13 +130,15 @@
 Test(edge, checks_its_settings)
 {
   const auto p = choose_ports();
-  cr_assert_eq(exit_code(start(
-                 { "--settings", write_settings("good", p), "--check-settings" })),
-               0);
+  cr_assert_eq(
+    exit_code(
+      start({ "--settings", write_settings("good", p), "--check-settings" })),
+    0);
   SECTION("what is wrong ends it before it serves anybody")
   {
     const auto bad = write_settings("bad", p, { { "capacity", -1 } });
-    cr_assert_eq(exit_code(start({ "--settings", bad, "--check-settings" })), 2);
+    cr_assert_eq(exit_code(start({ "--settings", bad, "--check-settings" })),
+                 2);
     cr_assert_eq(exit_code(start({ "--settings", bad })), 2);
     cr_assert_eq(exit_code(start({ "--settings", "/nowhere.json" })), 2);
   }
