--- a/cactusford/batches/keeper.cc
+++ b/cactusford/batches/keeper.cc
@@ -216,7 +216,13 @@
              : std::nullopt;
   }
   const auto& address = b.stored.owner_address;
-  const auto seen = std::max(owner_seen[address], b.owner_since_ms);
+  // One that lives and says that it reaches no store may be cut off alone, or
+  // the store was away for all. It has the usual time to find it again from
+  // when this instance did.
+  const bool lives = now - owner_cut_off[address] <= owner_silence_ms;
+  const auto seen = std::max({ owner_seen[address],
+                               b.owner_since_ms,
+                               lives ? store_there_since_ms : 0 });
   const auto refused = owner_refused[address];
   if (refused > seen && now - seen > owner_refused_ms + spread) {
     return "owner_refused";
@@ -226,6 +232,17 @@
            : std::nullopt;
 }
 
+void
+keeper::impl::note_store(std::uint64_t now)
+{
+  const bool there = now - p.store.last_answer_ms() <= store_answer_age_ms;
+  if (!there) {
+    store_there_since_ms = 0;
+  } else if (store_there_since_ms == 0) {
+    store_there_since_ms = now;
+  }
+}
+
 void
 keeper::impl::tick()
 {
@@ -237,6 +254,7 @@
   });
   const auto now = http::now_ms();
   note_alive(now);
+  note_store(now);
   ask_owners(now);
   remove_expired(now);
   bool waiting = false;
@@ -267,7 +285,7 @@
       continue;
     }
     const auto silent = owner_silence(*b, now);
-    if (silent && now - p.store.last_answer_ms() <= store_answer_age_ms) {
+    if (silent && store_there_since_ms != 0) {
       take_over(*b, *silent);
     }
   }
--- a/cactusford/batches/keeper_impl.h
+++ b/cactusford/batches/keeper_impl.h
@@ -110,6 +110,7 @@
   void doubt(batch_state& b, std::string_view why);
   void verify(batch_state& b);
   void note_alive(std::uint64_t now);
+  void note_store(std::uint64_t now);
 
   // Runs
   void plan_soon();
@@ -185,7 +186,11 @@
   // When an owner's address last answered, on the steady clock.
   std::map<std::string, std::uint64_t> owner_seen;
   std::map<std::string, std::uint64_t> owner_refused;
+  // When it last said that it lives and reaches no store.
+  std::map<std::string, std::uint64_t> owner_cut_off;
   std::map<std::string, bool> owner_asked;
+  // Since when the store answers this instance; 0: it does not.
+  std::uint64_t store_there_since_ms = 0;
   std::uint64_t last_ask = 0;
   // When this process last looked at the clock.
   std::uint64_t alive_ms = 0;
--- a/cactusford/batches/ownership.cc
+++ b/cactusford/batches/ownership.cc
@@ -342,6 +342,8 @@
                    const auto then = http::now_ms();
                    if (end == http::end_state::complete && a.status == 200) {
                      self->owner_seen[address] = then;
+                   } else if (end == http::end_state::complete) {
+                     self->owner_cut_off[address] = then;
                    } else if (end == http::end_state::not_sent &&
                               then - now < refusal_limit_ms) {
                      self->owner_refused[address] = then;
