--- a/cactusford/edge/forward-test.cc
+++ b/cactusford/edge/forward-test.cc
@@ -91,3 +91,29 @@
   cr_assert(after_attempt(ended(end_state::cut), progress(true, 3, 3)) ==
             next_step::give_up_unknown);
 }
+
+// A scorer answers three times with 500, and the fourth one runs into the
+// deadline and answers 504. Counted as four failures, the item would be given
+// up as errored though its scorer may still accept it.
+Test(forward, counts_only_what_says_that_the_call_failed)
+{
+  attempt_end end;
+  end.state = cactusford::http::end_state::complete;
+  end.is_signed = true;
+  end.status = 500;
+  cr_assert(is_failed_run(end));
+  SECTION("not an answer at the deadline")
+  {
+    end.status = 504;
+    cr_assert_not(is_failed_run(end));
+  }
+  SECTION("nor one that was not run, or was cut")
+  {
+    end.status = 500;
+    end.not_run = true;
+    cr_assert_not(is_failed_run(end));
+    end.not_run = false;
+    end.state = cactusford::http::end_state::cut;
+    cr_assert_not(is_failed_run(end));
+  }
+}
--- a/cactusford/edge/forward.cc
+++ b/cactusford/edge/forward.cc
@@ -47,6 +47,14 @@
   return "unknown";
 }
 
+bool
+is_failed_run(const attempt_end& end)
+{
+  constexpr int failed = 500;
+  return end.state == http::end_state::complete && !end.not_run &&
+         end.status == failed;
+}
+
 next_step
 after_attempt(const attempt_end& end, const call_progress& p)
 {
@@ -285,14 +293,11 @@
   }
   const bool was_run = !not_run && end != http::end_state::not_sent;
   f->runs -= was_run ? 0 : 1;
-  constexpr int first_server_error = 500;
-  if (complete && was_run && r.status >= first_server_error) {
-    ++f->failed_runs;
-  }
   attempt_end ended;
   ended.state = end;
   ended.status = r.status;
   ended.not_run = not_run;
+  f->failed_runs += is_failed_run(ended) ? 1 : 0;
   ended.is_signed = http::find(r.fields, names.signature).has_value();
   call_progress progress;
   progress.repeatable = f->is_repeatable();
--- a/cactusford/edge/forward.h
+++ b/cactusford/edge/forward.h
@@ -79,6 +79,11 @@
 next_step
 after_attempt(const attempt_end& end, const call_progress& progress);
 
+// The backend server ran it and says that the call itself failed. Its answer at
+// the deadline (504) or on the way (502) says nothing of the call.
+bool
+is_failed_run(const attempt_end& end);
+
 class forwarder
 {
 public:
--- a/tests/batches-test.cc
+++ b/tests/batches-test.cc
@@ -350,6 +350,38 @@
   }
 }
 
+// A batch that has ended, of an owner that is gone, with a result in each
+// chunk.
+void
+put_ended_batch(world& w, std::size_t chunks)
+{
+  batches::stored_batch b;
+  b.host = "h";
+  b.target = "/b/";
+  b.items = chunks;
+  b.parts = 1;
+  b.owner = "gone";
+  b.owner_address = "127.0.0.1:9";
+  auto spec = batches::encode_spec(b);
+  w.store.put("batches", std::string{ batch_id }, spec);
+  for (std::size_t i = 0; i < chunks; ++i) {
+    const batches::item_result r{
+      "item" + std::to_string(i), true, "t", {}, ""
+    };
+    w.store.put("results",
+                batches::chunk_name(std::string{ batch_id }, i),
+                batches::encode_chunk({ 1, { r } }));
+  }
+  // Nobody takes it over meanwhile: it is shown as ended.
+  store::call end;
+  end.op = store::operation::replace_status;
+  end.kind = "batches";
+  end.name = batch_id;
+  b.ended = true;
+  end.body = batches::encode_status(b);
+  w.store.write(end);
+}
+
 } // namespace
 
 Test(batches, runs_scores_and_lists_each_item_once)
@@ -660,31 +692,7 @@
   world w{ 0 };
   constexpr std::size_t chunks = 6;
   w.store.page_size = 2;
-  batches::stored_batch b;
-  b.host = "h";
-  b.target = "/b/";
-  b.items = chunks;
-  b.parts = 1;
-  b.owner = "gone";
-  b.owner_address = "127.0.0.1:9";
-  auto spec = batches::encode_spec(b);
-  w.store.put("batches", std::string{ batch_id }, spec);
-  for (std::size_t i = 0; i < chunks; ++i) {
-    const batches::item_result r{
-      "item" + std::to_string(i), true, "t", {}, ""
-    };
-    w.store.put("results",
-                batches::chunk_name(std::string{ batch_id }, i),
-                batches::encode_chunk({ 1, { r } }));
-  }
-  // Nobody takes it over meanwhile: it is shown as ended.
-  store::call end;
-  end.op = store::operation::replace_status;
-  end.kind = "batches";
-  end.name = batch_id;
-  b.ended = true;
-  end.body = batches::encode_status(b);
-  w.store.write(end);
+  put_ended_batch(w, chunks);
   auto& e = w.add_entry("entry-0");
   w.run_until([&] { return e.watcher->is_current(); });
   std::vector<std::size_t> seen;
@@ -703,6 +711,25 @@
   }
 }
 
+// An entry looks for the results of an ended batch, and the store refuses. It
+// knows as little as before: taken for a look that found nothing, the next
+// caller would be told that results it had read are gone.
+Test(batches, does_not_deny_results_after_a_look_that_failed)
+{
+  world w{ 0 };
+  put_ended_batch(w, 2);
+  auto& e = w.add_entry("entry-0");
+  w.run_until([&] { return e.watcher->is_current(); });
+  w.store.faults = [](const store::call& c) {
+    return c.kind == batches::chunk_kind ? object_store::fault::refuse
+                                         : object_store::fault::none;
+  };
+  cr_assert_not(w.denies_results(e));
+  cr_assert_not(w.denies_results(e));
+  w.store.faults = nullptr;
+  cr_assert_eq(w.read_whole(e, 2).size(), 2);
+}
+
 // Nobody reads an ended batch for ever. Kept for ever, batches would fill the
 // store and the memory of every entry.
 Test(batches, removes_what_has_ended_long_ago)
