Soak: ports below the system's own range, a block for each process

While an entry was down the system gave its port to an engine of another soak, and the entry's peers asked there whether it lives.

--- a/soak/world.cc
+++ b/soak/world.cc
@@ -13,6 +13,7 @@
 #include <fstream>
 
 #include <sys/wait.h>
+#include <unistd.h>
 
 namespace cactusford::soak {
 
@@ -44,26 +45,43 @@
   return "127.0.0.1:" + std::to_string(port);
 }
 
-// Ports that are free now, held until all others of this process are bound: one
-// of ours would else get the port that an entry was told to use.
+// Ports that are free now, held until all others of this process are bound.
+// They are below those that the system gives out by itself: while an entry is
+// down, its port must not become that of some other program, such as another
+// soak, to which its peers would then talk.
 class reserved_ports
 {
 public:
   explicit reserved_ports(asio::io_context& io)
     : io_{ io }
+    , next_{ static_cast<std::uint16_t>(
+        first_port + static_cast<unsigned>(getpid()) % blocks * block) }
   {
   }
 
   std::string next()
   {
     using asio::ip::tcp;
-    const tcp::endpoint any{ asio::ip::address_v4::loopback(), 0 };
-    held_.emplace_back(io_, any);
-    return address_of(held_.back().local_endpoint().port());
+    for (;;) {
+      const tcp::endpoint at{ asio::ip::address_v4::loopback(), next_++ };
+      tcp::acceptor a{ io_, at.protocol() };
+      asio::error_code ec;
+      a.bind(at, ec);
+      if (!ec) {
+        held_.push_back(std::move(a));
+        return address_of(at.port());
+      }
+    }
   }
 
 private:
+  // A block of ports for each process, so that soaks side by side keep apart.
+  static constexpr unsigned first_port = 10000;
+  static constexpr unsigned block = 100;
+  static constexpr unsigned blocks = 200;
+
   asio::io_context& io_;
+  std::uint16_t next_;
   std::vector<asio::ip::tcp::acceptor> held_;
 };
 
