Malformed messages on the port of the instances are refused

Cause: a relayed call or a batch handed over with values of other types raised an exception that ended the entry. Change: types are checked; 400, or left out with a line. Tests: both ended with the exception before.

--- a/cactusford/batches/submissions.cc
+++ b/cactusford/batches/submissions.cc
@@ -160,9 +160,19 @@
 keeper::on_given(const std::string& id, const std::string& body)
 {
   const auto j = nlohmann::json::parse(body, nullptr, false);
-  const bool whole = j.is_object() && j.contains("head") &&
-                     j.contains("revision") && j.contains("submission");
-  if (!whole || impl_->known(id) != nullptr) {
+  const auto has = [&](const char* key, auto&& is_right) {
+    return j.is_object() && j.contains(key) && is_right(j.at(key));
+  };
+  using nlohmann::json;
+  const bool whole =
+    has("head", [](const json& v) { return v.is_object(); }) &&
+    has("revision", [](const json& v) { return v.is_number_unsigned(); }) &&
+    has("submission", [](const json& v) { return v.is_string(); });
+  if (!whole) {
+    process::log_line(timeline::event{ "given_unreadable" }.with("batch", id));
+    return;
+  }
+  if (impl_->known(id) != nullptr) {
     return;
   }
   auto submission = impl_->p.dialect.submission_from(
--- a/cactusford/store/store.cc
+++ b/cactusford/store/store.cc
@@ -331,7 +331,14 @@
   const auto body =
     nlohmann::json::parse(caller.request().body, nullptr, false);
   const auto text = [&](const char* key) {
-    return body.is_object() ? body.value(key, std::string{}) : std::string{};
+    const auto found = body.is_object() ? body.find(key) : body.end();
+    const bool is_text = found != body.end() && found->is_string();
+    return is_text ? found->get<std::string>() : std::string{};
+  };
+  const auto number = [&](const char* key, std::uint64_t otherwise) {
+    const auto found = body.find(key);
+    const bool is_number = found != body.end() && found->is_number_unsigned();
+    return is_number ? found->get<std::uint64_t>() : otherwise;
   };
   http::request inner;
   inner.method = text("method");
@@ -345,9 +352,10 @@
     inner.fields.push_back({ "Content-Type", "application/json" });
   }
   inner.fields.push_back({ "Host", settings_.address });
-  const auto timeout_ms = body.value("timeout_ms", settings_.answer_ms);
-  if (body.value("shared", false)) {
-    relay_watch(caller, inner, timeout_ms, body.value("hops", most_hops));
+  const auto timeout_ms = number("timeout_ms", settings_.answer_ms);
+  const auto shared = body.find("shared");
+  if (shared != body.end() && *shared == true) {
+    relay_watch(caller, inner, timeout_ms, number("hops", most_hops));
     return;
   }
   http::exchange_options o;
--- a/tests/batches-test.cc
+++ b/tests/batches-test.cc
@@ -633,6 +633,20 @@
   cr_assert_eq(w.owner(), "entry-0");
 }
 
+// What comes for a batch that another entry hands over is cut short, or of
+// another shape. It is left out; the batch is learned from the store.
+Test(batches, leaves_out_what_is_given_malformed)
+{
+  world w{ 1 };
+  for (const auto* body : { "",
+                            "[]",
+                            "{\"head\": 1, \"revision\": 2, \"submission\": 3}",
+                            "{\"head\": {}, \"revision\": 2}" }) {
+    w.entries[0]->keeper->on_given("batch-x", body);
+  }
+  cr_assert_eq(w.entries[0]->keeper->owned(), 0);
+}
+
 // A planned stop: the batch is given away at once with its text, and no reader
 // waits for the silence of its owner.
 Test(batches, gives_its_batches_away_when_it_leaves)
--- a/tests/store-test.cc
+++ b/tests/store-test.cc
@@ -135,6 +135,27 @@
   cr_assert_leq(w.watches["things"] - before, 2 * changes);
 }
 
+// Somebody sends a relay what is no call, or a call with values of other types.
+// An exception would end the process, and with it every caller's answer.
+Test(store, refuses_relayed_calls_that_are_malformed)
+{
+  world w{ 2 };
+  http::client caller{ w.io };
+  for (const auto* body : { "",
+                            "[]",
+                            "{\"method\": 5, \"target\": []}",
+                            "{\"method\": \"GET\"}" }) {
+    int status = 0;
+    caller.fetch(
+      w.all[0]->address(),
+      { "POST", "/store", { { "Host", "h" } }, body },
+      {},
+      [&](http::end_state, http::response&& a) { status = a.status; });
+    w.run_until([&] { return status != 0; });
+    cr_assert_eq(status, 400, "%s", body);
+  }
+}
+
 // A relay is told to leave and refuses the calls of others. The store is as
 // well as before: taken for an outage of the store, entries of backend servers
 // that have left would be kept as if they had lapsed with it, and get new work.
