--- a/cactusford/batches/batch.h
+++ b/cactusford/batches/batch.h
@@ -89,6 +89,8 @@
   std::uint64_t parts = 0;
   std::string owner;
   std::string owner_address;
+  // The owner's share of a core.
+  double owner_capacity = 0;
   bool ended = false;
 
   friend bool operator==(const stored_batch&, const stored_batch&) = default;
--- a/cactusford/batches/keeper.cc
+++ b/cactusford/batches/keeper.cc
@@ -77,7 +77,7 @@
   if (mine != accepting.end()) {
     b->set(mine->second->submission, p.dialect.version_line);
   }
-  own_ours(*b);
+  own_ours(*b, false);
   return b;
 }
 
@@ -94,11 +94,11 @@
 // Begins what the store says is ours. One that is being accepted begins when
 // its write has been answered: then it is known that nothing is listed.
 void
-keeper::impl::own_ours(batch_state& b)
+keeper::impl::own_ours(batch_state& b, bool is_fresh)
 {
   const bool ours = b.is_open() && b.stored.owner == p.instance;
   if (ours && !b.owned && !accepting.contains(b.stored.id)) {
-    own(b);
+    own(b, is_fresh);
   }
 }
 
@@ -151,7 +151,7 @@
   } else if (b.owned && b.stored.owner != p.instance) {
     disown(b, "other_owner");
   } else {
-    own_ours(b);
+    own_ours(b, false);
   }
 }
 
@@ -244,7 +244,7 @@
     }
     if (b->owned && b->load_again) {
       b->load_again = false;
-      own(*b);
+      own(*b, false);
     }
     if (b->owned && b->loaded) {
       give_up_late(*b);
@@ -258,7 +258,7 @@
       continue;
     }
     if (b->stored.owner == p.instance) {
-      own_ours(*b);
+      own_ours(*b, false);
       continue;
     }
     const auto silent = owner_silence(*b, now);
@@ -395,6 +395,13 @@
   }
 }
 
+// An owner that reaches the store on no path can list nothing.
+bool
+keeper::can_own() const
+{
+  return !impl_->leaving && !impl_->p.store.is_cut_off(http::now_ms());
+}
+
 void
 keeper::on_list(std::vector<store::object>&& all)
 {
--- a/cactusford/batches/keeper.h
+++ b/cactusford/batches/keeper.h
@@ -31,6 +31,7 @@
 constexpr std::string_view peer_alive_path = "/alive";
 constexpr std::string_view peer_ended_path = "/ended/";
 constexpr std::string_view peer_taken_path = "/taken/";
+constexpr std::string_view peer_given_path = "/given/";
 
 // What the keeper works with; all outlive it.
 struct keeper_parts
@@ -48,6 +49,8 @@
   std::string data_centre;
   // How long a batch stays readable after it was accepted.
   std::uint64_t keep_ms = 120000;
+  // This instance's share of a core.
+  double capacity = 1;
 };
 
 class keeper
@@ -80,6 +83,13 @@
   // Another instance says that it has taken a batch over.
   void on_taken(const std::string& id);
 
+  // Another instance has accepted a batch for this one to run. `body` is what
+  // that instance sent.
+  void on_given(const std::string& id, const std::string& body);
+
+  // False when another instance should run what this one owns.
+  bool can_own() const;
+
   // From the watch of the batches.
   void on_list(std::vector<store::object>&& all);
   void on_change(store::change&& c);
--- a/cactusford/batches/keeper_impl.h
+++ b/cactusford/batches/keeper_impl.h
@@ -59,7 +59,8 @@
   batch_state* known(const std::string& id);
   batch_state* learn(const store::object& o);
   void note_owner(const batch_state& b);
-  void own_ours(batch_state& b);
+  // `is_fresh`: nothing can be listed yet.
+  void own_ours(batch_state& b, bool is_fresh);
   void update(batch_state& b, stored_batch&& s);
   void close(batch_state& b);
   void forget(const std::string& id);
@@ -77,6 +78,8 @@
     const std::shared_ptr<detail::acceptance>& a,
     void (impl::*step)(const std::shared_ptr<detail::acceptance>&));
   void refuse(const detail::acceptance& a);
+  void place(stored_batch& head);
+  void give(const detail::acceptance& a, const store::object& o);
   void remove_unclaimed(const std::string& id, std::uint64_t parts);
   void remove_parts(const std::string& id,
                     std::uint64_t part,
@@ -87,7 +90,7 @@
   void end_read(const std::string& id, bool ok);
 
   // Ownership
-  void own(batch_state& b);
+  void own(batch_state& b, bool is_fresh);
   void load_tenure(const std::string& id);
   void begin_tenure(const std::string& id);
   void disown(batch_state& b, std::string_view why);
--- a/cactusford/batches/ledger-test.cc
+++ b/cactusford/batches/ledger-test.cc
@@ -33,6 +33,33 @@
   cr_assert_eq(l.pending.size(), 1, "the later result waits for its own chunk");
 }
 
+// A write has no answer, and what stands is read back: nothing yet. The batch
+// ends before it is made again. The write lands seconds later, and others show
+// its results; the last owner must not go on saying that it knows them all.
+Test(ledger, is_not_settled_while_a_write_may_still_land)
+{
+  ledger l;
+  cr_assert(is_settled(l));
+  add_result(l, result_of("a"), 10);
+  const auto chunk = begin_chunk(l, 1000);
+  cr_assert_not(is_settled(l));
+  doubt_chunk(l);
+  cr_assert_not(is_settled(l));
+  SECTION("until some chunk stands at its number")
+  {
+    adopt_chunk(l, chunk);
+    cr_assert(is_settled(l));
+  }
+  SECTION("a refused write was not done")
+  {
+    ledger refused;
+    add_result(refused, result_of("a"), 10);
+    begin_chunk(refused, 1000);
+    abandon_chunk(refused);
+    cr_assert(is_settled(refused));
+  }
+}
+
 // Two instances believe that they own a batch, as one was paused. Both finish
 // the same item and write the same chunk. One create wins; the other instance
 // reads the chunk back. No item may stand at two positions, and no position
@@ -89,6 +116,7 @@
   b.accepted_wall_ms = 12;
   b.items = 5;
   b.parts = 2;
+  b.owner_capacity = 0.5;
   b.owner = "entry-1";
   b.owner_address = "10.0.0.1:1";
   cr_assert(decode_batch("x", 7, encode_spec(b), nullptr) == b);
--- a/cactusford/batches/ledger.cc
+++ b/cactusford/batches/ledger.cc
@@ -79,6 +79,7 @@
 adopt_chunk(ledger& l, std::vector<item_result> results)
 {
   l.writing = 0;
+  l.unsettled = false;
   ++l.chunks;
   for (auto& r : results) {
     std::erase_if(l.pending, [&](const auto& p) { return p.id == r.id; });
@@ -95,6 +96,19 @@
   l.writing = 0;
 }
 
+void
+doubt_chunk(ledger& l)
+{
+  l.writing = 0;
+  l.unsettled = true;
+}
+
+bool
+is_settled(const ledger& l)
+{
+  return l.writing == 0 && !l.unsettled;
+}
+
 result_page
 page_of(const ledger& l,
         std::uint64_t total,
@@ -169,7 +183,8 @@
            { "items", b.items },
            { "parts", b.parts },
            { "first_owner", b.owner },
-           { "first_address", b.owner_address } };
+           { "first_address", b.owner_address },
+           { "first_capacity", b.owner_capacity } };
 }
 
 nlohmann::json
@@ -177,6 +192,7 @@
 {
   return { { "owner", b.owner },
            { "owner_address", b.owner_address },
+           { "owner_capacity", b.owner_capacity },
            { "ended", b.ended } };
 }
 
@@ -196,9 +212,11 @@
   b.parts = spec.at("parts").get<std::uint64_t>();
   b.owner = spec.at("first_owner").get<std::string>();
   b.owner_address = spec.at("first_address").get<std::string>();
+  b.owner_capacity = spec.at("first_capacity").get<double>();
   if (status.is_object() && !status.empty()) {
     b.owner = value_or(status, "owner", b.owner);
     b.owner_address = value_or(status, "owner_address", b.owner_address);
+    b.owner_capacity = value_or(status, "owner_capacity", b.owner_capacity);
     b.ended = value_or(status, "ended", false);
   }
   return b;
--- a/cactusford/batches/ledger.h
+++ b/cactusford/batches/ledger.h
@@ -39,6 +39,8 @@
   std::uint64_t pending_since_ms = 0;
   // The oldest pending results that a write now carries; 0: no write.
   std::size_t writing = 0;
+  // A write of the next chunk had no answer: it may stand, or land later.
+  bool unsettled = false;
   std::unordered_set<std::string> ids;
 };
 
@@ -63,10 +65,18 @@
 void
 adopt_chunk(ledger& l, std::vector<item_result> results);
 
-// The write did not take place, or its outcome has to be read back.
+// The write did not take place.
 void
 abandon_chunk(ledger& l);
 
+// Nobody knows whether the write took place, or it still may.
+void
+doubt_chunk(ledger& l);
+
+// No write of ours can stand that is not listed here.
+bool
+is_settled(const ledger& l);
+
 // The results from a position onward, at most `max_bytes` and at least one.
 result_page
 page_of(const ledger& l,
--- a/cactusford/batches/ownership.cc
+++ b/cactusford/batches/ownership.cc
@@ -26,7 +26,7 @@
 } // namespace
 
 void
-keeper::impl::own(batch_state& b)
+keeper::impl::own(batch_state& b, bool is_fresh)
 {
   if (leaving) {
     return;
@@ -37,11 +37,11 @@
                       .with("batch", b.stored.id)
                       .with("items", b.stored.items)
                       .with("revision", b.stored.revision));
-  if (b.loaded && b.has_submission) {
+  b.loaded = is_fresh && b.has_submission;
+  if (b.loaded) {
     plan_soon();
     return;
   }
-  b.loaded = false;
   const auto id = b.stored.id;
   with_submission(b, [self = shared_from_this(), id](bool ok) {
     auto* read = self->known(id);
@@ -106,7 +106,7 @@
   }
   // A write on its way may stand already, and others may have shown it.
   b.complete = b.loaded && b.stored.ended && b.stored.owner == p.instance &&
-               b.ledger.writing == 0 && !b.doubted;
+               is_settled(b.ledger) && !b.doubted;
   b.owned = false;
   b.loaded = false;
   b.doubted = false;
@@ -463,6 +463,7 @@
       if (s.owner == from && !s.ended) {
         s.owner = self->p.instance;
         s.owner_address = self->p.address;
+        s.owner_capacity = self->p.capacity;
       }
     },
     [self = shared_from_this(), id, address](store::verdict) {
--- a/cactusford/batches/results.cc
+++ b/cactusford/batches/results.cc
@@ -100,7 +100,9 @@
     if (b == nullptr || !b->owned) {
       return;
     }
-    abandon_chunk(b->ledger);
+    if (b->ledger.chunks == chunk) {
+      doubt_chunk(b->ledger);
+    }
     b->drop_listed();
     b->group_became_whole = true;
     if (b->ledger.chunks == chunk) {
@@ -162,7 +164,7 @@
 {
   const bool more = b.ledger.listed.size() > r.after;
   const bool knows_all =
-    b.complete || (b.owned && b.loaded && !b.doubted && b.ledger.writing == 0);
+    b.complete || (b.owned && b.loaded && !b.doubted && is_settled(b.ledger));
   if (more || knows_all) {
     respond_page(r.caller, b, r.after);
   } else {
--- a/cactusford/batches/submissions.cc
+++ b/cactusford/batches/submissions.cc
@@ -1,13 +1,23 @@
 #include "cactusford/batches/keeper_impl.h"
 #include "cactusford/batches/parts.h"
+#include "cactusford/batches/placement.h"
 #include "cactusford/http/socket.h"
 #include "cactusford/process/line_log.h"
 #include "cactusford/timeline/clock.h"
 
+#include <nlohmann/json.hpp>
+
 namespace cactusford::batches {
 
 using detail::acceptance;
 
+namespace {
+
+// A submission of some hundred kilobytes between two small entries.
+constexpr std::uint64_t give_ms = 1000;
+
+} // namespace
+
 // The parts go first and the head last: a batch is there when its head stands.
 void
 keeper::accept(const http::call& caller,
@@ -69,9 +79,7 @@
 void
 keeper::impl::write_head(const std::shared_ptr<acceptance>& a)
 {
-  // A leaving instance accepts for the others.
-  a->head.owner = leaving ? "" : p.instance;
-  a->head.owner_address = leaving ? "" : p.address;
+  place(a->head);
   store::call c;
   c.op = store::operation::create;
   c.kind = batch_kind;
@@ -82,6 +90,101 @@
   });
 }
 
+// A leaving instance accepts for the others.
+void
+keeper::impl::place(stored_batch& head)
+{
+  head.owner = leaving ? "" : p.instance;
+  head.owner_address = leaving ? "" : p.address;
+  head.owner_capacity = leaving ? 0 : p.capacity;
+  const auto now = http::now_ms();
+  const auto route = route_to(head.host, head.target);
+  std::vector<runner> of_trainer;
+  for (const auto& [id, b] : batches) {
+    const auto& s = b->stored;
+    if (!b->is_open() || s.owner.empty() || route == nullptr ||
+        route_to(s.host, s.target) != route) {
+      continue;
+    }
+    const auto seen = b->owned ? now : owner_seen[s.owner_address];
+    of_trainer.push_back(
+      { s.owner, s.owner_address, s.owner_capacity, s.accepted_wall_ms, seen });
+  }
+  const auto chosen = choose_runner(of_trainer, p.capacity, now);
+  if (chosen && chosen->instance != p.instance) {
+    head.owner = chosen->instance;
+    head.owner_address = chosen->address;
+    head.owner_capacity = chosen->capacity;
+  }
+}
+
+// Hands a batch to the instance that the store names as its owner, with the
+// submission: it need not wait for its watch, nor read the parts. A message
+// that is lost costs just that.
+void
+keeper::impl::give(const acceptance& a, const store::object& o)
+{
+  const auto& to = a.head.owner_address;
+  if (to.empty() || to == p.address) {
+    return;
+  }
+  std::string submission;
+  for (const auto part : a.parts) {
+    submission += part;
+  }
+  const nlohmann::json body{ { "revision", o.revision },
+                             { "head", o.spec },
+                             { "submission", submission } };
+  http::request r;
+  r.method = "POST";
+  r.target = std::string{ peer_given_path } + a.id;
+  r.body = body.dump();
+  http::exchange_options options;
+  options.timeout_ms = give_ms;
+  process::log_line(timeline::event{ "batch_given" }
+                      .with("batch", a.id)
+                      .with("to", a.head.owner));
+  p.http.fetch(
+    to, r, options, [id = a.id](http::end_state end, http::response&&) {
+      if (end != http::end_state::complete) {
+        process::log_line(timeline::event{ "batch_not_given" }
+                            .with("batch", id)
+                            .with("end", http::name_of(end)));
+      }
+    });
+}
+
+// What was given may have been taken over since, if this instance stood still:
+// the store is asked before anybody is told that nothing is listed.
+void
+keeper::on_given(const std::string& id, const std::string& body)
+{
+  const auto j = nlohmann::json::parse(body, nullptr, false);
+  const bool whole = j.is_object() && j.contains("head") &&
+                     j.contains("revision") && j.contains("submission");
+  if (!whole || impl_->known(id) != nullptr) {
+    return;
+  }
+  auto submission = impl_->p.dialect.submission_from(
+    j.at("submission").get_ref<const std::string&>());
+  if (!submission) {
+    return;
+  }
+  store::object o;
+  o.name = id;
+  o.revision = j.at("revision").get<std::uint64_t>();
+  o.spec = j.at("head");
+  auto a = std::make_shared<acceptance>();
+  a->submission = std::move(*submission);
+  impl_->accepting[id] = a;
+  auto* b = impl_->learn(o);
+  impl_->accepting.erase(id);
+  if (b != nullptr) {
+    impl_->own_ours(*b, true);
+    impl_->doubt(*b, "given");
+  }
+}
+
 void
 keeper::impl::on_head(const std::shared_ptr<acceptance>& a,
                       const store::reply& r)
@@ -97,10 +200,12 @@
     learn(o);
   }
   accepting.erase(a->id);
-  if (auto* b = known(a->id); b != nullptr && !b->owned) {
-    const bool created = r.what == store::verdict::done;
-    b->loaded = created && !r.after_unknown && !a->unknown;
-    own_ours(*b);
+  const bool created = r.what == store::verdict::done;
+  if (auto* b = known(a->id)) {
+    own_ours(*b, created && !r.after_unknown && !a->unknown);
+  }
+  if (created && !r.items.empty()) {
+    give(*a, r.items.front());
   }
   process::log_line(timeline::event{ "batch_accepted" }
                       .with("batch", a->id)
--- a/cactusford/edge/edge.cc
+++ b/cactusford/edge/edge.cc
@@ -118,7 +118,8 @@
               s.instance,
               s.peer,
               s.data_centre,
-              s.keep_batches_ms } }
+              s.keep_batches_ms,
+              s.capacity } }
   , configuration{ h.io,
                    store,
                    { d.kinds.configuration },
@@ -410,13 +411,19 @@
   const auto& request = c.request();
   const auto path = http::path_of(request.target);
   if (path == batches::peer_alive_path) {
-    // An owner that reaches the store on no path can list nothing: another one
-    // should go on with its batches.
-    c.respond(answer(store.is_cut_off(http::now_ms()) ? 503 : 200));
+    c.respond(answer(keeper.can_own() ? 200 : 503));
   } else if (path.starts_with(batches::peer_ended_path)) {
     keeper.on_ended(
       std::string{ path.substr(batches::peer_ended_path.size()) });
     c.respond(answer(200));
+  } else if (path.starts_with(batches::peer_taken_path)) {
+    keeper.on_taken(
+      std::string{ path.substr(batches::peer_taken_path.size()) });
+    c.respond(answer(200));
+  } else if (path.starts_with(batches::peer_given_path)) {
+    keeper.on_given(std::string{ path.substr(batches::peer_given_path.size()) },
+                    request.body);
+    c.respond(answer(200));
   } else if (path == store::relay_path) {
     store.relay(c);
   } else if (path.starts_with(batches::peer_results_path)) {
--- a/cactusford/edge/settings.h
+++ b/cactusford/edge/settings.h
@@ -27,6 +27,8 @@
   std::string store;
   // Instances that make store calls for others; stale ones do no harm.
   std::vector<std::string> peers;
+  // Its share of a core: larger entries run the batches of the smaller ones.
+  double capacity = 1;
   // Where this instance stood in `peers`; it is left out there.
   std::optional<std::size_t> peer_rank;
   // The engine beside a sidecar.
