--- a/cactusford/backends/registry-test.cc
+++ b/cactusford/backends/registry-test.cc
@@ -176,3 +176,60 @@
     cr_assert_gt(b.avoided_until_ms, now + 300);
   }
 }
+
+namespace {
+
+announcement
+engine_of_life(std::uint64_t started_ms, std::uint64_t version)
+{
+  auto a = engine("a", version);
+  a.started_ms = started_ms;
+  return a;
+}
+
+} // namespace
+
+// An engine crashes with eight runs on it and starts again under its id. It
+// runs nothing and holds what its new life says. Believed to be full, or to
+// have the weights of before, it would stand idle or refuse what it is sent.
+Test(registry, believes_nothing_of_the_life_before)
+{
+  registry r;
+  announce(r, engine_of_life(1000, 7));
+  auto* b = find(r, "a");
+  const auto before = life_of(*b);
+  b->in_flight = 8;
+  note_failure(*b, 50);
+  note_refusal(*b, "m", 50);
+  note_pace(*b, 400, 50);
+  cr_assert(announce(r, engine_of_life(2000, 6)) == announced::new_life);
+  cr_assert_eq(b->in_flight, 0);
+  cr_assert_eq(b->said.versions["m"], 6, "its versions begin anew");
+  cr_assert_eq(b->pace_ms, 0);
+  cr_assert_not_null(choose_for_item(r, needs(6), 60));
+  SECTION("ends of the old runs are not counted into the new life")
+  {
+    cr_assert_null(find(r, before));
+    cr_assert_not_null(find(r, life_of(*b)));
+  }
+  SECTION("late word of the old life is left out, from a watch or a list")
+  {
+    const auto known = *b;
+    cr_assert(announce(r, engine_of_life(1000, 9)) == announced::ended_life);
+    cr_assert(*find(r, "a") == known);
+    const auto changes = replace_all(r, { engine_of_life(1000, 9) }, 70);
+    cr_assert(*find(r, "a") == known);
+    cr_assert_eq(changes.size(), 1);
+    cr_assert(changes.front().what == announced::ended_life);
+  }
+}
+
+// Somebody writes over the entry of a backend server, just after an outage,
+// when lapsed entries are kept for a while. This one did not lapse.
+Test(registry, drops_what_names_nobody_at_once)
+{
+  auto r = two_engines();
+  r.keep_missing_until_ms = 12000;
+  drop(r, "a");
+  cr_assert_null(find(r, "a"));
+}
--- a/cactusford/backends/registry.cc
+++ b/cactusford/backends/registry.cc
@@ -73,10 +73,20 @@
 
 } // namespace
 
-void
+announced
 announce(registry& r, announcement a)
 {
   auto& b = r.all[a.id];
+  const auto known = b.said.started_ms;
+  // A late word would bring back load, versions and runs of a process that is
+  // gone: items would go to an engine that refuses them, or be believed to run.
+  if (a.started_ms < known) {
+    return announced::ended_life;
+  }
+  const bool is_new = known != 0 && a.started_ms > known;
+  if (is_new) {
+    b = {};
+  }
   // Versions only grow while it lives; its word may be older than ours.
   for (const auto& [model, version] : b.said.versions) {
     auto& said = a.versions[model];
@@ -84,6 +94,13 @@
   }
   b.said = std::move(a);
   b.missing_since_ms = 0;
+  return is_new ? announced::new_life : announced::same_life;
+}
+
+void
+drop(registry& r, const std::string& id)
+{
+  r.all.erase(id);
 }
 
 void
@@ -96,7 +113,7 @@
   expire(r, now_ms);
 }
 
-void
+std::vector<life_change>
 replace_all(registry& r, std::vector<announcement> list, std::uint64_t now_ms)
 {
   for (auto& entry : r.all) {
@@ -109,10 +126,16 @@
       b.missing_since_ms = std::max<std::uint64_t>(now_ms, 1);
     }
   }
+  std::vector<life_change> changes;
   for (auto& a : list) {
-    announce(r, std::move(a));
+    const life of{ a.id, a.started_ms };
+    const auto what = announce(r, std::move(a));
+    if (what != announced::same_life) {
+      changes.push_back({ of, what });
+    }
   }
   expire(r, now_ms);
+  return changes;
 }
 
 bool
@@ -133,6 +156,19 @@
   return found == r.all.end() ? nullptr : &found->second;
 }
 
+life
+life_of(const backend& b)
+{
+  return { b.said.id, b.said.started_ms };
+}
+
+backend*
+find(registry& r, const life& l)
+{
+  auto* b = find(r, l.id);
+  return b != nullptr && b->said.started_ms == l.started_ms ? b : nullptr;
+}
+
 void
 note_success(backend& b, std::uint64_t took_ms)
 {
--- a/cactusford/backends/registry.h
+++ b/cactusford/backends/registry.h
@@ -10,10 +10,14 @@
 
 namespace cactusford::backends {
 
-// What a backend server says of itself. Each start has a new id.
+// What a backend server says of itself. It may start again under its id: each
+// life holds and knows nothing of the one before.
 struct announcement
 {
   std::string id;
+  // When this life started, in Unix milliseconds of the backend server's own
+  // clock. A greater value is a later life.
+  std::uint64_t started_ms = 0;
   std::string service;
   std::string address;
   std::string data_centre;
@@ -35,7 +39,16 @@
   friend bool operator==(const reported_load&, const reported_load&) = default;
 };
 
-// What this instance has seen of it.
+// One life of a backend server.
+struct life
+{
+  std::string id;
+  std::uint64_t started_ms = 0;
+
+  friend bool operator==(const life&, const life&) = default;
+};
+
+// What this instance has seen of it in its present life.
 struct backend
 {
   announcement said;
@@ -71,14 +84,38 @@
   friend bool operator==(const registry&, const registry&) = default;
 };
 
-void
+// What an announcement has changed.
+enum class announced
+{
+  // Known, or new to this instance.
+  same_life,
+  // It has started again: all that was believed of it is dropped.
+  new_life,
+  // Late word of a life that has ended; left out.
+  ended_life,
+};
+
+struct life_change
+{
+  life of;
+  announced what = announced::same_life;
+
+  friend bool operator==(const life_change&, const life_change&) = default;
+};
+
+announced
 announce(registry& r, announcement a);
 
 void
 withdraw(registry& r, const std::string& id, std::uint64_t now_ms);
 
-// Takes in a whole list.
+// What names no backend server any more is dropped at once, also while lapsed
+// entries are kept.
 void
+drop(registry& r, const std::string& id);
+
+// Takes in a whole list. Returns the lives that began or had ended.
+std::vector<life_change>
 replace_all(registry& r, std::vector<announcement> list, std::uint64_t now_ms);
 
 // Forgets what has been missing too long. True when something changed.
@@ -88,6 +125,14 @@
 backend*
 find(registry& r, const std::string& id);
 
+life
+life_of(const backend& b);
+
+// The backend server, if it is still in that life. Requests that were sent in
+// an earlier one say nothing of this one.
+backend*
+find(registry& r, const life& l);
+
 // A request was answered or failed there.
 void
 note_success(backend& b, std::uint64_t took_ms);
--- a/cactusford/batches/keeper.cc
+++ b/cactusford/batches/keeper.cc
@@ -63,8 +63,7 @@
 {
   auto s = decode_batch(o.name, o.revision, o.spec, o.status);
   if (!s) {
-    process::log_line(
-      timeline::event{ "batch_unreadable" }.with("batch", o.name));
+    store::log_unreadable(batch_kind, { o.name, s.fault });
     return nullptr;
   }
   if (auto* b = known(o.name)) {
@@ -257,6 +256,7 @@
   note_store(now);
   ask_owners(now);
   remove_expired(now);
+  leave_ended_lives();
   bool waiting = false;
   for (auto& [id, b] : batches) {
     if (!b->readers.empty()) {
@@ -458,6 +458,7 @@
 void
 keeper::on_backends()
 {
+  impl_->leave_ended_lives();
   impl_->plan_soon();
 }
 
--- a/cactusford/batches/keeper_impl.h
+++ b/cactusford/batches/keeper_impl.h
@@ -143,6 +143,7 @@
                  std::size_t at,
                  edge::forward_outcome&& o);
   void finish_item(batch_state& b, item_state& i, item_result r);
+  void leave_ended_lives();
   void watch_runs(batch_state& b, std::uint64_t now);
   void give_up_late(batch_state& b);
   void reuse_carried(batch_state& b);
--- a/cactusford/batches/ledger.cc
+++ b/cactusford/batches/ledger.cc
@@ -19,17 +19,6 @@
   return r.text.size() + result_overhead;
 }
 
-template<typename T>
-T
-value_or(const nlohmann::json& j, const char* key, T otherwise)
-{
-  const auto found = j.find(key);
-  if (found == j.end() || found->is_null()) {
-    return otherwise;
-  }
-  return found->get<T>();
-}
-
 } // namespace
 
 bool
@@ -155,23 +144,23 @@
   return { { "epoch", c.epoch }, { "list", std::move(list) } };
 }
 
-std::optional<stored_chunk>
+store::decoded<stored_chunk>
 decode_chunk(const nlohmann::json& spec)
-try {
-  stored_chunk c;
-  c.epoch = spec.at("epoch").get<std::uint64_t>();
-  for (const auto& j : spec.at("list")) {
-    item_result r;
-    r.id = j.at("item").get<std::string>();
-    r.done = j.at("done").get<bool>();
-    r.text = j.at("text").get<std::string>();
-    r.versions = j.at("weights").get<std::vector<std::uint64_t>>();
-    r.score = j.at("score").get<std::string>();
-    c.results.push_back(std::move(r));
-  }
-  return c;
-} catch (const nlohmann::json::exception&) {
-  return std::nullopt;
+{
+  return store::read_shape([&] {
+    stored_chunk c;
+    c.epoch = store::whole_field(spec, "epoch");
+    for (const auto& j : store::list_field(spec, "list")) {
+      item_result r;
+      r.id = store::text_field(j, "item");
+      r.done = store::flag_field(j, "done");
+      r.text = store::text_field(j, "text");
+      r.versions = store::wholes_field(j, "weights");
+      r.score = store::text_field(j, "score");
+      c.results.push_back(std::move(r));
+    }
+    return c;
+  });
 }
 
 nlohmann::json
@@ -196,32 +185,32 @@
            { "ended", b.ended } };
 }
 
-std::optional<stored_batch>
+store::decoded<stored_batch>
 decode_batch(const std::string& name,
              std::uint64_t revision,
              const nlohmann::json& spec,
              const nlohmann::json& status)
-try {
-  stored_batch b;
-  b.id = name;
-  b.revision = revision;
-  b.host = spec.at("caller_host").get<std::string>();
-  b.target = spec.at("target").get<std::string>();
-  b.accepted_wall_ms = spec.at("accepted_ms").get<std::uint64_t>();
-  b.items = spec.at("items").get<std::uint64_t>();
-  b.parts = spec.at("parts").get<std::uint64_t>();
-  b.owner = spec.at("first_owner").get<std::string>();
-  b.owner_address = spec.at("first_address").get<std::string>();
-  b.owner_capacity = spec.at("first_capacity").get<double>();
-  if (status.is_object() && !status.empty()) {
-    b.owner = value_or(status, "owner", b.owner);
-    b.owner_address = value_or(status, "owner_address", b.owner_address);
-    b.owner_capacity = value_or(status, "owner_capacity", b.owner_capacity);
-    b.ended = value_or(status, "ended", false);
-  }
-  return b;
-} catch (const nlohmann::json::exception&) {
-  return std::nullopt;
+{
+  return store::read_shape([&] {
+    stored_batch b;
+    b.id = name;
+    b.revision = revision;
+    b.host = store::text_field(spec, "caller_host");
+    b.target = store::text_field(spec, "target");
+    b.accepted_wall_ms = store::whole_field(spec, "accepted_ms");
+    b.items = store::whole_field(spec, "items");
+    b.parts = store::whole_field(spec, "parts");
+    b.owner = store::text_field(spec, "first_owner");
+    b.owner_address = store::text_field(spec, "first_address");
+    b.owner_capacity = store::amount_field(spec, "first_capacity");
+    b.owner = store::text_field_or(status, "owner", b.owner);
+    b.owner_address =
+      store::text_field_or(status, "owner_address", b.owner_address);
+    b.owner_capacity =
+      store::amount_field_or(status, "owner_capacity", b.owner_capacity);
+    b.ended = store::flag_field_or(status, "ended", false);
+    return b;
+  });
 }
 
 } // namespace cactusford::batches
--- a/cactusford/batches/ledger.h
+++ b/cactusford/batches/ledger.h
@@ -9,11 +9,9 @@
 #pragma once
 
 #include "cactusford/batches/batch.h"
-
-#include <nlohmann/json_fwd.hpp>
+#include "cactusford/store/fields.h"
 
 #include <cstdint>
-#include <optional>
 #include <string>
 #include <unordered_set>
 #include <vector>
@@ -90,7 +88,7 @@
 nlohmann::json
 encode_chunk(const stored_chunk& c);
 
-std::optional<stored_chunk>
+store::decoded<stored_chunk>
 decode_chunk(const nlohmann::json& spec);
 
 nlohmann::json
@@ -99,7 +97,7 @@
 nlohmann::json
 encode_status(const stored_batch& b);
 
-std::optional<stored_batch>
+store::decoded<stored_batch>
 decode_batch(const std::string& name,
              std::uint64_t revision,
              const nlohmann::json& spec,
--- a/cactusford/batches/ownership.cc
+++ b/cactusford/batches/ownership.cc
@@ -239,9 +239,7 @@
   }
   auto chunk = decode_chunk(o.spec);
   if (!chunk) {
-    process::log_line(timeline::event{ "chunk_unreadable" }
-                        .with("batch", id)
-                        .with("chunk", o.name));
+    store::log_unreadable(chunk_kind, { o.name, chunk.fault });
     return false;
   }
   on_chunk(id, std::move(*chunk));
--- a/cactusford/batches/progress.cc
+++ b/cactusford/batches/progress.cc
@@ -1,7 +1,11 @@
 #include "cactusford/batches/progress.h"
 
+#include "cactusford/store/fields.h"
+
 #include <nlohmann/json.hpp>
 
+#include <utility>
+
 namespace cactusford::batches {
 
 nlohmann::json
@@ -23,21 +27,24 @@
 decode_progress(const nlohmann::json& spec)
 {
   progress p;
-  if (!spec.is_object()) {
+  const auto list =
+    store::read_shape([&] { return store::list_field(spec, "list"); });
+  if (!list) {
     return p;
   }
-  for (const auto& j : spec.value("list", nlohmann::json::array())) {
-    try {
+  for (const auto& j : *list) {
+    const auto read = store::read_shape([&] {
       item_text t;
-      t.last_event = j.at("last_event").get<std::uint64_t>();
-      t.events = j.at("count").get<std::uint64_t>();
-      t.text = j.at("text").get<std::string>();
-      t.versions = j.at("weights").get<std::vector<std::uint64_t>>();
-      t.version = j.at("weight").get<std::uint64_t>();
-      p[j.at("item").get<std::string>()] = std::move(t);
-    } catch (const nlohmann::json::exception&) {
-      // Starting this item anew costs time and breaks nothing.
-      continue;
+      t.last_event = store::whole_field(j, "last_event");
+      t.events = store::whole_field(j, "count");
+      t.text = store::text_field(j, "text");
+      t.versions = store::wholes_field(j, "weights");
+      t.version = store::whole_field(j, "weight");
+      return std::pair{ store::text_field(j, "item"), std::move(t) };
+    });
+    // Starting an item anew costs time and breaks nothing.
+    if (read) {
+      p.insert(*read);
     }
   }
   return p;
--- a/cactusford/batches/runs.cc
+++ b/cactusford/batches/runs.cc
@@ -134,7 +134,7 @@
   }
   i.stage = item_stage::running;
   i.run = next_run++;
-  i.backend = backend->said.id;
+  i.backend = backends::life_of(*backend);
   i.started_ms = now;
   i.last_event_ms = now;
   i.status = 0;
@@ -257,7 +257,7 @@
                           .with("expected", i->text.last_event + 1)
                           .with("got", e.id));
       stop_run(*i);
-      i->not_on = i->backend;
+      i->not_on = i->backend.id;
       retry_item(b, *i, failed_pause_ms, "broken_events");
       return;
     }
@@ -325,7 +325,7 @@
     finish_item(b, *i, { b.submission.items[at].id, false, "", {}, "" });
     return;
   }
-  i->not_on = i->backend;
+  i->not_on = i->backend.id;
   if (complete && i->status == server_error) {
     ++i->failed_runs;
     const auto route = route_to(b.stored.host, b.stored.target);
@@ -360,7 +360,7 @@
   process::log_line(timeline::event{ "item_retried" }
                       .with("request", item.id)
                       .with("batch", b.stored.id)
-                      .with("backend", i.backend)
+                      .with("backend", i.backend.id)
                       .with("why", why)
                       .with("status", static_cast<std::uint64_t>(i.status))
                       .with("events", i.text.events)
@@ -372,6 +372,23 @@
   }
 }
 
+// Runs in a life that has ended are gone with it, though their connections may
+// stay silent for seconds. They go on elsewhere at once.
+void
+keeper::impl::leave_ended_lives()
+{
+  for (auto& entry : batches) {
+    auto& b = *entry.second;
+    for (auto& i : b.items) {
+      if (i.stage == item_stage::running &&
+          backends::find(p.registry, i.backend) == nullptr) {
+        stop_run(i);
+        retry_item(b, i, 0, "backend_ended");
+      }
+    }
+  }
+}
+
 void
 keeper::impl::watch_runs(batch_state& b, std::uint64_t now)
 {
@@ -385,44 +402,36 @@
       continue;
     }
     auto* backend = backends::find(p.registry, i.backend);
+    if (backend == nullptr) {
+      continue;
+    }
     const auto limit =
       i.events_in_run > 0 ? silence_limit : first_event_limit_ms;
     if (now - i.last_event_ms > limit) {
-      if (backend != nullptr) {
-        backends::note_failure(*backend, now);
-      }
+      backends::note_failure(*backend, now);
       stop_run(i);
-      i.not_on = i.backend;
+      i.not_on = i.backend.id;
       retry_item(b, i, 0, "silent");
       continue;
     }
-    const bool leaving_backend = backend == nullptr || backend->said.leaving;
-    const auto service = backend ? backend->said.service : std::string{};
-    const bool slow =
-      backend != nullptr &&
-      backends::is_slow(
-        *backend, backends::usual_pace_ms(p.registry, service, now), now) &&
-      now - i.started_ms > move_pause_ms;
-    if (!leaving_backend && !slow) {
+    const auto& service = backend->said.service;
+    const auto usual = backends::usual_pace_ms(p.registry, service, now);
+    const bool slow = backends::is_slow(*backend, usual, now) &&
+                      now - i.started_ms > move_pause_ms;
+    if (!backend->said.leaving && !slow) {
       continue;
     }
     backends::item_needs needs;
     needs.service = service;
     needs.model = b.submission.model;
     needs.min_version = b.submission.min_version;
-    needs.not_on = i.backend;
+    needs.not_on = i.backend.id;
     needs.data_centre = p.data_centre;
-    auto* other = backend == nullptr
-                    ? nullptr
-                    : backends::choose_for_item(p.registry, needs, now);
-    const bool better =
-      other != nullptr &&
-      !backends::is_slow(
-        *other, backends::usual_pace_ms(p.registry, service, now), now);
-    if (backend == nullptr || better) {
+    auto* other = backends::choose_for_item(p.registry, needs, now);
+    if (other != nullptr && !backends::is_slow(*other, usual, now)) {
       stop_run(i);
-      i.not_on = i.backend;
-      retry_item(b, i, 0, leaving_backend ? "leaving" : "slow");
+      i.not_on = i.backend.id;
+      retry_item(b, i, 0, backend->said.leaving ? "leaving" : "slow");
       plan();
     }
   }
--- a/cactusford/batches/state.h
+++ b/cactusford/batches/state.h
@@ -1,6 +1,7 @@
 // What an instance holds of a batch while it runs.
 #pragma once
 
+#include "cactusford/backends/registry.h"
 #include "cactusford/batches/batch.h"
 #include "cactusford/batches/event_reader.h"
 #include "cactusford/batches/ledger.h"
@@ -38,7 +39,7 @@
 
   // The present run.
   std::uint64_t run = 0;
-  std::string backend;
+  backends::life backend;
   http::pending sent;
   event_reader reader{ "" };
   int status = 0;
--- a/cactusford/batches/submissions.cc
+++ b/cactusford/batches/submissions.cc
@@ -159,35 +159,32 @@
 void
 keeper::on_given(const std::string& id, const std::string& body)
 {
-  const auto j = nlohmann::json::parse(body, nullptr, false);
-  const auto has = [&](const char* key, auto&& is_right) {
-    return j.is_object() && j.contains(key) && is_right(j.at(key));
-  };
-  using nlohmann::json;
-  const bool whole =
-    has("head", [](const json& v) { return v.is_object(); }) &&
-    has("revision", [](const json& v) { return v.is_number_unsigned(); }) &&
-    has("submission", [](const json& v) { return v.is_string(); });
-  if (!whole) {
-    process::log_line(timeline::event{ "given_unreadable" }.with("batch", id));
+  const auto j = store::parse_message(body);
+  const auto read = store::read_shape([&] {
+    store::object o;
+    o.name = id;
+    o.revision = store::whole_field(j, "revision");
+    o.spec = store::field(j, "head");
+    return std::pair{ o, store::text_field(j, "submission") };
+  });
+  if (!read) {
+    process::log_line(timeline::event{ "given_unreadable" }
+                        .with("batch", id)
+                        .with("field", read.fault.field)
+                        .with("why", read.fault.what));
     return;
   }
   if (impl_->known(id) != nullptr) {
     return;
   }
-  auto submission = impl_->p.dialect.submission_from(
-    j.at("submission").get_ref<const std::string&>());
+  auto submission = impl_->p.dialect.submission_from(read->second);
   if (!submission) {
     return;
   }
-  store::object o;
-  o.name = id;
-  o.revision = j.at("revision").get<std::uint64_t>();
-  o.spec = j.at("head");
   auto a = std::make_shared<acceptance>();
   a->submission = std::move(*submission);
   impl_->accepting[id] = a;
-  auto* b = impl_->learn(o);
+  auto* b = impl_->learn(read->first);
   impl_->accepting.erase(id);
   if (b != nullptr) {
     impl_->own_ours(*b, true);
@@ -347,8 +344,7 @@
       }
       auto submission = self->p.dialect.submission_from(sofar);
       if (!submission) {
-        process::log_line(
-          timeline::event{ "batch_unreadable" }.with("batch", id));
+        store::log_unreadable(part_kind, { id, submission.fault });
         self->end_read(id, false);
         return;
       }
--- a/cactusford/edge/dialect.h
+++ b/cactusford/edge/dialect.h
@@ -77,6 +77,9 @@
 // An engine's own report to the sidecar beside it.
 struct engine_report
 {
+  // When the engine's present life started, by its own clock. Versions and
+  // orders below are of this life alone.
+  std::uint64_t started_ms = 0;
   std::map<std::string, std::uint64_t> versions;
   // An order is in progress.
   bool busy = false;
@@ -130,12 +133,12 @@
   store::dialect store;
   std::string ready_path;
 
-  std::function<std::optional<routes::table>(const store::object&)> table_from;
-  std::function<std::optional<backends::announcement>(const store::object&)>
+  std::function<store::decoded<routes::table>(const store::object&)> table_from;
+  std::function<store::decoded<backends::announcement>(const store::object&)>
     announcement_from;
-  std::function<std::optional<named_version>(const store::object&)>
+  std::function<store::decoded<named_version>(const store::object&)>
     version_from;
-  std::function<std::optional<batches::submission>(std::string_view body)>
+  std::function<store::decoded<batches::submission>(std::string_view body)>
     submission_from;
   std::function<std::string(const batches::result_page&)> encode_page;
   std::function<batch_request(const http::request&)> batch_request_from;
@@ -145,7 +148,7 @@
   std::string version_line;
 
   std::function<http::request()> report_request;
-  std::function<std::optional<engine_report>(const http::response&)>
+  std::function<store::decoded<engine_report>(const http::response&)>
     report_from;
   std::function<http::request(const load_order&)> order_request;
   std::function<order_answer(const http::response&)> order_answer_from;
--- a/cactusford/edge/edge.cc
+++ b/cactusford/edge/edge.cc
@@ -42,6 +42,19 @@
 constexpr std::uint64_t missing_grace_ms = 2300;
 constexpr std::uint64_t least_outage_ms = 1000;
 
+void
+log_life(const backends::life_change& c)
+{
+  if (c.what == backends::announced::same_life) {
+    return;
+  }
+  const bool is_new = c.what == backends::announced::new_life;
+  process::log_line(
+    timeline::event{ is_new ? "backend_restarted" : "backend_word_too_late" }
+      .with("backend", c.of.id)
+      .with("started_ms", c.of.started_ms));
+}
+
 http::response
 answer(int status)
 {
@@ -76,6 +89,9 @@
   void refuse(const http::call& c);
 
   void on_configuration(const store::object& o);
+  void on_backend_list(std::vector<store::object>&& all);
+  void on_backend(store::change&& c);
+  void on_broken_backend(const store::unreadable& u);
   void watch_all();
   void keep_missing();
 
@@ -138,24 +154,13 @@
                   store,
                   { d.kinds.backends, shared_wait_ms, backend_gather_ms, true },
                   { [this](std::vector<store::object>&& all) {
-                     std::vector<backends::announcement> list;
-                     for (const auto& o : all) {
-                       if (auto a = d.announcement_from(o)) {
-                         list.push_back(std::move(*a));
-                       }
-                     }
-                     backends::replace_all(
-                       registry, std::move(list), http::now_ms());
+                     on_backend_list(std::move(all));
                    },
-                    [this](store::change&& c) {
-                      if (c.deleted) {
-                        backends::withdraw(
-                          registry, c.value.name, http::now_ms());
-                      } else if (auto a = d.announcement_from(c.value)) {
-                        backends::announce(registry, std::move(*a));
-                      }
-                    },
-                    [this] { keeper.on_backends(); } } }
+                    [this](store::change&& c) { on_backend(std::move(c)); },
+                    [this] { keeper.on_backends(); },
+                    [this](const store::unreadable& u) {
+                      on_broken_backend(u);
+                    } } }
   , batch_list{ h.io,
                 store,
                 { std::string{ batches::batch_kind }, shared_wait_ms, 0, true },
@@ -258,8 +263,7 @@
   }
   auto fresh = d.table_from(o);
   if (!fresh) {
-    process::log_line(timeline::event{ "configuration_unreadable" }.with(
-      "revision", o.revision));
+    store::log_unreadable(d.kinds.configuration, { o.name, fresh.fault });
     return;
   }
   // Never back: what one caller has seen stays in force for the next.
@@ -276,6 +280,49 @@
   keeper.on_backends();
 }
 
+// An entry that can't be read names no backend server, and what it announced
+// before stands no longer: it may have been written over.
+void
+edge_process::on_broken_backend(const store::unreadable& u)
+{
+  store::log_unreadable(d.kinds.backends, u);
+  backends::drop(registry, u.name);
+}
+
+void
+edge_process::on_backend_list(std::vector<store::object>&& all)
+{
+  std::vector<backends::announcement> list;
+  for (const auto& o : all) {
+    auto a = d.announcement_from(o);
+    if (a) {
+      list.push_back(std::move(*a));
+    } else {
+      on_broken_backend({ o.name, a.fault });
+    }
+  }
+  const auto now = http::now_ms();
+  for (const auto& c : backends::replace_all(registry, std::move(list), now)) {
+    log_life(c);
+  }
+}
+
+void
+edge_process::on_backend(store::change&& c)
+{
+  if (c.deleted) {
+    backends::withdraw(registry, c.value.name, http::now_ms());
+    return;
+  }
+  auto a = d.announcement_from(c.value);
+  if (!a) {
+    on_broken_backend({ c.value.name, a.fault });
+    return;
+  }
+  const backends::life of{ a->id, a->started_ms };
+  log_life({ of, backends::announce(registry, std::move(*a)) });
+}
+
 void
 edge_process::refuse(const http::call& c)
 {
--- a/cactusford/edge/forward.cc
+++ b/cactusford/edge/forward.cc
@@ -87,7 +87,7 @@
   struct attempt
   {
     http::pending sent;
-    std::string backend;
+    backends::life backend;
     std::uint64_t at_ms = 0;
     bool ended = false;
   };
@@ -212,7 +212,7 @@
   const auto index = f->attempts.size();
   const auto now = http::now_ms();
   f->tried.push_back(b.said.id);
-  f->attempts.push_back({ {}, b.said.id, now, false });
+  f->attempts.push_back({ {}, backends::life_of(b), now, false });
   process::log_line(
     timeline::event{ "call_sent" }
       .with("request", f->ask.id)
@@ -311,7 +311,7 @@
     case next_step::try_another:
       process::log_line(timeline::event{ "call_retried" }
                           .with("request", f->ask.id)
-                          .with("backend", a.backend)
+                          .with("backend", a.backend.id)
                           .with("end", http::name_of(end))
                           .with("status", static_cast<std::uint64_t>(r.status))
                           .with("not_run", not_run ? 1U : 0U));
--- a/cactusford/edge/side.cc
+++ b/cactusford/edge/side.cc
@@ -39,8 +39,11 @@
     orders::place_of(s.instance, s.data_centre, s.data_centres);
   orders::loader loader{ h.io, http, d, { s.instance, s.engine, where } };
   const auto take = [&](const store::object& o) {
-    if (const auto v = d.version_from(o)) {
+    const auto v = d.version_from(o);
+    if (v) {
       loader.on_named(*v, o.revision);
+    } else {
+      store::log_unreadable(d.kinds.versions, { o.name, v.fault });
     }
   };
   store::watcher versions{ h.io,
--- a/cactusford/orders/loader.cc
+++ b/cactusford/orders/loader.cc
@@ -83,15 +83,9 @@
                 asking_ = false;
                 const auto report = end == http::end_state::complete
                                       ? dialect_.report_from(r)
-                                      : std::nullopt;
-                if (report.has_value() != was_up_) {
-                  was_up_ = report.has_value();
-                  process::log_line(
-                    timeline::event{ was_up_ ? "engine_up" : "engine_down" }
-                      .with("engine", settings_.engine)
-                      .with("end", http::name_of(end)));
-                }
-                if (report) {
+                                      : store::decoded<edge::engine_report>{};
+                note_up(report.has_value(), end, report.fault);
+                if (report && take_life(*report)) {
                   on_report(*report);
                 } else {
                   again_in(idle_look_ms / 2);
@@ -99,6 +93,44 @@
               });
 }
 
+void
+loader::note_up(bool is_up,
+                http::end_state end,
+                const store::shape_fault& fault)
+{
+  if (is_up == was_up_) {
+    return;
+  }
+  was_up_ = is_up;
+  process::log_line(timeline::event{ is_up ? "engine_up" : "engine_down" }
+                      .with("engine", settings_.engine)
+                      .with("end", http::name_of(end))
+                      .with("field", fault.field)
+                      .with("why", fault.what));
+}
+
+// An engine may start again under its id and address, with its orders counted
+// from zero. A late report of the life before would have the next order made
+// for a count that the engine no longer has, or hide that weights are missing.
+// False: the report is of a life that has ended.
+bool
+loader::take_life(const edge::engine_report& r)
+{
+  if (r.started_ms < started_ms_) {
+    return false;
+  }
+  if (r.started_ms > started_ms_) {
+    process::log_line(timeline::event{ "engine_life" }
+                        .with("engine", settings_.engine)
+                        .with("started_ms", r.started_ms)
+                        .with("before", started_ms_)
+                        .with("orders", r.orders));
+    started_ms_ = r.started_ms;
+    loaded_.clear();
+  }
+  return true;
+}
+
 void
 loader::on_report(const edge::engine_report& r)
 {
--- a/cactusford/orders/loader.h
+++ b/cactusford/orders/loader.h
@@ -39,6 +39,10 @@
 
 private:
   void look();
+  void note_up(bool is_up,
+               http::end_state end,
+               const store::shape_fault& fault);
+  bool take_life(const edge::engine_report& r);
   void on_report(const edge::engine_report& r);
   void order(const edge::engine_report& r,
              const std::string& model,
@@ -59,7 +63,10 @@
   // The highest revision acted on. It grows with each version that is named
   // and survives restarts, as it is read from the store again.
   std::uint64_t fence_ = 0;
-  // Versions seen at the last look, and when each order was accepted.
+  // When the engine's present life started, by its own clock.
+  std::uint64_t started_ms_ = 0;
+  // Versions seen at the last look in this life, and when each order was
+  // accepted.
   std::map<std::string, std::uint64_t> loaded_;
   std::uint64_t ordered_ms_ = 0;
   bool asking_ = false;
--- /dev/null
+++ b/cactusford/store/fields.cc
@@ -0,0 +1,267 @@
+#include "cactusford/store/fields.h"
+
+#include <algorithm>
+
+namespace cactusford::store {
+
+namespace {
+
+using nlohmann::json;
+
+[[noreturn]] void
+fail(const char* key, const char* wanted, const json& got)
+{
+  throw field_error{
+    { key, std::string{ wanted } + " wanted, got " + got.type_name() }
+  };
+}
+
+// Length of the UTF-8 character that begins at `at`; 0: there is none.
+// RFC 3629, section 4.
+std::size_t
+character_length(std::string_view text, std::size_t at)
+{
+  const auto byte = [&](std::size_t i) {
+    return i < text.size() ? static_cast<unsigned char>(text[i]) : 0U;
+  };
+  const auto follows = [&](std::size_t i) {
+    return (byte(i) & 0xc0U) == 0x80U;
+  };
+  const auto first = byte(at);
+  if (first < 0x80U) {
+    return 1;
+  }
+  if (first >= 0xc2U && first <= 0xdfU) {
+    return follows(at + 1) ? 2 : 0;
+  }
+  if (first >= 0xe0U && first <= 0xefU) {
+    const auto second = byte(at + 1);
+    const bool overlong = first == 0xe0U && second < 0xa0U;
+    const bool surrogate = first == 0xedU && second > 0x9fU;
+    const bool whole = follows(at + 1) && follows(at + 2);
+    return whole && !overlong && !surrogate ? 3 : 0;
+  }
+  if (first >= 0xf0U && first <= 0xf4U) {
+    const auto second = byte(at + 1);
+    const bool overlong = first == 0xf0U && second < 0x90U;
+    const bool too_large = first == 0xf4U && second > 0x8fU;
+    const bool whole = follows(at + 1) && follows(at + 2) && follows(at + 3);
+    return whole && !overlong && !too_large ? 4 : 0;
+  }
+  return 0;
+}
+
+// One look at the bytes; a parser that asks at each level costs as much again
+// as the parsing.
+bool
+is_nested_too_deeply(std::string_view text)
+{
+  std::size_t depth = 0;
+  bool in_text = false;
+  for (std::size_t at = 0; at < text.size(); ++at) {
+    const char c = text[at];
+    if (in_text) {
+      at += c == '\\' ? 1 : 0;
+      in_text = c != '"';
+      continue;
+    }
+    in_text = c == '"';
+    if (c == '{' || c == '[') {
+      ++depth;
+    } else if ((c == '}' || c == ']') && depth > 0) {
+      --depth;
+    }
+    if (depth > deepest_nesting) {
+      return true;
+    }
+  }
+  return false;
+}
+
+std::string
+mark_unreadable(std::string_view text)
+{
+  std::string marked;
+  marked.reserve(text.size());
+  bool in_text = false;
+  for (std::size_t at = 0; at < text.size();) {
+    const auto length = character_length(text, at);
+    const auto c = static_cast<unsigned char>(text[at]);
+    constexpr unsigned char first_printable = 0x20;
+    if (length == 0 || (in_text && c < first_printable)) {
+      marked += unreadable_mark;
+      ++at;
+      continue;
+    }
+    if (in_text && c == '\\' && at + 1 < text.size()) {
+      marked += text.substr(at, 1);
+      ++at;
+      // The escaped character itself may be one that cannot be read.
+      if (character_length(text, at) == 1) {
+        marked += text.substr(at, 1);
+        ++at;
+      }
+      continue;
+    }
+    in_text = c == '"' ? !in_text : in_text;
+    marked += text.substr(at, length);
+    at += length;
+  }
+  return marked;
+}
+
+} // namespace
+
+field_error::field_error(shape_fault f)
+  : fault_{ std::move(f) }
+{
+}
+
+const json&
+field(const json& j, const char* key)
+{
+  if (!j.is_object()) {
+    fail(key, "an object around it", j);
+  }
+  const auto found = j.find(key);
+  if (found == j.end()) {
+    throw field_error{ { key, "missing" } };
+  }
+  return *found;
+}
+
+const std::string&
+text_field(const json& j, const char* key)
+{
+  const auto& value = field(j, key);
+  if (!value.is_string()) {
+    fail(key, "text", value);
+  }
+  return value.get_ref<const std::string&>();
+}
+
+std::uint64_t
+whole_field(const json& j, const char* key)
+{
+  const auto& value = field(j, key);
+  const bool is_whole =
+    value.is_number_unsigned() ||
+    (value.is_number_integer() && value.get<std::int64_t>() >= 0);
+  if (!is_whole) {
+    fail(key, "a whole number", value);
+  }
+  return value.get<std::uint64_t>();
+}
+
+bool
+flag_field(const json& j, const char* key)
+{
+  const auto& value = field(j, key);
+  if (!value.is_boolean()) {
+    fail(key, "true or false", value);
+  }
+  return value.get<bool>();
+}
+
+double
+amount_field(const json& j, const char* key)
+{
+  // Whole numbers beyond it can't be told apart.
+  constexpr double largest = 9007199254740992.0;
+  const auto& value = field(j, key);
+  const auto amount = value.is_number() ? value.get<double>() : -1;
+  if (!(amount >= 0 && amount <= largest)) {
+    fail(key, "an amount", value);
+  }
+  return amount;
+}
+
+const json&
+list_field(const json& j, const char* key)
+{
+  const auto& value = field(j, key);
+  if (!value.is_array()) {
+    fail(key, "a list", value);
+  }
+  return value;
+}
+
+bool
+has_field(const json& j, const char* key)
+{
+  const auto found = j.find(key);
+  return found != j.end() && !found->is_null();
+}
+
+std::string
+text_field_or(const json& j, const char* key, std::string_view otherwise)
+{
+  return has_field(j, key) ? text_field(j, key) : std::string{ otherwise };
+}
+
+std::uint64_t
+whole_field_or(const json& j, const char* key, std::uint64_t otherwise)
+{
+  return has_field(j, key) ? whole_field(j, key) : otherwise;
+}
+
+bool
+flag_field_or(const json& j, const char* key, bool otherwise)
+{
+  return has_field(j, key) ? flag_field(j, key) : otherwise;
+}
+
+double
+amount_field_or(const json& j, const char* key, double otherwise)
+{
+  return has_field(j, key) ? amount_field(j, key) : otherwise;
+}
+
+std::vector<std::uint64_t>
+wholes_field(const json& j, const char* key)
+{
+  std::vector<std::uint64_t> values;
+  for (const auto& value : list_field(j, key)) {
+    const json one{ { key, value } };
+    values.push_back(whole_field(one, key));
+  }
+  return values;
+}
+
+json
+parse_message(std::string_view text)
+{
+  return is_nested_too_deeply(text) ? json(json::value_t::discarded)
+                                    : json::parse(text, nullptr, false);
+}
+
+marked_message
+parse_marked(std::string_view text)
+{
+  auto j = parse_message(text);
+  if (!j.is_discarded()) {
+    return { std::move(j), false };
+  }
+  return { parse_message(mark_unreadable(text)), true };
+}
+
+bool
+holds_unreadable(const json& j)
+{
+  const auto is_marked = [](const std::string& text) {
+    return text.find(unreadable_mark) != std::string::npos;
+  };
+  if (j.is_string()) {
+    return is_marked(j.get_ref<const std::string&>());
+  }
+  if (j.is_object()) {
+    return std::any_of(j.items().begin(), j.items().end(), [&](const auto& e) {
+      return is_marked(e.key()) || holds_unreadable(e.value());
+    });
+  }
+  return j.is_array() && std::any_of(j.begin(), j.end(), [](const json& v) {
+           return holds_unreadable(v);
+         });
+}
+
+} // namespace cactusford::store
--- a/cactusford/store/store.cc
+++ b/cactusford/store/store.cc
@@ -1,6 +1,7 @@
 #include "cactusford/store/store.h"
 
 #include "cactusford/http/socket.h"
+#include "cactusford/process/line_log.h"
 
 #include <asio/post.hpp>
 
@@ -52,6 +53,15 @@
     { nothing ? 503 : 504, { { std::string{ away_header }, "1" } }, "" });
 }
 
+// A call that another instance asks this one to make.
+struct relayed_call
+{
+  http::request inner;
+  std::uint64_t timeout_ms = 0;
+  bool shared = false;
+  std::uint64_t hops = 0;
+};
+
 http::request
 wrap(const http::request& inner,
      std::uint64_t timeout_ms,
@@ -72,6 +82,16 @@
 
 } // namespace
 
+void
+log_unreadable(std::string_view kind, const unreadable& u)
+{
+  process::log_line(timeline::event{ "object_unreadable" }
+                      .with("kind", kind)
+                      .with("name", u.name)
+                      .with("field", u.fault.field)
+                      .with("why", u.fault.what));
+}
+
 std::string_view
 name_of(verdict v) noexcept
 {
@@ -328,38 +348,35 @@
     caller.respond({ 503, {}, "" });
     return;
   }
-  const auto body =
-    nlohmann::json::parse(caller.request().body, nullptr, false);
-  const auto text = [&](const char* key) {
-    const auto found = body.is_object() ? body.find(key) : body.end();
-    const bool is_text = found != body.end() && found->is_string();
-    return is_text ? found->get<std::string>() : std::string{};
-  };
-  const auto number = [&](const char* key, std::uint64_t otherwise) {
-    const auto found = body.find(key);
-    const bool is_number = found != body.end() && found->is_number_unsigned();
-    return is_number ? found->get<std::uint64_t>() : otherwise;
-  };
-  http::request inner;
-  inner.method = text("method");
-  inner.target = text("target");
-  inner.body = text("body");
-  if (inner.method.empty() || inner.target.empty()) {
+  const auto body = parse_message(caller.request().body);
+  const auto asked = read_shape([&] {
+    relayed_call r;
+    r.inner.method = text_field(body, "method");
+    r.inner.target = text_field(body, "target");
+    r.inner.body = text_field(body, "body");
+    r.timeout_ms = whole_field(body, "timeout_ms");
+    r.shared = flag_field(body, "shared");
+    r.hops = whole_field(body, "hops");
+    return r;
+  });
+  if (!asked) {
+    process::log_line(timeline::event{ "relayed_call_unreadable" }
+                        .with("field", asked.fault.field)
+                        .with("why", asked.fault.what));
     caller.respond({ 400, {}, "" });
     return;
   }
+  auto inner = asked->inner;
   if (!inner.body.empty()) {
     inner.fields.push_back({ "Content-Type", "application/json" });
   }
   inner.fields.push_back({ "Host", settings_.address });
-  const auto timeout_ms = number("timeout_ms", settings_.answer_ms);
-  const auto shared = body.find("shared");
-  if (shared != body.end() && *shared == true) {
-    relay_watch(caller, inner, timeout_ms, number("hops", most_hops));
+  if (asked->shared) {
+    relay_watch(caller, inner, asked->timeout_ms, asked->hops);
     return;
   }
   http::exchange_options o;
-  o.timeout_ms = timeout_ms;
+  o.timeout_ms = asked->timeout_ms;
   ++calls_;
   auto sent = std::make_shared<http::pending>();
   *sent = http_.fetch(settings_.address,
@@ -395,7 +412,8 @@
 {
   store::call watch;
   watch.op = operation::watch;
-  return !dialect_.decode(watch, r).changes.empty();
+  const auto answer = dialect_.decode(watch, r);
+  return !answer.changes.empty() || !answer.broken.empty();
 }
 
 void
--- a/cactusford/store/store.h
+++ b/cactusford/store/store.h
@@ -4,6 +4,7 @@
 
 #include "cactusford/http/client.h"
 #include "cactusford/http/server.h"
+#include "cactusford/store/fields.h"
 #include "cactusford/store/paths.h"
 #include "cactusford/store/shared_watches.h"
 
@@ -41,6 +42,22 @@
   friend bool operator==(const change&, const change&) = default;
 };
 
+// An object that could not be read, as another writer's may be. What it held
+// before stands no longer; the others that came with it hold.
+struct unreadable
+{
+  // Empty when not even the name could be read.
+  std::string name;
+  shape_fault fault;
+
+  friend bool operator==(const unreadable&, const unreadable&) = default;
+};
+
+// One line for an object that could not be read: its name, the field, the
+// fault. The log bounds how many there are.
+void
+log_unreadable(std::string_view kind, const unreadable& u);
+
 enum class operation
 {
   list,
@@ -96,7 +113,10 @@
   verdict what = verdict::unknown;
   std::vector<object> items;
   std::vector<change> changes;
+  std::vector<unreadable> broken;
   bool more = false;
+  // For a list with more to come: the name to go on behind.
+  std::string last_name;
   std::uint64_t as_of = 0;
   // An earlier attempt of the same call had no answer: a conflict may be with
   // our own write.
--- a/cactusford/store/watcher.cc
+++ b/cactusford/store/watcher.cc
@@ -3,6 +3,7 @@
 #include "cactusford/http/socket.h"
 
 #include <algorithm>
+#include <iterator>
 
 namespace cactusford::store {
 
@@ -60,15 +61,13 @@
 }
 
 void
-watcher::list(const std::string& after,
-              std::vector<object> sofar,
-              std::uint64_t first_as_of)
+watcher::list(listing sofar)
 {
   call c;
   c.op = operation::list;
   c.kind = settings_.kind;
-  c.after = after;
-  store_.perform(c, [=, this, round = round_](reply&& r) mutable {
+  c.after = sofar.after;
+  store_.perform(c, [this, sofar, round = round_](reply&& r) mutable {
     if (round != round_) {
       return;
     }
@@ -79,30 +78,52 @@
     }
     // Pages are read one after the other; changes since the first of them
     // come again with the watch, which does no harm.
-    if (first_as_of == 0) {
-      first_as_of = r.as_of;
+    if (sofar.first_as_of == 0) {
+      sofar.first_as_of = r.as_of;
     }
-    for (auto& o : r.items) {
-      sofar.push_back(std::move(o));
-    }
-    if (r.more && !sofar.empty()) {
-      const auto last = sofar.back().name;
-      list(last, std::move(sofar), first_as_of);
+    std::move(
+      r.items.begin(), r.items.end(), std::back_inserter(sofar.objects));
+    std::move(
+      r.broken.begin(), r.broken.end(), std::back_inserter(sofar.broken));
+    // A page without a readable name would be asked for again for ever.
+    const bool moves_on = !r.last_name.empty() && r.last_name != sofar.after;
+    if (r.more && moves_on) {
+      sofar.after = r.last_name;
+      list(std::move(sofar));
       return;
     }
-    failures_ = 0;
-    listed_ = true;
-    needs_list_ = false;
-    as_of_ = first_as_of;
-    confirmed_ms_ = http::now_ms();
-    events_.on_list(std::move(sofar));
-    if (events_.on_current) {
-      events_.on_current();
-    }
-    watch();
+    end_list(std::move(sofar));
   });
 }
 
+void
+watcher::end_list(listing&& l)
+{
+  failures_ = 0;
+  listed_ = true;
+  needs_list_ = false;
+  as_of_ = l.first_as_of;
+  confirmed_ms_ = http::now_ms();
+  events_.on_list(std::move(l.objects));
+  tell_unreadable(l.broken);
+  if (events_.on_current) {
+    events_.on_current();
+  }
+  watch();
+}
+
+void
+watcher::tell_unreadable(const std::vector<unreadable>& broken)
+{
+  for (const auto& u : broken) {
+    if (events_.on_unreadable) {
+      events_.on_unreadable(u);
+    } else {
+      log_unreadable(settings_.kind, u);
+    }
+  }
+}
+
 void
 watcher::watch()
 {
@@ -110,7 +131,7 @@
     return;
   }
   if (needs_list_) {
-    list("", {}, 0);
+    list({});
     return;
   }
   call c;
@@ -148,7 +169,8 @@
   // back: its revision is then ahead of what we were shown, and going on from
   // there would skip them for good. From the older one they still come, or
   // the history is gone and the kind is listed again.
-  if (!r.changes.empty()) {
+  const bool has_news = !r.changes.empty() || !r.broken.empty();
+  if (has_news) {
     as_of_ = std::max(as_of_, r.as_of);
   }
   confirmed_ms_ = http::now_ms();
@@ -156,11 +178,12 @@
   for (auto& c : r.changes) {
     events_.on_change(std::move(c));
   }
+  tell_unreadable(r.broken);
   if (events_.on_current) {
     events_.on_current();
   }
   if (round == round_) {
-    wait_and_watch(r.changes.empty() ? 0 : settings_.gather_ms);
+    wait_and_watch(has_news ? settings_.gather_ms : 0);
   }
 }
 
--- a/cactusford/store/watcher.h
+++ b/cactusford/store/watcher.h
@@ -12,6 +12,8 @@
   std::function<void(change&&)> on_change;
   // After each answer of the store, changed or not.
   std::function<void()> on_current;
+  // An object whose frame could not be read. Default: it is logged.
+  std::function<void(const unreadable&)> on_unreadable = {};
 };
 
 struct watch_settings
@@ -50,12 +52,21 @@
   std::uint64_t as_of() const { return as_of_; }
 
 private:
-  void list(const std::string& after,
-            std::vector<object> sofar,
-            std::uint64_t first_as_of);
+  // What the pages of a list have shown so far.
+  struct listing
+  {
+    std::string after;
+    std::vector<object> objects;
+    std::vector<unreadable> broken;
+    std::uint64_t first_as_of = 0;
+  };
+
+  void list(listing sofar);
+  void end_list(listing&& l);
   void watch();
   void wait_and_watch(std::uint64_t ms);
   void on_reply(reply&& r);
+  void tell_unreadable(const std::vector<unreadable>& broken);
 
   asio::steady_timer timer_;
   client& store_;
--- a/standins/object_store.cc
+++ b/standins/object_store.cc
@@ -26,10 +26,27 @@
 object_from(const json& j)
 {
   store::object o;
-  o.name = j.at("name").get<std::string>();
-  o.revision = j.at("revision").get<std::uint64_t>();
-  o.spec = j.at("spec");
-  o.status = j.at("status");
+  o.name = store::text_field(j, "name");
+  o.revision = store::whole_field(j, "revision");
+  o.spec = store::field(j, "spec");
+  o.status = store::field(j, "status");
+  if (store::holds_unreadable(o.spec)) {
+    throw store::field_error{ { "spec", "bytes that are no UTF-8" } };
+  }
+  return o;
+}
+
+// An object in an answer, or why it can't be read.
+store::decoded<store::object>
+read_object(const json& j, store::reply& r)
+{
+  auto o = store::read_shape([&] { return object_from(j); });
+  const auto name =
+    store::read_shape([&] { return store::text_field(j, "name"); });
+  if (!o) {
+    r.broken.push_back({ name.value_or(""), o.fault });
+  }
+  r.last_name = name.value_or(r.last_name);
   return o;
 }
 
@@ -62,28 +79,36 @@
 }
 
 std::string
-encode_reply(const store::reply& r)
+encode_reply(const store::reply& r, const std::set<std::string>& as_text)
 {
+  const auto shown = [&](const store::object& o) {
+    return as_text.contains(o.name) ? json(o.name) : to_json(o);
+  };
   json j{ { "what", static_cast<int>(r.what) },
           { "more", r.more },
           { "as_of", r.as_of },
           { "items", json::array() },
           { "changes", json::array() } };
   for (const auto& o : r.items) {
-    j["items"].push_back(to_json(o));
+    j["items"].push_back(shown(o));
   }
   for (const auto& c : r.changes) {
     j["changes"].push_back(
-      { { "object", to_json(c.value) }, { "deleted", c.deleted } });
+      { { "object", shown(c.value) }, { "deleted", c.deleted } });
   }
-  return j.dump();
+  auto text = j.dump();
+  for (auto at = text.find(object_store::bad_byte); at != std::string::npos;
+       at = text.find(object_store::bad_byte, at)) {
+    text.replace(at, object_store::bad_byte.size(), "\xff");
+  }
+  return text;
 }
 
 store::reply
 decode_reply(const store::call&, const http::response& a)
 {
   store::reply r;
-  const auto j = json::parse(a.body, nullptr, false);
+  const auto j = store::parse_marked(a.body).value;
   if (a.status == 503) {
     r.what = store::verdict::refused;
     return r;
@@ -95,11 +120,14 @@
   r.more = j.at("more").get<bool>();
   r.as_of = j.at("as_of").get<std::uint64_t>();
   for (const auto& o : j.at("items")) {
-    r.items.push_back(object_from(o));
+    if (auto read = read_object(o, r)) {
+      r.items.push_back(std::move(*read));
+    }
   }
   for (const auto& c : j.at("changes")) {
-    r.changes.push_back(
-      { object_from(c.at("object")), c.at("deleted").get<bool>() });
+    if (auto read = read_object(c.at("object"), r)) {
+      r.changes.push_back({ std::move(*read), c.at("deleted").get<bool>() });
+    }
   }
   return r;
 }
@@ -159,27 +187,32 @@
   return r;
 }
 
-std::optional<routes::table>
+store::decoded<routes::table>
 table_from(const store::object& o)
 {
-  routes::table t;
-  t.version = o.spec.at("version").get<std::uint64_t>();
-  for (const auto& r : o.spec.at("routes")) {
-    t.routes.push_back(route_from(r));
-  }
-  return t;
+  return store::read_shape([&] {
+    routes::table t;
+    t.version = store::whole_field(o.spec, "version");
+    for (const auto& r : store::list_field(o.spec, "routes")) {
+      t.routes.push_back(route_from(r));
+    }
+    return t;
+  });
 }
 
-std::optional<backends::announcement>
+store::decoded<backends::announcement>
 announcement_from(const store::object& o)
 {
-  backends::announcement a;
-  a.id = o.name;
-  a.service = o.spec.at("service").get<std::string>();
-  a.address = o.spec.at("address").get<std::string>();
-  a.slots = o.spec.at("slots").get<std::uint32_t>();
-  a.versions["m"] = o.spec.value("version", std::uint64_t{ 0 });
-  return a;
+  return store::read_shape([&] {
+    backends::announcement a;
+    a.id = o.name;
+    a.started_ms = store::whole_field_or(o.spec, "started_ms", 0);
+    a.service = store::text_field(o.spec, "service");
+    a.address = store::text_field(o.spec, "address");
+    a.slots = static_cast<std::uint32_t>(store::whole_field(o.spec, "slots"));
+    a.versions["m"] = store::whole_field_or(o.spec, "version", 0);
+    return a;
+  });
 }
 
 // GET /batches/ID?after=N&wait=MS and DELETE /batches/ID.
@@ -216,16 +249,16 @@
   d.kinds = { "configuration", "main", "backends", "versions", "retired" };
   d.version_line = "version";
   d.store.encode = [](const store::call& c) {
-    return http::request{ "POST", "/", { { "Host", "s" } }, to_json(c).dump() };
+    // Watches are joined by their targets.
+    const auto target = "/" + c.kind + "?since=" + std::to_string(c.since);
+    return http::request{
+      "POST", target, { { "Host", "s" } }, to_json(c).dump()
+    };
   };
   d.store.decode = decode_reply;
-  d.submission_from =
-    [](std::string_view body) -> std::optional<batches::submission> {
-    try {
-      return submission_from(json::parse(body));
-    } catch (const json::exception&) {
-      return std::nullopt;
-    }
+  d.submission_from = [](std::string_view body) {
+    return store::read_shape(
+      [&] { return submission_from(json::parse(body)); });
   };
   d.encode_page = encode_page;
   d.table_from = table_from;
@@ -318,7 +351,7 @@
     const auto r = perform(w.call);
     const bool over = http::now_ms() >= w.until_ms;
     if (!r.changes.empty() || r.what != store::verdict::done || over) {
-      w.caller.respond({ 200, {}, encode_reply(r) });
+      w.caller.respond({ 200, {}, encode_reply(r, texts_for_objects) });
     } else if (w.caller.is_open()) {
       watches_.push_back(std::move(w));
     }
@@ -367,7 +400,7 @@
     unanswered_.push_back(c);
     return;
   }
-  c.respond({ 200, {}, encode_reply(r) });
+  c.respond({ 200, {}, encode_reply(r, texts_for_objects) });
 }
 
 store::reply
--- a/standins/object_store.h
+++ b/standins/object_store.h
@@ -10,7 +10,9 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <set>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace cactusford::standins {
@@ -40,6 +42,11 @@
   // Objects of a kind in the order of their names.
   std::vector<store::object> all(const std::string& kind) const;
 
+  // What other writers leave. Where `bad_byte` stands in a text, answers hold a
+  // byte that is no UTF-8; objects of these names are answered as a text.
+  static constexpr std::string_view bad_byte = "<bad byte>";
+  std::set<std::string> texts_for_objects;
+
   // Drops all history and ends the waiting watches, as when it is compacted.
   void compact();
 
--- a/tests/batches-test.cc
+++ b/tests/batches-test.cc
@@ -171,10 +171,12 @@
   void know(const std::string& id,
             const std::string& service,
             const std::string& address,
-            std::uint64_t version)
+            std::uint64_t version,
+            std::uint64_t started_ms = 1)
   {
     backends::announcement a;
     a.id = id;
+    a.started_ms = started_ms;
     a.service = service;
     a.address = address;
     a.slots = 8;
@@ -563,6 +565,31 @@
   cr_assert(first->results.empty(), "the heir fenced the ledger first");
 }
 
+// An engine starts again under its id while items run there, and the
+// connections of the old life stay silent. The entry learns of the new life
+// from the list; its items go on at once, behind the text they have, and the
+// ends of the old runs don't free places that nobody holds.
+Test(batches, go_on_at_once_when_an_engine_starts_again_under_its_id)
+{
+  world w{ 1 };
+  auto& e = *w.entries[0];
+  w.engine.events = 100000;
+  w.call(e, "POST", submission(2));
+  w.run_until([&] { return w.engine.streaming == 2; });
+  stream_engine next{ w.io, "e1" };
+  e.know("e1", "engines", next.address(), 1, 2);
+  w.run_until([&] { return next.streaming == 2; });
+  cr_assert_eq(next.runs.size(), 2);
+  cr_assert_eq(backends::find(e.registry, "e1")->in_flight, 2);
+  SECTION("late word of the old life moves nothing back")
+  {
+    e.know("e1", "engines", w.engine.address(), 1, 1);
+    w.run_until([&] { return w.engine.streaming == 0; });
+    cr_assert_eq(next.streaming, 2);
+    cr_assert_eq(backends::find(e.registry, "e1")->in_flight, 2);
+  }
+}
+
 // A batch ends while its items run. What nobody reads any more is cancelled.
 Test(batches, stops_the_runs_of_an_ended_batch)
 {
@@ -759,6 +786,48 @@
   w.run_until([&] { return !w.read(*w.entries[1]); });
 }
 
+// Among the entries of a kind are some of another writer: one is no object, one
+// holds bytes that are no text. The others of the list, of its further pages
+// and of the watch behind it hold, and the broken ones are named.
+Test(watcher, shows_all_others_beside_entries_that_are_broken)
+{
+  world w{ 1 };
+  auto& e = *w.entries[0];
+  w.store.page_size = 2;
+  w.store.texts_for_objects = { "b", "e" };
+  for (const auto* name : { "a", "b", "c", "d", "e", "f" }) {
+    w.store.put("servers", name, { { "x", 1 } });
+  }
+  const std::string bad{ object_store::bad_byte };
+  w.store.put("servers", "d", { { "x", bad } });
+  std::set<std::string> shown;
+  std::set<std::string> broken;
+  store::watcher servers{
+    e.io,
+    e.store,
+    { "servers", 1000 },
+    { [&](std::vector<store::object>&& all) {
+       for (const auto& o : all) {
+         shown.insert(o.name);
+       }
+     },
+      [&](store::change&& c) { shown.insert(c.value.name); },
+      {},
+      [&](const store::unreadable& u) { broken.insert(u.name); } }
+  };
+  servers.start();
+  w.run_until([&] { return servers.is_current(); });
+  const std::set<std::string> whole{ "a", "c", "f" };
+  cr_assert(shown == whole);
+  cr_assert(broken.contains("d"));
+  SECTION("a change that breaks one, and the next that doesn't")
+  {
+    w.store.put("servers", "c", { { "x", bad } });
+    w.store.put("servers", "g", { { "x", 1 } });
+    w.run_until([&] { return broken.contains("c") && shown.contains("g"); });
+  }
+}
+
 // The store cuts a waiting watch and drops its history. A watch from the old
 // revision would show nothing for as long as it is held.
 Test(watcher, lists_again_after_its_watch_was_cut)
