Where no backend server tells when its life began, each has one

With it required, nothing was served (CONFIG). Once one entry has it, those without are another writer's.

--- a/cactusford/backends/registry.cc
+++ b/cactusford/backends/registry.cc
@@ -73,9 +73,30 @@
 
 } // namespace
 
+std::string_view
+name_of(announced a) noexcept
+{
+  switch (a) {
+    case announced::same_life:
+      return "same_life";
+    case announced::new_life:
+      return "new_life";
+    case announced::ended_life:
+      return "ended_life";
+    case announced::no_life:
+      return "no_life";
+  }
+  return "unknown";
+}
+
 announced
 announce(registry& r, announcement a)
 {
+  r.lives_are_told = r.lives_are_told || a.started_ms != 0;
+  if (r.lives_are_told && a.started_ms == 0) {
+    drop(r, a.id);
+    return announced::no_life;
+  }
   auto& b = r.all[a.id];
   const auto known = b.said.started_ms;
   // A late word would bring back load, versions and runs of a process that is
@@ -126,6 +147,10 @@
       b.missing_since_ms = std::max<std::uint64_t>(now_ms, 1);
     }
   }
+  r.lives_are_told = r.lives_are_told ||
+                     std::any_of(list.begin(), list.end(), [](const auto& a) {
+                       return a.started_ms != 0;
+                     });
   std::vector<life_change> changes;
   for (auto& a : list) {
     const life of{ a.id, a.started_ms };
--- a/cactusford/backends/registry.h
+++ b/cactusford/backends/registry.h
@@ -16,7 +16,7 @@
 {
   std::string id;
   // When this life started, in Unix milliseconds of the backend server's own
-  // clock. A greater value is a later life.
+  // clock. A greater value is a later life. 0: not told.
   std::uint64_t started_ms = 0;
   std::string service;
   std::string address;
@@ -77,6 +77,8 @@
 struct registry
 {
   std::map<std::string, backend> all;
+  // Some backend server has told when its life started: all of them do.
+  bool lives_are_told = false;
   // Entries that lapsed while the store was away stay until this time, in
   // which live backend servers announce themselves again.
   std::uint64_t keep_missing_until_ms = 0;
@@ -93,8 +95,13 @@
   new_life,
   // Late word of a life that has ended; left out.
   ended_life,
+  // It tells of no life where others do; left out, as another writer's.
+  no_life,
 };
 
+std::string_view
+name_of(announced a) noexcept;
+
 struct life_change
 {
   life of;
--- a/cactusford/edge/edge.cc
+++ b/cactusford/edge/edge.cc
@@ -45,14 +45,12 @@
 void
 log_life(const backends::life_change& c)
 {
-  if (c.what == backends::announced::same_life) {
-    return;
+  if (c.what != backends::announced::same_life) {
+    process::log_line(timeline::event{ "backend_life" }
+                        .with("backend", c.of.id)
+                        .with("started_ms", c.of.started_ms)
+                        .with("verdict", backends::name_of(c.what)));
   }
-  const bool is_new = c.what == backends::announced::new_life;
-  process::log_line(
-    timeline::event{ is_new ? "backend_restarted" : "backend_word_too_late" }
-      .with("backend", c.of.id)
-      .with("started_ms", c.of.started_ms));
 }
 
 http::response
