--- a/cactusford/orders/loader.h
+++ b/cactusford/orders/loader.h
@@ -37,6 +37,9 @@
   // Looks at the engine once in a while from now on.
   void start();
 
+  // When the engine's present life started, by its own clock; 0: not known.
+  std::uint64_t engine_started_ms() const { return started_ms_; }
+
 private:
   void look();
   void note_up(bool is_up,
@@ -63,7 +66,6 @@
   // The highest revision acted on. It grows with each version that is named
   // and survives restarts, as it is read from the store again.
   std::uint64_t fence_ = 0;
-  // When the engine's present life started, by its own clock.
   std::uint64_t started_ms_ = 0;
   // Versions seen at the last look in this life, and when each order was
   // accepted.
