A path of the store that failed is asked by one call at a time

Each call is paid for.

Change: a path that failed is closed between questions, 300 ms apart for a relay and 2 s for others; a call that finds none open fails at once. A relay whose own path is closed says so without asking. Equal lists are joined as watches are. Two tests of the old rule (one forced try while all paths are bad) give way to ones that count the tries of an outage.

--- a/cactusford/store/paths-test.cc
+++ b/cactusford/store/paths-test.cc
@@ -11,12 +11,12 @@
 Test(paths, goes_round_a_direct_path_that_is_closed)
 {
   auto t = make_paths(2);
-  cr_assert_eq(*next_path(t, {}, 0), direct_path);
+  cr_assert_eq(*take_path(t, {}, 0), direct_path);
   note_path(t, direct_path, path_end::failed, 0);
-  cr_assert_eq(*next_path(t, { direct_path }, 0), 1);
+  cr_assert_eq(*take_path(t, { direct_path }, 0), 1);
   note_path(t, 1, path_end::answered, 5);
-  cr_assert_eq(*next_path(t, {}, 10), 1, "the next call starts there");
-  cr_assert_eq(*next_path(t, {}, 1600), direct_path, "and direct again later");
+  cr_assert_eq(*take_path(t, {}, 10), 1, "the next call starts there");
+  cr_assert_eq(*take_path(t, {}, 2100), direct_path, "and direct again later");
 }
 
 // The relay that is listed first has been removed for good. Once, each call
@@ -26,11 +26,13 @@
   auto t = make_paths(2);
   note_path(t, direct_path, path_end::failed, 0);
   note_path(t, 1, path_end::failed, 0);
-  cr_assert_eq(*next_path(t, {}, 10), 2);
-  SECTION("with every path bad, the one that is due first")
+  cr_assert_eq(*take_path(t, {}, 10), 2);
+  SECTION("with no relay left the direct path is asked often")
   {
     note_path(t, 2, path_end::failed, 0);
-    cr_assert_eq(*next_path(t, {}, 10), direct_path);
+    note_path(t, direct_path, path_end::failed, 0);
+    cr_assert_not(take_path(t, {}, 10), "but not at once");
+    cr_assert_eq(*take_path(t, {}, 300), direct_path);
   }
 }
 
@@ -39,29 +41,60 @@
 Test(paths, begins_with_a_relay_where_that_is_wished)
 {
   auto t = make_paths(2, 2);
-  cr_assert_eq(*next_path(t, {}, 0), 2);
-  cr_assert_eq(*next_path(t, { 2 }, 0), direct_path);
-  cr_assert_eq(*next_path(t, { 2, direct_path }, 0), 1);
+  cr_assert_eq(*take_path(t, {}, 0), 2);
+  cr_assert_eq(*take_path(t, { 2 }, 0), direct_path);
+  cr_assert_eq(*take_path(t, { 2, direct_path }, 0), 1);
 }
 
-// The store is down for everybody. Tries through relays would be three priced
-// calls in place of one, and find nothing.
-Test(paths, makes_one_try_while_the_store_is_away_for_all)
+// The heaviest minute of the store: it is down for everybody for five seconds,
+// and every instance has lists, results and submissions to ask it for, ten of
+// them at a time. Calls are counted that reach it, from a relay and from one of
+// the others. Before, each of these tries was a priced call, and often three.
+Test(paths, asks_a_store_that_is_away_for_all_a_few_times)
 {
-  auto t = make_paths(2);
-  note_path(t, direct_path, path_end::failed, 0);
-  note_path(t, 1, path_end::store_away, 0);
-  note_path(t, 2, path_end::store_away, 0);
-  cr_assert_not(next_path(t, { direct_path, 1 }, 1));
-  cr_assert_eq(*next_path(t, {}, 100), direct_path);
-  cr_assert_not(next_path(t, { direct_path }, 100));
-  SECTION("until it answers")
+  constexpr std::uint64_t outage_ms = 5000;
+  const auto asked = [&](bool is_relay) {
+    auto t = make_paths(2, direct_path, is_relay);
+    int direct = 0;
+    for (std::uint64_t now = 0; now < outage_ms; now += 10) {
+      std::vector<std::size_t> tried;
+      while (const auto path = take_path(t, tried, now)) {
+        tried.push_back(*path);
+        direct += *path == direct_path ? 1 : 0;
+        const bool own = *path == direct_path;
+        note_path(t, *path, own ? path_end::failed : path_end::store_away, now);
+      }
+    }
+    return direct;
+  };
+  cr_assert_leq(asked(true), 17);
+  cr_assert_leq(asked(false), 3);
+  SECTION("and finds it again when a relay does")
   {
-    note_path(t, direct_path, path_end::answered, 200);
-    cr_assert(next_path(t, { direct_path }, 201).has_value());
+    auto t = make_paths(2);
+    note_path(t, direct_path, path_end::failed, 0);
+    note_path(t, 1, path_end::store_away, 0);
+    note_path(t, 2, path_end::store_away, 0);
+    cr_assert_not(take_path(t, {}, 299));
+    cr_assert_eq(*take_path(t, {}, 300), 1);
+    note_path(t, 1, path_end::answered, 310);
+    cr_assert_eq(*take_path(t, {}, 311), 1);
   }
 }
 
+// A store that is silent takes a second to show it. Calls that come meanwhile
+// don't wait for it too: one asks, the others fail and are told when to return.
+Test(paths, sends_one_call_at_a_time_to_a_path_that_failed)
+{
+  auto t = make_paths(0);
+  note_path(t, direct_path, path_end::failed, 0);
+  cr_assert_eq(*take_path(t, {}, 300), direct_path);
+  cr_assert_not(take_path(t, {}, 301));
+  note_path(t, direct_path, path_end::answered, 350);
+  cr_assert_eq(*take_path(t, {}, 351), direct_path);
+  cr_assert_eq(*take_path(t, {}, 351), direct_path);
+}
+
 // A partition cuts eight of twenty entries off the store, two of the three
 // relays among them. The first relay says that it does not reach the store.
 // Taken for an outage, it was asked again and again, and an owner that had all
@@ -71,19 +104,19 @@
   auto t = make_paths(3);
   note_path(t, direct_path, path_end::failed, 0);
   note_path(t, 1, path_end::store_away, 1);
-  cr_assert_eq(*next_path(t, { direct_path, 1 }, 2), 2);
+  cr_assert_eq(*take_path(t, { direct_path, 1 }, 2), 2);
   note_path(t, 2, path_end::store_away, 2);
-  cr_assert_not(next_path(t, { direct_path, 1, 2 }, 3), "three tries a call");
+  cr_assert_not(take_path(t, { direct_path, 1, 2 }, 3), "three tries a call");
   SECTION("the next call goes on where this one ended")
   {
-    cr_assert_eq(*next_path(t, {}, 3), 3);
+    cr_assert_eq(*take_path(t, {}, 3), 3);
     note_path(t, 3, path_end::answered, 4);
-    cr_assert_eq(*next_path(t, {}, 5), 3);
+    cr_assert_eq(*take_path(t, {}, 5), 3);
   }
   SECTION("and to relays that were learned meanwhile")
   {
     note_path(t, 3, path_end::failed, 4);
     add_path(t);
-    cr_assert_eq(*next_path(t, {}, 5), 4);
+    cr_assert_eq(*take_path(t, {}, 5), 4);
   }
 }
--- a/cactusford/store/paths.cc
+++ b/cactusford/store/paths.cc
@@ -6,36 +6,54 @@
 
 namespace {
 
-// The direct path is worth asking again soon; a relay that failed has likely
-// ended, and its successor has another address.
-constexpr std::uint64_t avoid_direct_ms = 1500;
+// How often a relay asks a store that is away. A step of a trainer has half a
+// second to spare; three relays make ten calls a second.
+constexpr std::uint64_t probe_ms = 300;
+
+// How often the others ask it directly while a relay says that it is away: the
+// relays may be cut off alone.
+constexpr std::uint64_t avoid_direct_ms = 2000;
+
+// A relay that failed has likely ended, and its successor has another address.
 constexpr std::uint64_t avoid_relay_ms = 4000;
 
-// A relay that does not reach the store may do so again as soon as we.
-constexpr std::uint64_t avoid_away_ms = 1500;
+// A relay that does not reach the store is asked again as often as it looks
+// itself; its answer costs no call.
+constexpr std::uint64_t avoid_away_ms = probe_ms;
 
-// How long one try a call is enough.
-constexpr std::uint64_t away_ms = 700;
+std::uint64_t
+interval_of(const path_table& t, std::size_t path, path_end end)
+{
+  if (path != direct_path) {
+    return end == path_end::store_away ? avoid_away_ms : avoid_relay_ms;
+  }
+  const bool a_relay_lives =
+    std::any_of(t.paths.begin() + 1, t.paths.end(), [](const auto& p) {
+      return p.last != path_end::failed;
+    });
+  return t.is_relay || !a_relay_lives ? probe_ms : avoid_direct_ms;
+}
 
 } // namespace
 
 path_table
-make_paths(std::size_t relays, std::size_t first)
+make_paths(std::size_t relays, std::size_t first, bool is_relay)
 {
   path_table t;
   t.first = first;
-  t.bad_until_ms.assign(relays + 1, 0);
+  t.is_relay = is_relay;
+  t.paths.resize(relays + 1);
   return t;
 }
 
 void
 add_path(path_table& t)
 {
-  t.bad_until_ms.push_back(0);
+  t.paths.emplace_back();
 }
 
 std::optional<std::size_t>
-next_path(const path_table& t,
+take_path(path_table& t,
           const std::vector<std::size_t>& tried,
           std::uint64_t now_ms,
           std::size_t first)
@@ -43,56 +61,44 @@
   if (tried.size() >= max_tries) {
     return std::nullopt;
   }
-  if (now_ms < t.away_until_ms) {
-    return tried.empty() ? std::optional{ direct_path } : std::nullopt;
-  }
-  std::optional<std::size_t> best;
-  for (std::size_t i = 0; i < t.bad_until_ms.size(); ++i) {
-    const auto path = (first + i) % t.bad_until_ms.size();
-    if (std::find(tried.begin(), tried.end(), path) != tried.end()) {
+  for (std::size_t i = 0; i < t.paths.size(); ++i) {
+    const auto path = (first + i) % t.paths.size();
+    auto& p = t.paths[path];
+    const bool was_tried =
+      std::find(tried.begin(), tried.end(), path) != tried.end();
+    if (was_tried || p.closed_until_ms > now_ms) {
       continue;
     }
-    if (t.bad_until_ms[path] <= now_ms) {
-      return path;
-    }
-    if (!best || t.bad_until_ms[path] < t.bad_until_ms[*best]) {
-      best = path;
+    if (p.last != path_end::answered) {
+      p.closed_until_ms = now_ms + interval_of(t, path, p.last);
     }
+    return path;
   }
-  return best;
+  return std::nullopt;
 }
 
 std::optional<std::size_t>
-next_path(const path_table& t,
+take_path(path_table& t,
           const std::vector<std::size_t>& tried,
           std::uint64_t now_ms)
 {
-  return next_path(t, tried, now_ms, t.first);
+  return take_path(t, tried, now_ms, t.first);
 }
 
 void
 note_path(path_table& t, std::size_t path, path_end end, std::uint64_t now_ms)
 {
-  switch (end) {
-    case path_end::answered:
-      t.bad_until_ms[path] = 0;
-      t.away_until_ms = 0;
-      return;
-    case path_end::failed:
-      t.bad_until_ms[path] =
-        now_ms + (path == direct_path ? avoid_direct_ms : avoid_relay_ms);
-      return;
-    case path_end::store_away:
-      // A partition may cut off some relays with us: one that is cut off as
-      // well says nothing of the others.
-      t.bad_until_ms[path] = now_ms + avoid_away_ms;
-      if (std::all_of(t.bad_until_ms.begin(),
-                      t.bad_until_ms.end(),
-                      [&](std::uint64_t until) { return until > now_ms; })) {
-        t.away_until_ms = now_ms + away_ms;
-      }
-      return;
-  }
+  auto& p = t.paths[path];
+  p.last = end;
+  p.closed_until_ms =
+    end == path_end::answered ? 0 : now_ms + interval_of(t, path, end);
+}
+
+bool
+is_direct_closed(const path_table& t, std::uint64_t now_ms)
+{
+  const auto& p = t.paths[direct_path];
+  return p.last != path_end::answered && p.closed_until_ms > now_ms;
 }
 
 } // namespace cactusford::store
--- a/cactusford/store/store.cc
+++ b/cactusford/store/store.cc
@@ -158,7 +158,9 @@
   , http_{ http }
   , dialect_{ d }
   , settings_{ std::move(s) }
-  , paths_{ make_paths(settings_.relays.size(), first_path(settings_)) }
+  , paths_{ make_paths(settings_.relays.size(),
+                       first_path(settings_),
+                       settings_.rank.has_value()) }
   , first_watch_path_{ first_watch_path(settings_) }
 {
 }
@@ -169,7 +171,8 @@
 {
   settings_.relays = std::move(relays);
   settings_.rank = rank;
-  paths_ = make_paths(settings_.relays.size(), first_path(settings_));
+  paths_ = make_paths(
+    settings_.relays.size(), first_path(settings_), settings_.rank.has_value());
   first_watch_path_ = first_watch_path(settings_);
 }
 
@@ -206,7 +209,7 @@
 client::try_next(const std::shared_ptr<attempt>& a)
 {
   const auto first = a->call.shared ? first_watch_path_ : paths_.first;
-  const auto path = next_path(paths_, a->tried, http::now_ms(), first);
+  const auto path = take_path(paths_, a->tried, http::now_ms(), first);
   if (path) {
     try_path(a, *path);
   } else {
@@ -219,7 +222,10 @@
 {
   a->tried.push_back(path);
   const bool is_watch = a->call.op == operation::watch;
-  if (path == direct_path && is_watch) {
+  // Equal lists of many instances come together after a start and when the
+  // store is back.
+  const bool is_joined = is_watch || a->call.shared;
+  if (path == direct_path && is_joined) {
     join_watch(a->request,
                a->timeout_ms,
                shared_watches::origin::own,
@@ -240,10 +246,14 @@
     return;
   }
   ++relayed_;
-  o.timeout_ms = is_watch ? a->call.wait_ms + settings_.shared_answer_ms
-                          : a->timeout_ms + relay_extra_ms;
+  o.timeout_ms = a->timeout_ms + relay_extra_ms;
+  if (is_watch) {
+    o.timeout_ms = a->call.wait_ms + settings_.shared_answer_ms;
+  } else if (a->call.shared) {
+    o.timeout_ms = settings_.shared_list_ms;
+  }
   http_.fetch(settings_.relays[path - 1],
-              wrap(a->request, a->timeout_ms, is_watch),
+              wrap(a->request, a->timeout_ms, is_joined),
               o,
               ended);
 }
@@ -256,7 +266,7 @@
 {
   const auto now = http::now_ms();
   // The relays may have been exchanged since the call was sent.
-  path = path < paths_.bad_until_ms.size() ? path : direct_path;
+  path = path < paths_.paths.size() ? path : direct_path;
   const bool complete = end == http::end_state::complete;
   reply answer;
   answer.what =
@@ -348,6 +358,12 @@
     caller.respond({ 503, {}, "" });
     return;
   }
+  // This instance asks the store itself when that is due: the calls of all
+  // others would find the same.
+  if (is_direct_closed(paths_, http::now_ms())) {
+    caller.respond({ 503, { { std::string{ away_header }, "1" } }, "" });
+    return;
+  }
   const auto body = parse_message(caller.request().body);
   const auto asked = read_shape([&] {
     relayed_call r;
@@ -413,7 +429,8 @@
   store::call watch;
   watch.op = operation::watch;
   const auto answer = dialect_.decode(watch, r);
-  return !answer.changes.empty() || !answer.broken.empty();
+  return !answer.changes.empty() || !answer.broken.empty() ||
+         !answer.items.empty();
 }
 
 void
--- a/cactusford/store/store.h
+++ b/cactusford/store/store.h
@@ -81,7 +81,7 @@
   std::string after;
   std::uint64_t since = 0;
   std::uint64_t wait_ms = 0;
-  // A watch that may be joined with those of other instances.
+  // A watch or list that may be joined with those of other instances.
   bool shared = false;
   // For `create` and `replace` the specification, for `replace_status` the
   // status.
@@ -153,6 +153,9 @@
   // noticed within `wait_ms` and this much, below the two seconds in which a
   // leaving backend server must get no new work.
   std::uint64_t shared_answer_ms = 600;
+  // A list through a relay: one that is silent is left before the instance that
+  // starts or finds the store again is missed by its callers.
+  std::uint64_t shared_list_ms = 1500;
   // A list may be a megabyte, and the instance that reads it slow.
   std::uint64_t list_ms = 4000;
 };
--- a/cactusford/store/watcher.cc
+++ b/cactusford/store/watcher.cc
@@ -9,10 +9,10 @@
 
 namespace {
 
-// Pause after a failed call, in milliseconds. Each try is a priced call, and
-// a store that is back should be found well within a second.
+// Pause after a failed call, in milliseconds. A store that is back should be
+// found well within a second; how often it is asked is for the paths to say.
 constexpr std::uint64_t first_pause_ms = 50;
-constexpr std::uint64_t longest_pause_ms = 600;
+constexpr std::uint64_t longest_pause_ms = 400;
 
 std::uint64_t
 pause_after(std::uint32_t failures)
@@ -67,6 +67,7 @@
   c.op = operation::list;
   c.kind = settings_.kind;
   c.after = sofar.after;
+  c.shared = settings_.shared;
   store_.perform(c, [this, sofar, round = round_](reply&& r) mutable {
     if (round != round_) {
       return;
