Whole groups share a write until the trainer has enough

Change: groups gather 300 ms until as many are whole as the trainer waits for; a list without further pages ends the look.

--- a/cactusford/batches/ownership.cc
+++ b/cactusford/batches/ownership.cc
@@ -219,9 +219,10 @@
       for (const auto& o : r.items) {
         taken += self->take_chunk(id, o) ? 1 : 0;
       }
-      // A list that went on to other batches has shown all of ours.
-      const bool passed_ours = taken < r.items.size() && !r.more;
-      if (taken == 0 || passed_ours) {
+      // A list without further pages has shown all of ours: a look behind it
+      // would be one more call for each owner and reader.
+      const bool listed_all = first == 0 && !absent && !r.more;
+      if (taken == 0 || listed_all) {
         done(true);
       } else {
         self->load_chunks(id, done);
--- a/cactusford/batches/results.cc
+++ b/cactusford/batches/results.cc
@@ -17,8 +17,8 @@
 constexpr std::size_t chunk_bytes = 500U << 10;
 constexpr std::size_t page_bytes = 900U << 10;
 
-// A trainer reads about twice a second: results of whole groups that nobody
-// waits for at the moment gather this long.
+// A trainer reads about twice a second: results of whole groups gather this
+// long until it has as many as it waits for.
 constexpr std::uint64_t whole_gather_ms = 300;
 
 // A read of results from the owner may take this long beyond its wait.
@@ -29,8 +29,9 @@
 
 } // namespace
 
-// Writes when a group has become whole and somebody waits for it, when nothing
-// else is to come, or when results have waited long enough.
+// Writes when the trainer has the groups that it waits for, when nothing else
+// is to come, or when results have waited long enough. The groups before the
+// last of these don't move the step's end, so they share a write.
 void
 keeper::impl::maybe_write(batch_state& b, std::uint64_t now)
 {
@@ -38,13 +39,14 @@
       b.ledger.pending.empty() || now < b.write_again_ms) {
     return;
   }
-  const bool awaited = b.group_became_whole && !b.readers.empty();
+  const bool whole_enough =
+    b.group_became_whole && b.whole_groups() >= b.submission.desired_groups;
   const bool whole_long =
     b.group_became_whole && now - b.whole_since_ms >= whole_gather_ms;
   const bool old = now - b.ledger.pending_since_ms >= gather_ms;
   const bool all =
     b.ledger.pending.size() + b.ledger.listed.size() == b.stored.items;
-  if (awaited || whole_long || old || all) {
+  if (whole_enough || whole_long || old || all) {
     write_results(b);
   }
 }
--- a/cactusford/batches/state.cc
+++ b/cactusford/batches/state.cc
@@ -1,5 +1,7 @@
 #include "cactusford/batches/state.h"
 
+#include <algorithm>
+
 namespace cactusford::batches::detail {
 
 void
@@ -33,12 +35,20 @@
 {
   missing.clear();
   for (const auto& i : items) {
-    if (i.stage != item_stage::finished) {
-      ++missing[submission.items[i.index].group];
-    }
+    auto& left = missing[submission.items[i.index].group];
+    left += i.stage == item_stage::finished ? 0 : 1;
   }
 }
 
+std::size_t
+batch_state::whole_groups() const
+{
+  return static_cast<std::size_t>(
+    std::count_if(missing.begin(), missing.end(), [](const auto& g) {
+      return g.second == 0;
+    }));
+}
+
 bool
 batch_state::is_open() const
 {
--- a/cactusford/batches/state.h
+++ b/cactusford/batches/state.h
@@ -85,6 +85,9 @@
   // Counts the items without a result anew.
   void recount();
 
+  // Groups of which all items have a result.
+  std::size_t whole_groups() const;
+
   // An item has its result; notes whether its group is whole by that.
   void note_finished(std::size_t index, std::uint64_t now_ms);
 
@@ -97,7 +100,7 @@
   batches::submission submission;
   std::vector<item_state> items;
   std::unordered_map<std::string, std::size_t> index_of;
-  // Items of a group without a result.
+  // Of each group, the items without a result.
   std::map<std::string, std::size_t> missing;
   batches::ledger ledger;
   std::vector<waiting_reader> readers;
--- a/standins/object_store.cc
+++ b/standins/object_store.cc
@@ -138,6 +138,7 @@
   batches::submission s;
   s.model = j.at("model").get<std::string>();
   s.min_version = j.at("min_version").get<std::uint64_t>();
+  s.desired_groups = j.value("desired", std::uint64_t{ 0 });
   for (const auto& i : j.at("items")) {
     batches::item item;
     item.id = i.at("id").get<std::string>();
--- a/tests/batches-test.cc
+++ b/tests/batches-test.cc
@@ -410,6 +410,23 @@
   }
 }
 
+// A step of thirteen groups: each group becomes whole at a moment of its own,
+// and a write for each would be thirteen priced calls. The trainer goes on when
+// it has the groups that it waits for, so those before share writes.
+Test(batches, writes_groups_together_until_the_trainer_has_enough)
+{
+  world w{ 1 };
+  constexpr int items = 26;
+  auto step = json::parse(submission(items));
+  step["desired"] = items / 2;
+  w.engine.events = 3;
+  w.engine.gap_ms = 20;
+  w.call(*w.entries[0], "POST", step.dump());
+  const auto all = w.read_whole(*w.entries[0], items);
+  check_whole(all, w.engine);
+  cr_assert_leq(w.store.all("results").size(), 4);
+}
+
 // The store carries a write out and its answer is lost. The entry cannot know
 // and makes the write again. A batch accepted twice or a result at two
 // positions would reach the trainer twice.
