--- a/cactusford/edge/edge.cc
+++ b/cactusford/edge/edge.cc
@@ -136,7 +136,7 @@
               s.capacity } }
   , configuration{ h.io,
                    store,
-                   { d.kinds.configuration },
+                   { d.kinds.configuration, shared_wait_ms, 0, true },
                    { [this](std::vector<store::object>&& all) {
                       for (const auto& o : all) {
                         on_configuration(o);
