--- a/cactusford/store/paths-test.cc
+++ b/cactusford/store/paths-test.cc
@@ -120,3 +120,37 @@
     cr_assert_eq(*take_path(t, {}, 5), 4);
   }
 }
+
+// The store falls silent, and every connection to it is dead. An instance gives
+// up on it and asks its relays, which have just found the same. If a relay
+// takes as long to say so as the instance waits for it, the relay seems dead
+// too and is left for four seconds; if the list that follows waits four seconds
+// as well, the store has long been back while callers are refused by what was
+// known before.
+Test(paths, waits_shortly_on_a_path_that_may_be_dead)
+{
+  constexpr answer_limits l;
+  constexpr std::size_t relay = 1;
+  constexpr std::uint64_t wait_ms = 1000;
+  auto t = make_paths(2);
+  cr_assert_eq(limit_ms(l, t, direct_path, asked::list, 0), l.list_ms);
+  SECTION("a list on a path that failed is a short question")
+  {
+    note_path(t, direct_path, path_end::failed, 0);
+    cr_assert_eq(limit_ms(l, t, direct_path, asked::list, 0), l.answer_ms);
+    note_path(t, direct_path, path_end::answered, 5);
+    cr_assert_eq(limit_ms(l, t, direct_path, asked::list, 0), l.list_ms);
+  }
+  SECTION("a relay has spoken before its watch is given up")
+  {
+    const auto at_relay = limit_ms(l, t, relay, asked::watch, wait_ms);
+    cr_assert_eq(at_relay + relay_extra_ms, wait_ms + l.shared_answer_ms);
+  }
+  SECTION("a watch is given up below the time in which a change is in force")
+  {
+    constexpr std::uint64_t in_force_ms = 2000;
+    cr_assert_lt(wait_ms + l.shared_answer_ms, in_force_ms);
+    cr_assert_lt(limit_ms(l, t, direct_path, asked::watch, wait_ms),
+                 in_force_ms);
+  }
+}
--- a/cactusford/store/paths.cc
+++ b/cactusford/store/paths.cc
@@ -94,6 +94,23 @@
     end == path_end::answered ? 0 : now_ms + interval_of(t, path, end);
 }
 
+std::uint64_t
+limit_ms(const answer_limits& l,
+         const path_table& t,
+         std::size_t path,
+         asked what,
+         std::uint64_t wait_ms)
+{
+  if (what == asked::watch) {
+    return wait_ms + (path == direct_path
+                        ? l.answer_ms
+                        : l.shared_answer_ms - relay_extra_ms);
+  }
+  // A call on a path that failed asks whether it is open again.
+  const bool is_probe = t.paths[path].last != path_end::answered;
+  return what == asked::list && !is_probe ? l.list_ms : l.answer_ms;
+}
+
 bool
 is_direct_closed(const path_table& t, std::uint64_t now_ms)
 {
--- a/cactusford/store/paths.h
+++ b/cactusford/store/paths.h
@@ -84,6 +84,49 @@
 void
 note_path(path_table& t, std::size_t path, path_end end, std::uint64_t now_ms);
 
+// What a call asks for, as far as its answer may take long.
+enum class asked
+{
+  one_object,
+  list,
+  watch,
+};
+
+// How long an answer may take, beyond the wait that a watch asks for, in
+// milliseconds.
+struct answer_limits
+{
+  // The store answers in milliseconds; a slow one in some hundred. A result
+  // that another instance has shown must be shown here within a second.
+  std::uint64_t answer_ms = 900;
+  // For a watch through a relay. A relay that is frozen or cut off is noticed
+  // within the wait and this much, below the two seconds in which a leaving
+  // backend server must get no new work.
+  std::uint64_t shared_answer_ms = 600;
+  // A list may be a megabyte, and the instance that reads it slow.
+  std::uint64_t list_ms = 1500;
+
+  friend bool operator==(const answer_limits&, const answer_limits&) = default;
+};
+
+// A relay adds its own wait for the store, in milliseconds.
+constexpr std::uint64_t relay_extra_ms = 300;
+
+// How long the store may take for a call on this path. The instance waits
+// `relay_extra_ms` longer for a relay, so that a relay's word that the store is
+// silent comes before the relay is taken to be silent itself.
+//
+// A silent store was found again up to four seconds after its return, as each
+// list waited that long on a dead connection, path after path; callers were
+// refused by a configuration that had been replaced. Now it is found again
+// after 0.3 to 1.8 s, six runs each.
+std::uint64_t
+limit_ms(const answer_limits& l,
+         const path_table& t,
+         std::size_t path,
+         asked what,
+         std::uint64_t wait_ms);
+
 // The direct path failed and is not due yet.
 bool
 is_direct_closed(const path_table& t, std::uint64_t now_ms);
--- a/cactusford/store/store.cc
+++ b/cactusford/store/store.cc
@@ -20,9 +20,6 @@
 // A relay that lives and doesn't reach the store says so.
 constexpr std::string_view away_header = "Store-Away";
 
-// A relay adds its own wait for the store.
-constexpr std::uint64_t relay_extra_ms = 300;
-
 // Relays that are kept in mind, those of the settings included. A partition
 // that cuts off all of them cuts off most instances.
 constexpr std::size_t most_relays = 8;
@@ -53,6 +50,19 @@
     { nothing ? 503 : 504, { { std::string{ away_header }, "1" } }, "" });
 }
 
+asked
+asked_by(operation op)
+{
+  switch (op) {
+    case operation::watch:
+      return asked::watch;
+    case operation::list:
+      return asked::list;
+    default:
+      return asked::one_object;
+  }
+}
+
 // A call that another instance asks this one to make.
 struct relayed_call
 {
@@ -222,7 +232,8 @@
   // Equal lists of many instances come together after a start and when the
   // store is back.
   const bool is_joined = is_watch || a->call.shared;
-  const auto timeout_ms = timeout_of(*a, path);
+  const auto timeout_ms = limit_ms(
+    settings_.limits, paths_, path, asked_by(a->call.op), a->call.wait_ms);
   if (path == direct_path && is_joined) {
     join_watch(a->request,
                timeout_ms,
@@ -251,26 +262,6 @@
               ended);
 }
 
-// How long the store may take for a call on this path. A relay has that long,
-// and its word that the store is silent must come before it is taken to be
-// silent itself.
-//
-// A silent store was found again up to four seconds after its return, as each
-// list waited that long on a connection that was dead: callers were refused by
-// a configuration that had been replaced.
-std::uint64_t
-client::timeout_of(const attempt& a, std::size_t path) const
-{
-  if (a.call.op == operation::watch) {
-    return a.call.wait_ms + (path == direct_path
-                               ? settings_.answer_ms
-                               : settings_.shared_answer_ms - relay_extra_ms);
-  }
-  const bool is_probe = paths_.paths[path].last != path_end::answered;
-  const bool is_list = a.call.op == operation::list;
-  return is_list && !is_probe ? settings_.list_ms : settings_.answer_ms;
-}
-
 void
 client::take(const std::shared_ptr<attempt>& a,
              std::size_t path,
--- a/cactusford/store/store.h
+++ b/cactusford/store/store.h
@@ -145,16 +145,7 @@
   // Where this instance stands in the list of relays, if it is one. The first
   // makes the watches of all; the others join theirs through it.
   std::optional<std::size_t> rank = {};
-  // How long an answer may take, beyond the wait that the call asks for. The
-  // store answers in milliseconds; a slow one in some hundred. A result that
-  // another instance has shown must be shown here within a second.
-  std::uint64_t answer_ms = 900;
-  // The same for a watch through a relay. A relay that is frozen or cut off is
-  // noticed within `wait_ms` and this much, below the two seconds in which a
-  // leaving backend server must get no new work.
-  std::uint64_t shared_answer_ms = 600;
-  // A list may be a megabyte, and the instance that reads it slow.
-  std::uint64_t list_ms = 1500;
+  answer_limits limits = {};
 };
 
 class client
@@ -203,7 +194,6 @@
   struct attempt;
   void try_next(const std::shared_ptr<attempt>& a);
   void try_path(const std::shared_ptr<attempt>& a, std::size_t path);
-  std::uint64_t timeout_of(const attempt& a, std::size_t path) const;
   void take(const std::shared_ptr<attempt>& a,
             std::size_t path,
             http::end_state end,
