--- a/cactusford/store/fields.cc
+++ b/cactusford/store/fields.cc
@@ -1,6 +1,9 @@
 #include "cactusford/store/fields.h"
 
+#include <utf8.h>
+
 #include <algorithm>
+#include <iterator>
 
 namespace cactusford::store {
 
@@ -16,41 +19,6 @@
   };
 }
 
-// Length of the UTF-8 character that begins at `at`; 0: there is none.
-// RFC 3629, section 4.
-std::size_t
-character_length(std::string_view text, std::size_t at)
-{
-  const auto byte = [&](std::size_t i) {
-    return i < text.size() ? static_cast<unsigned char>(text[i]) : 0U;
-  };
-  const auto follows = [&](std::size_t i) {
-    return (byte(i) & 0xc0U) == 0x80U;
-  };
-  const auto first = byte(at);
-  if (first < 0x80U) {
-    return 1;
-  }
-  if (first >= 0xc2U && first <= 0xdfU) {
-    return follows(at + 1) ? 2 : 0;
-  }
-  if (first >= 0xe0U && first <= 0xefU) {
-    const auto second = byte(at + 1);
-    const bool overlong = first == 0xe0U && second < 0xa0U;
-    const bool surrogate = first == 0xedU && second > 0x9fU;
-    const bool whole = follows(at + 1) && follows(at + 2);
-    return whole && !overlong && !surrogate ? 3 : 0;
-  }
-  if (first >= 0xf0U && first <= 0xf4U) {
-    const auto second = byte(at + 1);
-    const bool overlong = first == 0xf0U && second < 0x90U;
-    const bool too_large = first == 0xf4U && second > 0x8fU;
-    const bool whole = follows(at + 1) && follows(at + 2) && follows(at + 3);
-    return whole && !overlong && !too_large ? 4 : 0;
-  }
-  return 0;
-}
-
 // One look at the bytes; a parser that asks at each level costs as much again
 // as the parsing.
 bool
@@ -78,38 +46,38 @@
   return false;
 }
 
+// Control characters inside a text; JSON wants them escaped.
 std::string
-mark_unreadable(std::string_view text)
+mark_control_characters(std::string_view text)
 {
+  constexpr unsigned char first_printable = 0x20;
   std::string marked;
   marked.reserve(text.size());
   bool in_text = false;
-  for (std::size_t at = 0; at < text.size();) {
-    const auto length = character_length(text, at);
-    const auto c = static_cast<unsigned char>(text[at]);
-    constexpr unsigned char first_printable = 0x20;
-    if (length == 0 || (in_text && c < first_printable)) {
+  bool is_escaped = false;
+  for (const char c : text) {
+    if (in_text && static_cast<unsigned char>(c) < first_printable) {
       marked += unreadable_mark;
-      ++at;
-      continue;
-    }
-    if (in_text && c == '\\' && at + 1 < text.size()) {
-      marked += text.substr(at, 1);
-      ++at;
-      // The escaped character itself may be one that cannot be read.
-      if (character_length(text, at) == 1) {
-        marked += text.substr(at, 1);
-        ++at;
-      }
+      is_escaped = false;
       continue;
     }
-    in_text = c == '"' ? !in_text : in_text;
-    marked += text.substr(at, length);
-    at += length;
+    marked += c;
+    in_text = c == '"' && !is_escaped ? !in_text : in_text;
+    is_escaped = in_text && c == '\\' && !is_escaped;
   }
   return marked;
 }
 
+std::string
+mark_unreadable(std::string_view text)
+{
+  constexpr std::uint32_t mark = 0xfdd0;
+  std::string marked;
+  utf8::replace_invalid(
+    text.begin(), text.end(), std::back_inserter(marked), mark);
+  return mark_control_characters(marked);
+}
+
 } // namespace
 
 field_error::field_error(shape_fault f)
