--- a/cactusford/backends/registry-test.cc
+++ b/cactusford/backends/registry-test.cc
@@ -130,56 +130,6 @@
   }
 }
 
-// One engine in three is 1.3 times slower. A text of 125 events takes 6.5 s
-// there and 5.0 s elsewhere, and the step waits for it. Which texts are long
-// shows only while they run.
-Test(registry, finds_a_faster_engine_for_a_long_text)
-{
-  auto r = two_engines();
-  std::uint64_t now = 0;
-  const auto run = [&](const char* id, double gap_ms, int events) {
-    for (int i = 0; i < events; ++i) {
-      now += 10;
-      note_pace(*find(r, id), gap_ms, now);
-    }
-  };
-  constexpr int long_enough = 200;
-  run("a", 52, long_enough);
-  run("b", 40, long_enough);
-  auto n = needs(5);
-  n.not_on = "a";
-  const auto& slower = *find(r, "a");
-  cr_assert(choose_for_long_text(r, slower, n, 40, now)->said.id == "b");
-  SECTION("a short one stays: the way costs more than it gains")
-  {
-    cr_assert_null(choose_for_long_text(r, slower, n, 20, now));
-  }
-  SECTION("it never goes the other way, nor to one that is full")
-  {
-    auto back = needs(5);
-    back.not_on = "b";
-    cr_assert_null(choose_for_long_text(r, *find(r, "b"), back, 100, now));
-    auto full = r;
-    find(full, "b")->in_flight = 8;
-    cr_assert_null(choose_for_long_text(full, slower, n, 40, now));
-  }
-  SECTION("engines that differ by their load alone keep their texts")
-  {
-    auto equal = two_engines();
-    for (int i = 0; i < long_enough; ++i) {
-      note_pace(*find(equal, "a"), 44, now);
-      note_pace(*find(equal, "b"), 40, now);
-    }
-    cr_assert_null(choose_for_long_text(equal, *find(equal, "a"), n, 100, now));
-  }
-  SECTION("a pause for weights says nothing of an engine's speed")
-  {
-    auto paused = r;
-    note_pace(*find(paused, "b"), 1000, now);
-    cr_assert_lt(find(paused, "b")->speed_ms, 45);
-  }
-}
-
 Test(registry, spreads_plain_calls_over_the_least_loaded)
 {
   registry r;
--- a/cactusford/backends/registry.cc
+++ b/cactusford/backends/registry.cc
@@ -39,23 +39,6 @@
 constexpr double far_penalty = 0.05;
 constexpr double slow_penalty = 4;
 
-// Hardware differs by tens of percent; a pause of a text, as for weights, says
-// nothing of it.
-constexpr double speed_gain = 0.05;
-constexpr double largest_gap = 2;
-
-// Engines of the same hardware differ by a tenth with the texts that they run
-// at the moment. Compared without this and the next, a text went back and forth
-// 17 times between equal engines, and fell behind each time.
-constexpr double least_speed_ratio = 1.2;
-
-// Events that tell an engine's speed: some seconds of one text.
-constexpr std::uint32_t enough_events = 100;
-
-// What a text loses on its way to another engine: its prompt is read again, and
-// a connection opened. A text that is moved for less gains nothing.
-constexpr double move_cost_ms = 400;
-
 double
 load_of(const backend& b, std::uint64_t now_ms)
 {
@@ -259,11 +242,6 @@
                 ? gap_ms
                 : b.pace_ms + pace_gain * (gap_ms - b.pace_ms);
   b.pace_at_ms = now_ms;
-  const auto bounded =
-    b.speed_ms == 0 ? gap_ms : std::min(gap_ms, largest_gap * b.speed_ms);
-  b.speed_ms =
-    b.speed_ms == 0 ? gap_ms : b.speed_ms + speed_gain * (bounded - b.speed_ms);
-  ++b.events_seen;
 }
 
 double
@@ -350,35 +328,6 @@
   return best;
 }
 
-backend*
-choose_for_long_text(registry& r,
-                     const backend& from,
-                     const item_needs& needs,
-                     std::uint64_t events,
-                     std::uint64_t now_ms)
-{
-  if (from.events_seen < enough_events) {
-    return nullptr;
-  }
-  const auto usual = usual_pace_ms(r, needs.service, now_ms);
-  const auto gained_ms = move_cost_ms / static_cast<double>(events);
-  const auto limit =
-    std::min(from.speed_ms / least_speed_ratio, from.speed_ms - gained_ms);
-  backend* best = nullptr;
-  for (auto& [id, b] : r.all) {
-    if (!accepts(b, needs, now_ms) || !is_open(b, now_ms) ||
-        id == needs.not_on || load_of(b, now_ms) >= 1 ||
-        b.events_seen < enough_events || b.speed_ms > limit ||
-        is_slow(b, usual, now_ms)) {
-      continue;
-    }
-    if (best == nullptr || load_of(b, now_ms) < load_of(*best, now_ms)) {
-      best = &b;
-    }
-  }
-  return best;
-}
-
 bool
 can_serve(const registry& r, const item_needs& needs)
 {
--- a/cactusford/backends/registry.h
+++ b/cactusford/backends/registry.h
@@ -66,9 +66,6 @@
   // Milliseconds between the events of a stream, smoothed; 0: not known.
   double pace_ms = 0;
   std::uint64_t pace_at_ms = 0;
-  // The same over some seconds: what its hardware gives. 0: not known.
-  double speed_ms = 0;
-  std::uint32_t events_seen = 0;
   // Milliseconds of a plain call, smoothed; 0: not known.
   double call_ms = 0;
   // Missing from the platform's list since; 0: listed.
@@ -197,20 +194,6 @@
 backend*
 choose_for_item(registry& r, const item_needs& needs, std::uint64_t now_ms);
 
-// Which engine makes the rest of a long text soonest. Null when no other has
-// room, or none is worth the way.
-//
-// Pattern: one engine in three is 1.3 times slower than the others. Most texts
-// are short and go anywhere. A step ends with its longest: 125 events take 5.0
-// s on a fast engine and 6.5 s on a slow one. A text that has made many events
-// is among them, whatever its estimate said; as many again are expected.
-backend*
-choose_for_long_text(registry& r,
-                     const backend& from,
-                     const item_needs& needs,
-                     std::uint64_t events,
-                     std::uint64_t now_ms);
-
 // True when some ready engine has weights that the item accepts, full or not.
 bool
 can_serve(const registry& r, const item_needs& needs);
--- a/cactusford/batches/keeper_impl.h
+++ b/cactusford/batches/keeper_impl.h
@@ -116,7 +116,7 @@
   void plan_soon();
   double usual_event_ms(const batch_state& b) const;
   void plan();
-  bool launch(batch_state& b, item_state& i, const std::string& to = {});
+  bool launch(batch_state& b, item_state& i);
   void on_run_head(const std::string& id,
                    std::size_t at,
                    std::uint64_t run,
@@ -145,10 +145,6 @@
   void finish_item(batch_state& b, item_state& i, item_result r);
   void leave_ended_lives();
   void watch_runs(batch_state& b, std::uint64_t now);
-  void move_run(batch_state& b,
-                item_state& i,
-                const backends::backend& from,
-                std::uint64_t now);
   void give_up_late(batch_state& b);
   void reuse_carried(batch_state& b);
   void remember(batch_state& b);
--- a/cactusford/batches/runs.cc
+++ b/cactusford/batches/runs.cc
@@ -17,10 +17,6 @@
 // A run is moved off a slow engine at most this often.
 constexpr std::uint64_t move_pause_ms = 600;
 
-// A text is looked at for a faster engine from this many events on: with fewer
-// no difference between engines is worth the way.
-constexpr std::uint64_t fewest_events_moved = 20;
-
 // The longest run of one item, beyond any length that engines allow.
 constexpr std::uint64_t run_limit_ms = 60000;
 
@@ -89,9 +85,8 @@
   }
 }
 
-// Sends an item to an engine: to the one named `to`, or to the best.
 bool
-keeper::impl::launch(batch_state& b, item_state& i, const std::string& to)
+keeper::impl::launch(batch_state& b, item_state& i)
 {
   const auto route = route_to(b.stored.host, b.stored.target);
   if (route == nullptr || route->services.empty()) {
@@ -111,8 +106,7 @@
     needs.only_version = 0;
   }
   const auto now = http::now_ms();
-  auto* backend = to.empty() ? backends::choose_for_item(p.registry, needs, now)
-                             : backends::find(p.registry, to);
+  auto* backend = backends::choose_for_item(p.registry, needs, now);
   if (backend == nullptr) {
     i.not_on.clear();
     return false;
@@ -420,52 +414,27 @@
       retry_item(b, i, 0, "silent");
       continue;
     }
-    move_run(b, i, *backend, now);
-  }
-}
-
-// A run on an engine that leaves or has turned slow goes on at another; a long
-// one also where it ends sooner.
-void
-keeper::impl::move_run(batch_state& b,
-                       item_state& i,
-                       const backends::backend& from,
-                       std::uint64_t now)
-{
-  const auto& service = from.said.service;
-  const auto usual = backends::usual_pace_ms(p.registry, service, now);
-  const bool slow =
-    backends::is_slow(from, usual, now) && now - i.started_ms > move_pause_ms;
-  backends::item_needs needs;
-  needs.service = service;
-  needs.model = b.submission.model;
-  needs.min_version = b.submission.min_version;
-  needs.not_on = i.backend.id;
-  needs.data_centre = p.data_centre;
-  if (!from.said.leaving && !slow) {
-    const auto* faster =
-      i.moved_for_speed || i.text.events < fewest_events_moved
-        ? nullptr
-        : backends::choose_for_long_text(
-            p.registry, from, needs, i.text.events, now);
-    if (faster != nullptr) {
-      const auto to = faster->said.id;
-      i.moved_for_speed = true;
+    const auto& service = backend->said.service;
+    const auto usual = backends::usual_pace_ms(p.registry, service, now);
+    const bool slow = backends::is_slow(*backend, usual, now) &&
+                      now - i.started_ms > move_pause_ms;
+    if (!backend->said.leaving && !slow) {
+      continue;
+    }
+    backends::item_needs needs;
+    needs.service = service;
+    needs.model = b.submission.model;
+    needs.min_version = b.submission.min_version;
+    needs.not_on = i.backend.id;
+    needs.data_centre = p.data_centre;
+    auto* other = backends::choose_for_item(p.registry, needs, now);
+    if (other != nullptr && !backends::is_slow(*other, usual, now)) {
       stop_run(i);
-      retry_item(b, i, 0, "faster_elsewhere");
-      launch(b, i, to);
+      i.not_on = i.backend.id;
+      retry_item(b, i, 0, backend->said.leaving ? "leaving" : "slow");
+      plan();
     }
-    return;
-  }
-  const auto* other = backends::choose_for_item(p.registry, needs, now);
-  if (other == nullptr || backends::is_slow(*other, usual, now)) {
-    return;
   }
-  const auto* why = from.said.leaving ? "leaving" : "slow";
-  stop_run(i);
-  i.not_on = i.backend.id;
-  retry_item(b, i, 0, why);
-  plan();
 }
 
 } // namespace cactusford::batches
--- a/cactusford/batches/state.h
+++ b/cactusford/batches/state.h
@@ -47,8 +47,6 @@
   std::uint64_t started_ms = 0;
   std::uint64_t last_event_ms = 0;
   std::uint64_t events_in_run = 0;
-  // It has gone on at a faster engine once.
-  bool moved_for_speed = false;
 
   // The scorer's call.
   std::uint32_t score_tries = 0;
