Most backend servers decide whether lives are told

Cause, from reading: one entry of another writer with a start, in a deployment where nobody tells of one, made every other entry one of another writer's, and all backend servers would have been dropped. A test of that entry; it was not run against the old rule.

--- a/cactusford/backends/registry-test.cc
+++ b/cactusford/backends/registry-test.cc
@@ -241,3 +241,17 @@
   drop(r, "a");
   cr_assert_null(find(r, "a"));
 }
+
+// Nobody tells of a life in this deployment, but an entry of another writer
+// does. Taken for the rule, it would take every backend server away.
+Test(registry, keeps_its_backend_servers_beside_one_odd_entry)
+{
+  auto r = two_engines();
+  auto odd = engine("x", 5);
+  odd.started_ms = 1000;
+  announce(r, odd);
+  cr_assert(announce(r, engine("a", 6)) == announced::same_life);
+  replace_all(r, { odd, engine("a", 6), engine("b", 6) }, 10);
+  cr_assert_not_null(find(r, "a"));
+  cr_assert_not_null(find(r, "b"));
+}
--- a/cactusford/backends/registry.cc
+++ b/cactusford/backends/registry.cc
@@ -71,6 +71,19 @@
          (needs.only_version == 0 || found->second == needs.only_version);
 }
 
+// In a deployment whose backend servers may start again all of them tell when
+// their life began. Most decide: one entry of another writer, with a life where
+// nobody tells of one, must not take all others away.
+bool
+lives_are_told(const registry& r)
+{
+  const auto told =
+    std::count_if(r.all.begin(), r.all.end(), [](const auto& e) {
+      return e.second.said.started_ms != 0;
+    });
+  return 2 * static_cast<std::size_t>(told) > r.all.size();
+}
+
 } // namespace
 
 std::string_view
@@ -92,8 +105,7 @@
 announced
 announce(registry& r, announcement a)
 {
-  r.lives_are_told = r.lives_are_told || a.started_ms != 0;
-  if (r.lives_are_told && a.started_ms == 0) {
+  if (a.started_ms == 0 && lives_are_told(r)) {
     drop(r, a.id);
     return announced::no_life;
   }
@@ -147,10 +159,9 @@
       b.missing_since_ms = std::max<std::uint64_t>(now_ms, 1);
     }
   }
-  r.lives_are_told = r.lives_are_told ||
-                     std::any_of(list.begin(), list.end(), [](const auto& a) {
-                       return a.started_ms != 0;
-                     });
+  // Those that tell of a life first: whether most do is then known.
+  std::stable_partition(
+    list.begin(), list.end(), [](const auto& a) { return a.started_ms != 0; });
   std::vector<life_change> changes;
   for (auto& a : list) {
     const life of{ a.id, a.started_ms };
--- a/cactusford/backends/registry.h
+++ b/cactusford/backends/registry.h
@@ -77,8 +77,6 @@
 struct registry
 {
   std::map<std::string, backend> all;
-  // Some backend server has told when its life started: all of them do.
-  bool lives_are_told = false;
   // Entries that lapsed while the store was away stay until this time, in
   // which live backend servers announce themselves again.
   std::uint64_t keep_missing_until_ms = 0;
@@ -95,7 +93,7 @@
   new_life,
   // Late word of a life that has ended; left out.
   ended_life,
-  // It tells of no life where others do; left out, as another writer's.
+  // It tells of no life where most do; left out, as another writer's.
   no_life,
 };
 
