--- a/cactusford/http/exchange-test.cc
+++ b/cactusford/http/exchange-test.cc
@@ -185,6 +185,35 @@
   }
 }
 
+// A partition holds a request up and its caller gives it up. Closed in order,
+// the connection would deliver the request when the partition heals, seconds
+// later: an engine would run an item of a batch that has ended. A reset, which
+// the peer sees here, throws away what was held up.
+Test(http_client, resets_a_connection_whose_request_is_given_up)
+{
+  asio::io_context io;
+  scripted_peer peer{ io };
+  client c{ io };
+  auto sent =
+    c.fetch(peer.address(), get("1"), {}, [](end_state, response&&) {});
+  while (peer.silent.empty()) {
+    io.run_one();
+  }
+  asio::error_code seen;
+  bool ended = false;
+  std::string buffer(16, '\0');
+  peer.silent.front()->async_read_some(asio::buffer(buffer),
+                                       [&](asio::error_code ec, std::size_t) {
+                                         seen = ec;
+                                         ended = true;
+                                       });
+  sent.cancel();
+  while (!ended) {
+    io.run_one();
+  }
+  cr_assert(seen == asio::error::connection_reset);
+}
+
 // Idle connections expire while others to the same address are closed. The
 // pool once erased the address that it was walking: the heap was corrupted
 // and an entry ended by itself, once in forty days of play.
