--- a/tests/batches-test.cc
+++ b/tests/batches-test.cc
@@ -815,16 +815,16 @@
   w.store.page_size = 2;
   w.store.texts_for_objects = { "b", "e" };
   for (const auto* name : { "a", "b", "c", "d", "e", "f" }) {
-    w.store.put("servers", name, { { "x", 1 } });
+    w.store.put("things", name, { { "x", 1 } });
   }
   const std::string bad{ object_store::bad_byte };
-  w.store.put("servers", "d", { { "x", bad } });
+  w.store.put("things", "d", { { "x", bad } });
   std::set<std::string> shown;
   std::set<std::string> broken;
-  store::watcher servers{
+  store::watcher things{
     e.io,
     e.store,
-    { "servers", 1000 },
+    { "things", 1000 },
     { [&](std::vector<store::object>&& all) {
        for (const auto& o : all) {
          shown.insert(o.name);
@@ -834,15 +834,15 @@
       {},
       [&](const store::unreadable& u) { broken.insert(u.name); } }
   };
-  servers.start();
-  w.run_until([&] { return servers.is_current(); });
+  things.start();
+  w.run_until([&] { return things.is_current(); });
   const std::set<std::string> whole{ "a", "c", "f" };
   cr_assert(shown == whole);
   cr_assert(broken.contains("d"));
   SECTION("a change that breaks one, and the next that doesn't")
   {
-    w.store.put("servers", "c", { { "x", bad } });
-    w.store.put("servers", "g", { { "x", 1 } });
+    w.store.put("things", "c", { { "x", bad } });
+    w.store.put("things", "g", { { "x", 1 } });
     w.run_until([&] { return broken.contains("c") && shown.contains("g"); });
   }
 }
