One object that no parser takes hides no other

Cause: a list is parsed as a whole before its objects are looked at. A number out of range (1e400), half of a surrogate pair, an unknown word or a stray comma in one entry lost all the others: an entry then knows no backend server.

Change: store/salvage replaces what can't be read by the mark where it stands; an element that is no JSON all the same is cut out by its extent. Messages that parse at once cost nothing more.

An element whose brackets do not match still takes those behind it.

--- a/cactusford/store/fields.cc
+++ b/cactusford/store/fields.cc
@@ -1,9 +1,8 @@
 #include "cactusford/store/fields.h"
 
-#include <utf8.h>
+#include "cactusford/store/salvage.h"
 
 #include <algorithm>
-#include <iterator>
 
 namespace cactusford::store {
 
@@ -46,38 +45,6 @@
   return false;
 }
 
-// Control characters inside a text; JSON wants them escaped.
-std::string
-mark_control_characters(std::string_view text)
-{
-  constexpr unsigned char first_printable = 0x20;
-  std::string marked;
-  marked.reserve(text.size());
-  bool in_text = false;
-  bool is_escaped = false;
-  for (const char c : text) {
-    if (in_text && static_cast<unsigned char>(c) < first_printable) {
-      marked += unreadable_mark;
-      is_escaped = false;
-      continue;
-    }
-    marked += c;
-    in_text = c == '"' && !is_escaped ? !in_text : in_text;
-    is_escaped = in_text && c == '\\' && !is_escaped;
-  }
-  return marked;
-}
-
-std::string
-mark_unreadable(std::string_view text)
-{
-  constexpr std::uint32_t mark = 0xfdd0;
-  std::string marked;
-  utf8::replace_invalid(
-    text.begin(), text.end(), std::back_inserter(marked), mark);
-  return mark_control_characters(marked);
-}
-
 } // namespace
 
 field_error::field_error(shape_fault f)
@@ -210,7 +177,12 @@
   if (!j.is_discarded()) {
     return { std::move(j), false };
   }
-  return { parse_message(mark_unreadable(text)), true };
+  const auto marked = mark_unreadable(text);
+  j = parse_message(marked);
+  if (j.is_discarded()) {
+    j = parse_message(cut_unreadable_elements(marked));
+  }
+  return { std::move(j), true };
 }
 
 bool
--- a/cactusford/store/fields.h
+++ b/cactusford/store/fields.h
@@ -126,9 +126,8 @@
   bool has_marks = false;
 };
 
-// Parses a message in which some texts may hold bytes that are not UTF-8 or
-// control characters: these are replaced by `unreadable_mark`, so that the rest
-// can be used.
+// Parses a message of which parts can't be read: these are replaced by
+// `unreadable_mark`, so that the rest can be used (`store/salvage.h`).
 marked_message
 parse_marked(std::string_view text);
 
--- /dev/null
+++ b/cactusford/store/salvage-test.cc
@@ -0,0 +1,96 @@
+#include "cactusford/store/fields.h"
+#include "cactusford/store/salvage.h"
+#include "cactusford/testing/section.h"
+
+#include <criterion/criterion.h>
+#include <nlohmann/json.hpp>
+
+using namespace cactusford;
+using nlohmann::json;
+
+namespace {
+
+// What is left of a list of three when the middle one is as given.
+std::vector<std::string>
+names_beside(const std::string& broken)
+{
+  const auto text =
+    R"({"Items":[{"n":"first"},)" + broken + R"(,{"n":"last"}],"AsOf":9})";
+  const auto [j, has_marks] = store::parse_marked(text);
+  std::vector<std::string> names;
+  if (!j.is_object() || j.value("AsOf", 0) != 9) {
+    return names;
+  }
+  for (const auto& item : j["Items"]) {
+    names.push_back(item.is_object() ? item.value("n", "?") : "?");
+  }
+  return names;
+}
+
+using names = std::vector<std::string>;
+
+} // namespace
+
+// The caller sees 503 for every call: an entry knows no backend server at all.
+// Another writer puts one entry into the list that the parser refuses; the
+// whole list is dropped with it, again at each look, until that entry is gone.
+Test(salvage, one_unreadable_object_hides_no_other)
+{
+  SECTION("a value that no parser takes leaves its object's name")
+  {
+    const names all{ "first", "b", "last" };
+    for (const auto* value : { "1e400",
+                               "-1e999",
+                               "\"\\ud800\"",
+                               "\"\\udc00\\ud800\"",
+                               "\"\\ud800\\u0041\"",
+                               "\"\\q\"",
+                               "\"\\u12\"",
+                               "NaN",
+                               "undefined",
+                               "01",
+                               "'x'",
+                               "\"\x01\"",
+                               "\"\xff\xfe\"" }) {
+      const auto text = R"({"n":"b","v":)" + std::string{ value } + "}";
+      cr_assert(names_beside(text) == all, "%s", value);
+    }
+  }
+  SECTION("an object that is none takes its name with it, and nothing else")
+  {
+    const names others{ "first", "?", "last" };
+    for (const auto* object : { R"({"n":"b",,"v":1})",
+                                R"({"n" "b"})",
+                                R"({"n":"b","v":})",
+                                R"({"n":"b"}{"n":"c"})",
+                                R"([1 2])" }) {
+      cr_assert(names_beside(object) == others, "%s", object);
+    }
+    const std::string deep(10'000, '[');
+    const std::string closed(10'000, ']');
+    cr_assert(names_beside(deep + closed) == others);
+  }
+  SECTION("names given twice and long texts are no fault")
+  {
+    const names all{ "first", "b", "last" };
+    cr_assert(names_beside(R"({"n":"a","n":"b"})") == all);
+    const auto text = R"({"n":"b","v":")" + std::string(100'000, 'x') + "\"}";
+    cr_assert(names_beside(text) == all);
+  }
+}
+
+Test(salvage, marks_only_what_cannot_be_read)
+{
+  const std::string good =
+    R"({"a":[1,-2.5e3,true,null],"b":"\ud83d\ude00 \u00e9\n\"","c":{}})";
+  cr_assert_eq(store::mark_unreadable(good), good);
+  cr_assert_eq(store::cut_unreadable_elements(good), good);
+  const std::string empty = R"({"Items":[ ],"AsOf":9})";
+  cr_assert_eq(store::cut_unreadable_elements(empty), empty);
+  SECTION("the end of a message that is cut off is no element")
+  {
+    const auto [j, has_marks] =
+      store::parse_marked(R"({"Items":[{"n":"a"},{")");
+    cr_assert(j.is_discarded());
+  }
+}
