Engines of several trainers load every third version, at its naming

Cause: each engine loaded every second version of two models, just as many loads as the deployment carries out. Half of a step's items waited 0.8 to 2.5 s for an engine.

Change: a stride of three to begin with, more while loads are slowed, fewer when they are not; orders at the naming; the time of a step is observed. Turns come from the rank that a relay gives to the sidecars that it hears of; names need no digits, and the setting data_centres is gone with its row.

--- a/cactusford/edge/edge.cc
+++ b/cactusford/edge/edge.cc
@@ -1,6 +1,7 @@
 #include "cactusford/batches/keeper.h"
 #include "cactusford/edge/forward.h"
 #include "cactusford/edge/hosted.h"
+#include "cactusford/edge/relay_talk.h"
 #include "cactusford/http/server.h"
 #include "cactusford/http/socket.h"
 #include "cactusford/membership/directory.h"
@@ -111,6 +112,8 @@
   backends::registry registry;
   routes::table_ptr table;
   membership::directory entries;
+  // As a relay: sidecars that follow the weight versions through this entry.
+  membership::directory sidecars;
   // When this entry last told a relay of itself.
   std::uint64_t said_ms = 0;
   forwarder calls;
@@ -255,6 +258,10 @@
   };
   store.talk.answer = [this](const nlohmann::json& said) {
     const auto now = http::now_ms();
+    if (const auto sidecar = sidecar_from(said)) {
+      membership::note(sidecars, { *sidecar, "", 1 }, now);
+      return say_rank(membership::rank_of(sidecars, *sidecar));
+    }
     for (const auto& m : membership::members_from(said)) {
       membership::note(entries, m, now);
     }
--- /dev/null
+++ b/cactusford/edge/relay_talk.cc
@@ -0,0 +1,34 @@
+#include "cactusford/edge/relay_talk.h"
+
+#include "cactusford/store/fields.h"
+
+namespace cactusford::edge {
+
+nlohmann::json
+say_sidecar(const std::string& instance)
+{
+  return { { "sidecar", instance } };
+}
+
+std::optional<std::string>
+sidecar_from(const nlohmann::json& said)
+{
+  return store::read_shape([&] { return store::text_field(said, "sidecar"); });
+}
+
+nlohmann::json
+say_rank(std::uint32_t rank)
+{
+  return { { "rank", rank } };
+}
+
+std::optional<std::uint32_t>
+rank_from(const nlohmann::json& told)
+{
+  const auto rank =
+    store::read_shape([&] { return store::whole_field(told, "rank"); });
+  return rank ? std::optional{ static_cast<std::uint32_t>(*rank) }
+              : std::nullopt;
+}
+
+} // namespace cactusford::edge
--- /dev/null
+++ b/cactusford/edge/relay_talk.h
@@ -0,0 +1,28 @@
+// What sidecars and relays tell each other beside the watches that a relay
+// makes for a sidecar: the sidecar its name, the relay its rank among all that
+// it has heard of. Sidecars take turns by it, without a message among
+// themselves.
+#pragma once
+
+#include <nlohmann/json.hpp>
+
+#include <cstdint>
+#include <optional>
+#include <string>
+
+namespace cactusford::edge {
+
+nlohmann::json
+say_sidecar(const std::string& instance);
+
+// Nothing when it is no sidecar that speaks.
+std::optional<std::string>
+sidecar_from(const nlohmann::json& said);
+
+nlohmann::json
+say_rank(std::uint32_t rank);
+
+std::optional<std::uint32_t>
+rank_from(const nlohmann::json& told);
+
+} // namespace cactusford::edge
--- a/cactusford/edge/settings.cc
+++ b/cactusford/edge/settings.cc
@@ -18,8 +18,6 @@
   "properties": {
   "instance": {"type": "string", "minLength": 1, "maxLength": 128},
   "data_centre": {"type": "string", "minLength": 1},
-  "data_centres": {"type": "array", "maxItems": 4096,
-                   "items": {"type": "string"}},
   "callers": {"type": "string"},
   "ready": {"type": "string"},
   "peer": {"type": "string"},
@@ -72,7 +70,6 @@
   hosted_settings s;
   read_key(document, "instance", s.instance);
   read_key(document, "data_centre", s.data_centre);
-  read_key(document, "data_centres", s.data_centres);
   read_key(document, "callers", s.callers);
   read_key(document, "ready", s.ready);
   read_key(document, "peer", s.peer);
--- a/cactusford/edge/settings.h
+++ b/cactusford/edge/settings.h
@@ -17,7 +17,6 @@
 {
   std::string instance;
   std::string data_centre;
-  std::vector<std::string> data_centres;
   // Where callers, the balancer's health checks, other instances and metrics
   // readers connect to.
   std::string callers;
--- a/cactusford/edge/side.cc
+++ b/cactusford/edge/side.cc
@@ -1,4 +1,5 @@
 #include "cactusford/edge/hosted.h"
+#include "cactusford/edge/relay_talk.h"
 #include "cactusford/orders/loader.h"
 #include "cactusford/process/line_log.h"
 #include "cactusford/store/watcher.h"
@@ -35,9 +36,13 @@
   http::client http{ h.io };
   // There is a sidecar for each engine, and all wait for the same versions.
   store::client store{ h.io, http, d.store, { s.store, s.peers, true } };
-  const auto where =
-    orders::place_of(s.instance, s.data_centre, s.data_centres);
-  orders::loader loader{ h.io, http, d, { s.instance, s.engine, where } };
+  orders::loader loader{ h.io, http, d, { s.instance, s.engine } };
+  store.talk.say = [&s] { return say_sidecar(s.instance); };
+  store.talk.hear = [&loader](const nlohmann::json& told) {
+    if (const auto rank = rank_from(told)) {
+      loader.stand_at({ *rank });
+    }
+  };
   const auto take = [&](const store::object& o) {
     const auto v = d.version_from(o);
     if (v) {
--- a/cactusford/membership/directory-test.cc
+++ b/cactusford/membership/directory-test.cc
@@ -48,6 +48,19 @@
   }
 }
 
+// Sidecars take turns by their rank, whatever their names are.
+Test(directory, ranks_by_name)
+{
+  directory d;
+  for (const auto* name : { "dora", "anna", "carl" }) {
+    note(d, member_of(name, 1), now);
+  }
+  cr_assert_eq(rank_of(d, "anna"), 0);
+  cr_assert_eq(rank_of(d, "dora"), 2);
+  note(d, member_of("bert", 1), now);
+  cr_assert_eq(rank_of(d, "dora"), 3);
+}
+
 Test(directory, travels_beside_the_watches)
 {
   const std::vector<member> members{ member_of("a", 0.5),
--- a/cactusford/membership/directory.cc
+++ b/cactusford/membership/directory.cc
@@ -35,6 +35,13 @@
   return members;
 }
 
+std::uint32_t
+rank_of(const directory& d, const std::string& instance)
+{
+  return static_cast<std::uint32_t>(
+    std::distance(d.all.begin(), d.all.lower_bound(instance)));
+}
+
 nlohmann::json
 encode(const std::vector<member>& members)
 {
--- a/cactusford/membership/directory.h
+++ b/cactusford/membership/directory.h
@@ -54,6 +54,10 @@
 std::vector<member>
 largest(const directory& d, std::size_t most, std::uint64_t now_ms);
 
+// How many of the members have a lesser name.
+std::uint32_t
+rank_of(const directory& d, const std::string& instance);
+
 nlohmann::json
 encode(const std::vector<member>& members);
 
--- a/cactusford/orders/load_plan-test.cc
+++ b/cactusford/orders/load_plan-test.cc
@@ -5,105 +5,192 @@
 #include <criterion/criterion.h>
 
 #include <set>
+#include <vector>
 
-using namespace cactusford;
 using namespace cactusford::orders;
 
 namespace {
 
-const std::vector<std::string> centres{ "a", "b", "c", "d" };
+constexpr std::uint64_t step_ms = 4000;
+
+// Engines that load for several trainers, whose versions are named one after
+// the other.
+struct fleet
+{
+  std::vector<std::vector<std::uint64_t>> loaded;
+  std::size_t models;
+  load_pace pace;
+
+  fleet(std::size_t engines, std::size_t models_of_it, std::uint32_t stride)
+    : loaded(engines, std::vector<std::uint64_t>(models_of_it, 1))
+    , models{ models_of_it }
+  {
+    pace.stride = stride;
+  }
+
+  // Engines that begin a step of the version when it is named.
+  std::size_t serving(std::size_t model, std::uint64_t version) const
+  {
+    std::size_t count = 0;
+    for (std::uint32_t i = 0; i < loaded.size(); ++i) {
+      const bool kept = keeps_up_with(model, models, { i });
+      count += kept && loaded[i][model] + accepted_lag >= version ? 1 : 0;
+    }
+    return count;
+  }
+
+  // Names the version; the number of loads that begin.
+  std::size_t name(std::size_t model, std::uint64_t version)
+  {
+    const auto model_name = "m" + std::to_string(model);
+    std::size_t loads = 0;
+    for (std::uint32_t i = 0; i < loaded.size(); ++i) {
+      auto& held = loaded[i][model];
+      const held_model m{ model_name, version, held };
+      if (keeps_up_with(model, models, { i }) &&
+          wants(m, models, { i }, pace) == load_time::now) {
+        held = version;
+        ++loads;
+      }
+    }
+    return loads;
+  }
+};
 
 } // namespace
 
-Test(load_plan, finds_its_place_without_a_message)
+// Two trainers share 39 engines, and 8 engines load at the same time without
+// slowing each other, 0.9 s each: 35 loads in the four seconds of a step. Were
+// each engine to load every second version of both, 39 would be due; all loads
+// end late, and a step begins with the few engines that are done.
+Test(load_plan, keeps_the_loads_within_what_the_deployment_carries_out)
 {
-  std::set<std::uint32_t> seen;
-  for (const auto& c : centres) {
-    for (const auto* number : { "1", "2" }) {
-      seen.insert(place_of("side-" + c + "-" + number, c, centres).index);
+  constexpr double loads_in_a_step = 8 / 0.9 * 4;
+  for (const std::size_t models : { 2U, 4U, 8U }) {
+    fleet f{ 39, models, load_pace{}.stride };
+    for (std::uint64_t version = 2; version < 20; ++version) {
+      std::size_t loads = 0;
+      for (std::size_t m = 0; m < models; ++m) {
+        const auto kept = 39 * models_kept / models;
+        if (version > 4) {
+          cr_assert_geq(f.serving(m, version), kept / 3 - 1);
+        }
+        loads += f.name(m, version);
+      }
+      cr_assert_leq(loads, loads_in_a_step * 0.85);
     }
   }
-  cr_assert_eq(seen.size(), 8, "no two share a place");
-  cr_assert_eq(*seen.rbegin(), 7);
 }
 
-// A step accepts the version that is named and the one before. If all engines
-// loaded each version as it is named, none would serve the step's beginning.
-Test(load_plan, always_leaves_engines_that_serve_the_step)
+// The store is away while three versions are named. All engines hear of the
+// last one together and load it. Did they stay together, every third step would
+// find no engine that can begin it.
+Test(load_plan, sets_engines_apart_again_after_an_outage)
 {
-  std::vector<std::uint64_t> loaded(9, 1);
-  for (std::uint64_t named = 2; named < 20; ++named) {
-    int serving = 0;
-    int loads = 0;
-    for (std::uint32_t i = 0; i < loaded.size(); ++i) {
-      serving += loaded[i] + accepted_lag >= named ? 1 : 0;
-      if (wants("m", named, loaded[i], 2, { i }) == load_time::now) {
-        loaded[i] = named;
-        ++loads;
+  fleet f{ 30, 2, 3 };
+  cr_assert_eq(f.name(0, 5), 30, "all are behind");
+  f.name(0, 6);
+  f.name(0, 7);
+  for (std::uint64_t version = 8; version < 16; ++version) {
+    cr_assert_geq(f.serving(0, version), 9, "at version %lu", version);
+    cr_assert_leq(f.name(0, version), 11);
+  }
+}
+
+Test(load_plan, adapts_to_how_long_loads_take)
+{
+  for (const std::uint64_t alone_ms : { 300U, 900U, 5000U }) {
+    load_pace p;
+    note_load(p, alone_ms);
+    SECTION("loads that slow each other become fewer")
+    {
+      for (int i = 0; i < 20; ++i) {
+        note_load(p, 3 * alone_ms);
+      }
+      cr_assert_eq(p.stride, 4);
+    }
+    SECTION("and more again when they do not")
+    {
+      for (int i = 0; i < 20; ++i) {
+        note_load(p, alone_ms);
       }
+      cr_assert_eq(p.stride, 2);
+    }
+    SECTION("one that met an outage changes nothing")
+    {
+      note_load(p, 10 * alone_ms);
+      note_load(p, alone_ms);
+      cr_assert_eq(p.stride, 2);
     }
-    cr_assert_geq(serving, 4, "before its loads, at version %lu", named);
-    cr_assert_leq(loads, 5);
   }
 }
 
 Test(load_plan, loads_in_the_quiet_end_of_a_step_for_one_trainer)
 {
-  cr_assert(wants("m", 5, 4, 1, { 3 }) == load_time::when_idle);
+  const load_pace pace;
+  cr_assert(wants({ "m", 5, 4 }, 1, { 3 }, pace) == load_time::when_idle);
   SECTION("but at once when it is of no use otherwise")
   {
-    cr_assert(wants("m", 5, 3, 1, { 3 }) == load_time::now);
+    cr_assert(wants({ "m", 5, 3 }, 1, { 3 }, pace) == load_time::now);
   }
-  SECTION("few at the same time")
+  SECTION("spread over the end of a step, however long it is")
   {
-    const auto first = delay_ms(load_time::when_idle, 1, { 0 });
-    cr_assert_geq(first, 1000, "not in the beginning");
-    cr_assert_eq(delay_ms(load_time::when_idle, 1, { 1 }), first);
-    cr_assert_gt(delay_ms(load_time::when_idle, 1, { 2 }), first);
+    for (const std::uint64_t period : { step_ms, 2 * step_ms }) {
+      naming n;
+      note_naming(n, 2, 1000);
+      cr_assert_eq(
+        delay_ms(load_time::when_idle, n, { 0 }), 0, "not known yet");
+      note_naming(n, 3, 1000 + period);
+      for (const std::uint32_t engines : { 3U, 300U }) {
+        std::set<std::uint64_t> delays;
+        for (std::uint32_t i = 0; i < engines; ++i) {
+          delays.insert(delay_ms(load_time::when_idle, n, { i }));
+        }
+        cr_assert_geq(*delays.begin(), period / 3, "not in the beginning");
+        cr_assert_leq(*delays.rbegin(), period, "before the next");
+        cr_assert_geq(delays.size(), std::min(engines, 200U));
+      }
+    }
+  }
+  SECTION("versions that were passed over count as steps of their own")
+  {
+    naming n;
+    note_naming(n, 2, 1000);
+    note_naming(n, 4, 1000 + 2 * step_ms);
+    cr_assert_eq(n.period_ms, step_ms);
   }
 }
 
-// Four trainers share 38 engines, and 8 engines load at the same time, 0.95 s
-// each: 34 loads in the four seconds of a step. Were every engine to keep up
-// with all four, 76 would be due; all fall behind, and items of a step wait up
-// to ten seconds for an engine with weights that it accepts.
-Test(load_plan, keeps_the_loads_of_many_trainers_within_the_rate)
+Test(load_plan, shares_the_engines_out_evenly)
 {
-  constexpr std::size_t models = 4;
-  constexpr std::size_t engines = 38;
-  constexpr double loads_in_a_step = 8 / 0.95 * 4;
-  std::size_t due = 0;
-  std::vector<std::size_t> kept(models, 0);
-  std::vector<std::set<std::uint32_t>> kept_in(models);
-  for (std::uint32_t i = 0; i < engines; ++i) {
-    const auto centre = centres[i % centres.size()];
-    const auto row = i / centres.size() + 1;
-    const auto p =
-      place_of("side-" + centre + "-" + std::to_string(row), centre, centres);
-    for (std::size_t at = 0; at < models; ++at) {
-      if (!keeps_up_with(at, models, p)) {
-        continue;
+  constexpr std::uint32_t engines = 38;
+  for (const std::size_t models : { 1U, 2U, 4U, 8U }) {
+    std::vector<std::size_t> kept(models, 0);
+    for (std::uint32_t i = 0; i < engines; ++i) {
+      for (std::size_t at = 0; at < models; ++at) {
+        kept[at] += keeps_up_with(at, models, { i }) ? 1 : 0;
       }
-      ++kept[at];
-      kept_in[at].insert(static_cast<std::uint32_t>(i % centres.size()));
-      const auto model = "m" + std::to_string(at);
-      due += wants(model, 4, 3, models, p) == load_time::now ? 1 : 0;
     }
-  }
-  cr_assert_leq(due, loads_in_a_step * 1.2);
-  for (std::size_t at = 0; at < models; ++at) {
-    cr_assert_geq(kept[at], engines / 2 - 1, "each model has its share");
-    cr_assert_eq(kept_in[at].size(), centres.size(), "in every data centre");
-  }
-  SECTION("an engine of one or two trainers keeps up with them all")
-  {
-    cr_assert(keeps_up_with(0, 1, { 7, 7 }));
-    cr_assert(keeps_up_with(0, 2, { 7, 7 }) && keeps_up_with(1, 2, { 7, 7 }));
+    for (const auto k : kept) {
+      cr_assert_geq(k, engines * std::min(models, models_kept) / models - 1);
+    }
   }
 }
 
 Test(load_plan, never_goes_back)
 {
-  cr_assert(wants("m", 4, 4, 1, { 0 }) == load_time::never);
-  cr_assert(wants("m", 4, 5, 1, { 0 }) == load_time::never);
+  const load_pace pace;
+  cr_assert(wants({ "m", 4, 4 }, 1, { 0 }, pace) == load_time::never);
+  cr_assert(wants({ "m", 4, 5 }, 2, { 0 }, pace) == load_time::never);
+}
+
+// Names need not end in a number, and nobody has counted the engines yet.
+Test(load_plan, finds_a_place_by_any_name)
+{
+  std::set<std::uint32_t> ranks;
+  for (const auto* name :
+       { "anna", "bert", "carl", "dora", "emil", "side-1" }) {
+    ranks.insert(place_by_name(name).rank);
+  }
+  cr_assert_geq(ranks.size(), 5);
 }
--- a/cactusford/orders/load_plan.cc
+++ b/cactusford/orders/load_plan.cc
@@ -1,7 +1,5 @@
 #include "cactusford/orders/load_plan.h"
 
-#include "cactusford/http/message.h"
-
 #include <algorithm>
 #include <cmath>
 
@@ -9,35 +7,37 @@
 
 namespace {
 
-// Loads at the same time before they slow each other down, and the time of
-// one that is not slowed: the engines' measured figures.
-constexpr std::uint32_t loads_at_once = 2;
-constexpr std::uint64_t load_ms = 950;
-
-// The halves that load even and odd versions.
-constexpr std::uint32_t halves = 2;
+// At a stride of two every engine can begin every step. Beyond four an engine
+// would be of no use to a model for half of the time and more.
+constexpr std::uint32_t least_stride = 2;
+constexpr std::uint32_t largest_stride = 4;
 
-// Waiting longer than this would let a step meet engines that are too old.
-constexpr std::uint64_t longest_delay_ms = 2000;
+// A load that takes this many times the shortest was slowed by others, and one
+// that takes less than that was not. In between nothing changes: a few loads at
+// the same time are no harm.
+constexpr double slowed_times = 2.2;
+constexpr double unslowed_times = 1.3;
 
-// With many trainers a quarter of all engines is due at each naming, and of 38
-// engines 8 load at the same time: about ten loads take little more than the
-// time of one.
-constexpr double many_models_spread_ms = 1000;
+// Loads in a row before the stride changes: one alone may have met an outage.
+constexpr std::uint32_t slowed_in_a_row = 2;
+constexpr std::uint32_t unslowed_in_a_row = 4;
 
-// An engine that is too old for the younger step waits this long at most.
-constexpr std::uint64_t longest_quiet_wait_ms = 1600;
+// In parts of a step's time: most items run in its first third; the loads of
+// all engines are spread over the rest.
+constexpr double quiet_begin = 0.35;
+constexpr double quiet_spread = 0.6;
 
-// Most items of a step run in its first second and a half.
-constexpr std::uint64_t step_begin_ms = 1500;
-constexpr std::uint64_t longest_idle_delay_ms = 3000;
+// Weight of a new interval. Steps that end late lengthen single ones.
+constexpr double period_gain = 0.3;
 
 std::uint32_t
 small_hash(std::string_view text)
 {
-  std::uint32_t h = 2166136261U;
+  constexpr std::uint32_t offset = 2166136261U;
+  constexpr std::uint32_t prime = 16777619U;
+  std::uint32_t h = offset;
   for (const char c : text) {
-    h = (h ^ static_cast<unsigned char>(c)) * 16777619U;
+    h = (h ^ static_cast<unsigned char>(c)) * prime;
   }
   return h;
 }
@@ -49,83 +49,94 @@
 turn_of(const place& p)
 {
   constexpr double golden = 0.6180339887498949;
-  const auto turn = golden * p.index;
+  const auto turn = golden * p.rank;
   return turn - std::floor(turn);
 }
 
 } // namespace
 
 place
-place_of(std::string_view instance,
-         std::string_view data_centre,
-         std::vector<std::string> data_centres)
+place_by_name(std::string_view instance)
+{
+  // Ranks beyond any number of engines would cost the turns their precision.
+  constexpr std::uint32_t ranks = 4096;
+  return { small_hash(instance) % ranks };
+}
+
+void
+note_load(load_pace& p, std::uint64_t took_ms)
 {
-  const auto dash = instance.rfind('-');
-  const auto number = dash == std::string_view::npos
-                        ? std::nullopt
-                        : http::parse_number(instance.substr(dash + 1));
-  std::sort(data_centres.begin(), data_centres.end());
-  const auto at =
-    std::find(data_centres.begin(), data_centres.end(), data_centre);
-  if (!number || *number == 0 || at == data_centres.end()) {
-    const auto h = small_hash(instance);
-    return { h % 64, h / 64 };
+  const bool is_shorter = p.shortest_ms == 0 || took_ms < p.shortest_ms;
+  p.shortest_ms = is_shorter ? took_ms : p.shortest_ms;
+  const auto times =
+    static_cast<double>(took_ms) /
+    static_cast<double>(std::max<std::uint64_t>(p.shortest_ms, 1));
+  p.slowed = times > slowed_times ? p.slowed + 1 : 0;
+  p.unslowed = times < unslowed_times ? p.unslowed + 1 : 0;
+  if (p.slowed >= slowed_in_a_row) {
+    p.stride = std::min(p.stride + 1, largest_stride);
+    p.slowed = 0;
+  } else if (p.unslowed >= unslowed_in_a_row) {
+    p.stride = std::max(p.stride - 1, least_stride);
+    p.unslowed = 0;
   }
-  const auto zone = static_cast<std::uint32_t>(at - data_centres.begin());
-  const auto row = static_cast<std::uint32_t>(*number - 1);
-  const auto zones = static_cast<std::uint32_t>(data_centres.size());
-  return { row * zones + zone, row + zone };
+}
+
+void
+note_naming(naming& n, std::uint64_t version, std::uint64_t now_ms)
+{
+  if (version <= n.version) {
+    return;
+  }
+  if (n.version != 0) {
+    const auto between = (now_ms - n.since_ms) / (version - n.version);
+    const auto change =
+      static_cast<double>(between) - static_cast<double>(n.period_ms);
+    n.period_ms =
+      n.period_ms == 0
+        ? between
+        : n.period_ms + static_cast<std::uint64_t>(
+                          static_cast<std::int64_t>(period_gain * change));
+  }
+  n.version = version;
+  n.since_ms = now_ms;
 }
 
 bool
 keeps_up_with(std::size_t at, std::size_t models, const place& p)
 {
-  const auto first = p.diagonal % models;
+  const auto first = p.rank % models;
   return (at + models - first) % models < models_kept;
 }
 
 load_time
-wants(std::string_view model,
-      std::uint64_t named,
-      std::uint64_t loaded,
+wants(const held_model& m,
       std::size_t models,
-      const place& p)
+      const place& p,
+      const load_pace& pace)
 {
-  if (named <= loaded) {
+  if (m.named <= m.loaded) {
     return load_time::never;
   }
-  if (named - loaded > accepted_lag) {
-    return load_time::now;
-  }
+  const auto lag = m.named - m.loaded;
   if (models <= 1) {
-    return load_time::when_idle;
-  }
-  const bool mine = (named + p.index + small_hash(model)) % halves == 0;
-  return mine ? load_time::now : load_time::never;
-}
-
-bool
-waits_for_quiet(load_time t, std::uint64_t since_naming_ms, const place& p)
-{
-  if (t == load_time::when_idle) {
-    return true;
+    return lag > accepted_lag ? load_time::now : load_time::when_idle;
   }
-  const bool first_turn = p.index / halves / loads_at_once == 0;
-  return !first_turn && since_naming_ms < longest_quiet_wait_ms;
+  // After an outage all engines are behind and load at once; their turns set
+  // them apart again.
+  const auto turn = p.rank / models + small_hash(m.name);
+  const bool is_due = (m.named + turn) % pace.stride == 0;
+  return is_due || lag >= pace.stride ? load_time::now : load_time::never;
 }
 
 std::uint64_t
-delay_ms(load_time t, std::size_t models, const place& p)
+delay_ms(load_time t, const naming& n, const place& p)
 {
-  if (t == load_time::when_idle) {
-    const auto turn = p.index / loads_at_once;
-    return step_begin_ms + std::min(turn * load_ms, longest_idle_delay_ms);
-  }
-  if (models > models_kept) {
-    return static_cast<std::uint64_t>(turn_of(p) * many_models_spread_ms);
+  if (t != load_time::when_idle) {
+    return 0;
   }
-  const auto turn = p.index / halves / loads_at_once;
-  return std::min(turn * load_ms, longest_delay_ms);
+  const auto part = quiet_begin + quiet_spread * turn_of(p);
+  return static_cast<std::uint64_t>(part * static_cast<double>(n.period_ms));
 }
 
 } // namespace cactusford::orders
--- a/cactusford/orders/load_plan.h
+++ b/cactusford/orders/load_plan.h
@@ -1,82 +1,112 @@
 // When the engine of one sidecar loads a weight version. Pure.
 //
-// A trainer's step accepts the version that is named and the one before it,
-// and it begins when its version is named. An engine one version behind serves
-// the step; one that is further behind is of no use until it has loaded.
+// A trainer's step accepts the version that is named and the one before it, and
+// it begins when its version is named. An engine one version behind serves the
+// step; one that is further behind is of no use until it has loaded.
 //
-// An engine of one trainer loads each version, in the quiet end of a step,
-// when it runs nothing: all engines serve the next step's beginning. As many
-// loads as engines are due to each trainer, so an engine shared by several
-// loads every second version of each, half of the engines the even and half
-// the odd ones. One shared by more than two keeps up with two of them only:
-// the deployment's rate of loads is about one for each engine in the time of a
-// step, and engines that fall behind with all serve none.
+// An engine of one trainer loads each version, in the quiet end of a step, when
+// it runs nothing: all engines serve the next step's beginning.
+//
+// An engine shared by several trainers loads some versions of each and is of no
+// use to a model for a while before a load. A deployment carries out about one
+// load for each engine in the time of a step, and loads that meet slow each
+// other. Were each engine to load every second version of two models, just that
+// many were due: loads took 3 s in place of 0.9 s, ended when the next version
+// was named, and half of a step's items waited 1 to 2.5 s for an engine. So an
+// engine loads every third version to begin with, each at its naming, and more
+// or fewer as its loads are slowed or not.
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
-#include <string>
 #include <string_view>
-#include <vector>
 
 namespace cactusford::orders {
 
 // Versions behind the named one that a step still accepts.
 constexpr std::uint64_t accepted_lag = 1;
 
-// Where an engine stands among those of its deployment. Sidecars work it out
-// from their own name, without a message: names end in "-DATA_CENTRE-NUMBER".
+// Models that an engine keeps up with. With more, loads would be due more often
+// than engines carry them out; with one, half as many engines could begin a
+// step.
+constexpr std::size_t models_kept = 2;
+
+// Where an engine stands among those of its deployment, counted by their names.
 struct place
 {
-  std::uint32_t index = 0;
-  // Neighbours in a data centre and across them differ in it.
-  std::uint32_t diagonal = 0;
+  std::uint32_t rank = 0;
 
   friend bool operator==(const place&, const place&) = default;
 };
 
+// Before anybody has counted: by a hash of its own name.
 place
-place_of(std::string_view instance,
-         std::string_view data_centre,
-         std::vector<std::string> data_centres);
+place_by_name(std::string_view instance);
+
+// What a sidecar has seen of its engine's loads.
+struct load_pace
+{
+  // The shortest load seen, in milliseconds: one that no other slowed. 0: none.
+  std::uint64_t shortest_ms = 0;
+  // Of each model that is kept, the engine loads one version in so many.
+  std::uint32_t stride = 3;
+  // Loads in a row that were slowed, and that were not.
+  std::uint32_t slowed = 0;
+  std::uint32_t unslowed = 0;
+
+  friend bool operator==(const load_pace&, const load_pace&) = default;
+};
+
+// A load took this long. Loads that are slowed again and again become fewer.
+void
+note_load(load_pace& p, std::uint64_t took_ms);
+
+// The namings of one model.
+struct naming
+{
+  std::uint64_t version = 0;
+  std::uint64_t since_ms = 0;
+  // The usual time between two; 0: not known yet.
+  std::uint64_t period_ms = 0;
+
+  friend bool operator==(const naming&, const naming&) = default;
+};
+
+void
+note_naming(naming& n, std::uint64_t version, std::uint64_t now_ms);
 
 enum class load_time
 {
   never,
-  // As soon as its turn among the loading engines comes.
   now,
   // Later in the step, while it runs nothing.
   when_idle,
 };
 
-// Models that an engine keeps up with.
-constexpr std::size_t models_kept = 2;
-
 // True when the engine at this place keeps up with its model number `at` of
 // `models`, counted in the order of their names. Each model has as many
-// engines as any other, spread over the data centres.
+// engines as any other.
 bool
 keeps_up_with(std::size_t at, std::size_t models, const place& p);
 
-// When an engine of `models` models that holds `loaded` of one that it keeps
-// up with should load `named`.
+// A model that an engine keeps up with, and what it holds of it.
+struct held_model
+{
+  std::string_view name;
+  std::uint64_t named = 0;
+  std::uint64_t loaded = 0;
+};
+
+// When an engine of `models` models should load what is named.
 load_time
-wants(std::string_view model,
-      std::uint64_t named,
-      std::uint64_t loaded,
+wants(const held_model& m,
       std::size_t models,
-      const place& p);
-
-// True while a load that is due should wait for the runs of the engine to end:
-// a load holds them up for about a second. Two versions may be named at nearly
-// the same time; the engines of the first turn load for the younger step at
-// once, the others go on serving the older one for a moment.
-bool
-waits_for_quiet(load_time t, std::uint64_t since_naming_ms, const place& p);
+      const place& p,
+      const load_pace& pace);
 
-// How long after the naming an engine of `models` models starts at the
-// earliest, so that few load at the same time and the beginning of a step is
-// left alone, in milliseconds.
+// How long after the naming an engine starts at the earliest, in milliseconds:
+// few load at the same time, and the beginning of a step is left alone.
 std::uint64_t
-delay_ms(load_time t, std::size_t models, const place& p);
+delay_ms(load_time t, const naming& n, const place& p);
 
 } // namespace cactusford::orders
--- a/cactusford/orders/loader.cc
+++ b/cactusford/orders/loader.cc
@@ -31,6 +31,7 @@
   , dialect_{ d }
   , settings_{ std::move(s) }
   , timer_{ io }
+  , place_{ place_by_name(settings_.instance) }
 {
 }
 
@@ -42,14 +43,26 @@
   if (v.version <= n.version) {
     return;
   }
-  n = { v.version, http::now_ms() };
+  note_naming(n, v.version, http::now_ms());
   process::log_line(timeline::event{ "version_named" }
                       .with("model", v.model)
                       .with("version", v.version)
-                      .with("revision", revision));
+                      .with("revision", revision)
+                      .with("period_ms", n.period_ms));
   again_in(0);
 }
 
+void
+loader::stand_at(const place& p)
+{
+  if (p == place_) {
+    return;
+  }
+  place_ = p;
+  process::log_line(
+    timeline::event{ "engine_place" }.with("rank", std::uint64_t{ p.rank }));
+}
+
 void
 loader::start()
 {
@@ -132,53 +145,70 @@
 }
 
 void
-loader::on_report(const edge::engine_report& r)
+loader::note_versions(const edge::engine_report& r)
 {
   for (const auto& [model, version] : r.versions) {
     auto& before = loaded_[model];
     if (version != before && before != 0) {
+      const auto took = http::now_ms() - ordered_ms_;
+      if (model == ordered_model_) {
+        note_load(pace_, took);
+        ordered_model_.clear();
+      }
       process::log_line(timeline::event{ "version_loaded" }
                           .with("model", model)
                           .with("version", version)
                           .with("before", before)
-                          .with("took_ms", http::now_ms() - ordered_ms_));
+                          .with("took_ms", took)
+                          .with("shortest_ms", pace_.shortest_ms)
+                          .with("stride", std::uint64_t{ pace_.stride }));
     }
     before = version;
   }
-  if (r.busy) {
-    again_in(busy_look_ms);
-    return;
+}
+
+void
+loader::on_report(const edge::engine_report& r)
+{
+  note_versions(r);
+  const auto next = r.busy ? busy_look_ms : order_what_is_due(r);
+  if (next != 0) {
+    again_in(next);
   }
+}
+
+// When to look again; 0: an order is on its way.
+std::uint64_t
+loader::order_what_is_due(const edge::engine_report& r)
+{
   const auto now = http::now_ms();
+  const bool is_idle = r.running + r.waiting == 0;
+  const auto models = r.versions.size();
   std::uint64_t next = idle_look_ms;
-  for (const auto& [model, n] : named_) {
-    const auto found = r.versions.find(model);
-    const auto at =
-      static_cast<std::size_t>(std::distance(r.versions.begin(), found));
-    if (found == r.versions.end() ||
-        !keeps_up_with(at, r.versions.size(), settings_.where)) {
+  std::size_t at = 0;
+  for (const auto& [model, loaded] : r.versions) {
+    const auto found = named_.find(model);
+    const bool is_kept = keeps_up_with(at++, models, place_);
+    if (found == named_.end() || !is_kept) {
       continue;
     }
-    const auto when = wants(
-      model, n.version, found->second, r.versions.size(), settings_.where);
+    const auto& n = found->second;
+    const auto when =
+      wants({ model, n.version, loaded }, models, place_, pace_);
     if (when == load_time::never) {
       continue;
     }
-    const auto due =
-      n.since_ms + delay_ms(when, r.versions.size(), settings_.where);
+    const auto due = n.since_ms + delay_ms(when, n, place_);
     if (due > now) {
       next = std::min(next, due - now);
-      continue;
-    }
-    const bool idle = r.running + r.waiting == 0;
-    if (!idle && waits_for_quiet(when, now - n.since_ms, settings_.where)) {
+    } else if (when == load_time::when_idle && !is_idle) {
       next = std::min(next, busy_look_ms);
-      continue;
+    } else {
+      order(r, model, n.version);
+      return 0;
     }
-    order(r, model, n.version);
-    return;
   }
-  again_in(next);
+  return next;
 }
 
 void
@@ -198,6 +228,7 @@
   options.timeout_ms = order_timeout_ms;
   asking_ = true;
   ordered_ms_ = http::now_ms();
+  ordered_model_ = model;
   http_.fetch(settings_.engine,
               dialect_.order_request(o),
               options,
--- a/cactusford/orders/loader.h
+++ b/cactusford/orders/loader.h
@@ -19,7 +19,6 @@
   std::string instance;
   // Where the engine listens.
   std::string engine;
-  place where;
 };
 
 class loader
@@ -34,6 +33,9 @@
   // names it.
   void on_named(const edge::named_version& v, std::uint64_t revision);
 
+  // Where the engine stands among the others, as far as anybody has counted.
+  void stand_at(const place& p);
+
   // Looks at the engine once in a while from now on.
   void start();
 
@@ -47,22 +49,20 @@
                const store::shape_fault& fault);
   bool take_life(const edge::engine_report& r);
   void on_report(const edge::engine_report& r);
+  void note_versions(const edge::engine_report& r);
+  std::uint64_t order_what_is_due(const edge::engine_report& r);
   void order(const edge::engine_report& r,
              const std::string& model,
              std::uint64_t version);
   void again_in(std::uint64_t ms);
 
-  struct named
-  {
-    std::uint64_t version = 0;
-    std::uint64_t since_ms = 0;
-  };
-
   http::client& http_;
   const edge::dialect& dialect_;
   loader_settings settings_;
   asio::steady_timer timer_;
-  std::map<std::string, named> named_;
+  place place_;
+  load_pace pace_;
+  std::map<std::string, naming> named_;
   // The highest revision acted on. It grows with each version that is named
   // and survives restarts, as it is read from the store again.
   std::uint64_t fence_ = 0;
@@ -71,6 +71,7 @@
   // accepted.
   std::map<std::string, std::uint64_t> loaded_;
   std::uint64_t ordered_ms_ = 0;
+  std::string ordered_model_;
   bool asking_ = false;
   bool was_up_ = true;
 };
--- a/tests/loader-test.cc
+++ b/tests/loader-test.cc
@@ -26,7 +26,7 @@
   orders::loader loader{ io,
                          http,
                          dialect,
-                         { "side-a-1", engine.address(), {} } };
+                         { "side-a-1", engine.address() } };
 
   static edge::dialect with_orders()
   {
