--- a/cactusford/orders/load_plan.cc
+++ b/cactusford/orders/load_plan.cc
@@ -126,8 +126,7 @@
     return load_time::when_idle;
   }
   if (models <= 1) {
-    constexpr double first_half = 0.5;
-    return turn_of(p) < first_half ? load_time::now : load_time::soon;
+    return p.rank % 2 == 0 ? load_time::now : load_time::soon;
   }
   // After an outage all engines are behind and load at once; their turns set
   // them apart again.
