Calls keep to a server that they are connected to

Change: a server without a free connection costs 3 ms more in the choice, a round trip. Test registry/keeps_to_the_server_that_it_is_connected_to.

--- a/cactusford/backends/registry-test.cc
+++ b/cactusford/backends/registry-test.cc
@@ -143,18 +143,52 @@
   note_success(*find(r, "x"), 25);
   note_success(*find(r, "y"), 25);
   find(r, "x")->in_flight = 3;
-  cr_assert(choose_for_call(r, "quotes", "", {}, 0, 0.5)->said.id == "y");
+  cr_assert(choose_for_call(r, { "quotes", "", {} }, 0, 0.5)->said.id == "y");
   SECTION("one that failed is avoided for a while")
   {
     note_failure(*find(r, "y"), 1000);
-    cr_assert(choose_for_call(r, "quotes", "", {}, 1001, 0.5)->said.id == "x");
-    cr_assert(choose_for_call(r, "quotes", "", {}, 1300, 0.5)->said.id == "y");
+    cr_assert(choose_for_call(r, { "quotes", "", {} }, 1001, 0.5)->said.id ==
+              "x");
+    cr_assert(choose_for_call(r, { "quotes", "", {} }, 1300, 0.5)->said.id ==
+              "y");
   }
   SECTION("and used all the same when there is no other")
   {
     note_failure(*find(r, "y"), 1000);
-    cr_assert(choose_for_call(r, "quotes", "", { "x" }, 1001, 0.5)->said.id ==
-              "y");
+    cr_assert(
+      choose_for_call(r, { "quotes", "", { "x" } }, 1001, 0.5)->said.id == "y");
+  }
+}
+
+// Each entry has a call every few seconds, and six servers to send it to.
+// Spread over all of them, each call opens a connection of its own.
+Test(registry, keeps_to_the_server_that_it_is_connected_to)
+{
+  registry r;
+  for (const auto* id : { "x", "y", "z" }) {
+    announcement a;
+    a.id = id;
+    a.address = std::string{ id } + ":1";
+    a.service = "quotes";
+    a.slots = 6;
+    announce(r, a);
+    note_success(*find(r, id), 25);
+  }
+  const call_needs needs{ "quotes", "", {}, [](const auto& address) {
+                           return address == "y:1";
+                         } };
+  for (const double random : { 0.0, 0.4, 0.9 }) {
+    cr_assert(choose_for_call(r, needs, 0, random)->said.id == "y");
+  }
+  SECTION("unless it has more to do than the others")
+  {
+    find(r, "y")->in_flight = 2;
+    cr_assert(choose_for_call(r, needs, 0, 0)->said.id != "y");
+  }
+  SECTION("or has failed")
+  {
+    note_failure(*find(r, "y"), 1000);
+    cr_assert(choose_for_call(r, needs, 1001, 0)->said.id != "y");
   }
 }
 
--- a/cactusford/backends/registry.cc
+++ b/cactusford/backends/registry.cc
@@ -39,6 +39,11 @@
 constexpr double far_penalty = 0.05;
 constexpr double slow_penalty = 4;
 
+// What opening a connection adds to a call: a round trip between data centres
+// and the server's work on it. A server that is faster or less loaded by more
+// than that is taken all the same.
+constexpr double connect_cost_ms = 3;
+
 double
 load_of(const backend& b, std::uint64_t now_ms)
 {
@@ -282,9 +287,7 @@
 
 backend*
 choose_for_call(registry& r,
-                std::string_view service,
-                std::string_view data_centre,
-                const std::vector<std::string>& tried,
+                const call_needs& needs,
                 std::uint64_t now_ms,
                 double random)
 {
@@ -295,13 +298,16 @@
     std::uint32_t equal = 0;
     for (auto& [id, b] : r.all) {
       const bool was_tried =
-        std::find(tried.begin(), tried.end(), id) != tried.end();
+        std::find(needs.tried.begin(), needs.tried.end(), id) !=
+        needs.tried.end();
       const bool open = careful ? is_open(b, now_ms) : !b.said.leaving;
-      if (b.said.service != service || was_tried || !open) {
+      if (b.said.service != needs.service || was_tried || !open) {
         continue;
       }
-      const double cost = (1 + load_of(b, now_ms)) * std::max(b.call_ms, 1.0) +
-                          (b.said.data_centre == data_centre ? 0 : far_penalty);
+      const double cost =
+        (1 + load_of(b, now_ms)) * std::max(b.call_ms, 1.0) +
+        (needs.is_connected(b.said.address) ? 0 : connect_cost_ms) +
+        (b.said.data_centre == needs.data_centre ? 0 : far_penalty);
       constexpr double same = 1e-9;
       equal = cost < best_cost - same ? 1 : equal + 1;
       if (cost < best_cost - same ||
--- a/cactusford/backends/registry.h
+++ b/cactusford/backends/registry.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <string>
 #include <string_view>
@@ -165,13 +166,27 @@
 bool
 is_slow(const backend& b, double usual_pace_ms, std::uint64_t now_ms);
 
+struct call_needs
+{
+  std::string_view service;
+  std::string_view data_centre;
+  // Ids of those that had it before.
+  std::vector<std::string> tried;
+  // A connection to this address is open and free.
+  std::function<bool(const std::string&)> is_connected = [](const auto&) {
+    return false;
+  };
+};
+
 // Which backend server gets a plain call: the least loaded of those not yet
-// tried, fast and near ones first. Null when none is left.
+// tried, fast, connected and near ones first. Null when none is left.
+//
+// Pattern: 58 entries share six servers, and each has a call every few seconds.
+// Sent to another server each time, nearly every call opens a connection, which
+// costs its caller a round trip and the server a place while it is new.
 backend*
 choose_for_call(registry& r,
-                std::string_view service,
-                std::string_view data_centre,
-                const std::vector<std::string>& tried,
+                const call_needs& needs,
                 std::uint64_t now_ms,
                 double random);
 
--- a/cactusford/edge/forward.cc
+++ b/cactusford/edge/forward.cc
@@ -181,8 +181,13 @@
 forwarder::step(const std::shared_ptr<flight>& f)
 {
   const auto random = std::uniform_real_distribution<>{ 0, 1 }(random_);
-  auto* b = backends::choose_for_call(
-    registry_, f->service, data_centre_, f->tried, http::now_ms(), random);
+  const backends::call_needs needs{ f->service,
+                                    data_centre_,
+                                    f->tried,
+                                    [this](const std::string& address) {
+                                      return http_.has_idle(address);
+                                    } };
+  auto* b = backends::choose_for_call(registry_, needs, http::now_ms(), random);
   if (b != nullptr) {
     send(f, *b);
   } else if (!f->has_open_attempt()) {
--- a/cactusford/http/client.cc
+++ b/cactusford/http/client.cc
@@ -539,6 +539,18 @@
   }
 }
 
+bool
+client::has_idle(const std::string& address) const
+{
+  const auto found = impl_->idle.find(address);
+  const auto now = now_ms();
+  return found != impl_->idle.end() &&
+         std::any_of(
+           found->second.begin(), found->second.end(), [now](const auto& c) {
+             return !c->closed && c->idle_until > now;
+           });
+}
+
 std::uint64_t
 client::opened() const
 {
--- a/cactusford/http/client.h
+++ b/cactusford/http/client.h
@@ -116,6 +116,9 @@
   // Drops the idle connections of an address.
   void forget(const std::string& address);
 
+  // A connection to the address is open and free.
+  bool has_idle(const std::string& address) const;
+
   // Connections opened since the start.
   std::uint64_t opened() const;
 
