Scorer's calls are limited by what the scorers take

Cause: a hundred texts end within half a second, each followed by a scorer's call of 80 ms on 36 places shared with callers.

Change: batches/score_limit grows by answers, shrinks by a third on refusals and leaves a quarter of the places to callers; edge/second_attempt waits for one and a half times the ninth decile of the route's calls, for one call in ten at most.

--- a/cactusford/batches/finish.cc
+++ b/cactusford/batches/finish.cc
@@ -4,6 +4,7 @@
 #include "cactusford/timeline/clock.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace cactusford::batches {
 
@@ -31,10 +32,43 @@
   }
   i.stage = item_stage::scoring;
   i.score_tries = 0;
-  score(b.stored.id, i.index);
+  want_score(b.stored.id, i.index);
   plan_soon();
 }
 
+void
+keeper::impl::want_score(const std::string& id, std::size_t at)
+{
+  known(id)->items[at].score_again_ms = 0;
+  unscored.emplace_back(id, at);
+  start_scores();
+}
+
+void
+keeper::impl::start_scores()
+{
+  while (!unscored.empty() && may_start(scores)) {
+    const auto [id, at] = unscored.front();
+    unscored.pop_front();
+    score(id, at);
+  }
+}
+
+// The places that the servers of a route have together.
+std::size_t
+keeper::impl::places_of(const routes::route& r) const
+{
+  std::size_t places = 0;
+  for (const auto& [id, b] : p.registry.all) {
+    const bool is_of_it = std::any_of(
+      r.services.begin(), r.services.end(), [&b = b](const auto& s) {
+        return s.service == b.said.service;
+      });
+    places += is_of_it && !b.said.leaving ? b.said.slots : 0;
+  }
+  return places;
+}
+
 void
 keeper::impl::score(const std::string& id, std::size_t at)
 {
@@ -62,11 +96,21 @@
   f.give_up_ms = http::now_ms() + route->timeout_ms;
   i.score_again_ms = 0;
   ++i.score_tries;
-  i.cancel_score = p.forwarder.start(
+  note_start(scores);
+  const auto cancel = p.forwarder.start(
     std::move(f),
-    [self = shared_from_this(), id, at](edge::forward_outcome&& o) {
+    [self = shared_from_this(), id, at, places = places_of(*route)](
+      edge::forward_outcome&& o) {
+      const auto end =
+        o.refusals > 0 ? score_end::refused : score_end::answered;
+      note_end(self->scores, end, places, http::now_ms());
       self->on_scored(id, at, std::move(o));
+      self->start_scores();
     });
+  i.cancel_score = [self = shared_from_this(), cancel] {
+    cancel();
+    note_end(self->scores, score_end::cancelled, 0, http::now_ms());
+  };
 }
 
 void
@@ -142,7 +186,7 @@
     if (i.stage == item_stage::running) {
       stop_run(i);
     } else if (i.stage == item_stage::scoring && i.cancel_score) {
-      i.cancel_score();
+      std::exchange(i.cancel_score, nullptr)();
     }
     finish_item(b, i, { b.submission.items[i.index].id, false, "", {}, "" });
   }
--- a/cactusford/batches/keeper_impl.h
+++ b/cactusford/batches/keeper_impl.h
@@ -5,8 +5,11 @@
 #include "cactusford/batches/placement.h"
 #include "cactusford/batches/progress.h"
 #include "cactusford/batches/schedule.h"
+#include "cactusford/batches/score_limit.h"
 #include "cactusford/batches/state.h"
 
+#include <deque>
+
 namespace cactusford::batches {
 
 using detail::batch_state;
@@ -142,7 +145,10 @@
                   std::uint64_t pause,
                   std::string_view why);
   void on_text(batch_state& b, item_state& i);
+  void want_score(const std::string& id, std::size_t at);
+  void start_scores();
   void score(const std::string& id, std::size_t at);
+  std::size_t places_of(const routes::route& r) const;
   void on_scored(const std::string& id,
                  std::size_t at,
                  edge::forward_outcome&& o);
@@ -202,6 +208,10 @@
   std::uint64_t alive_wall_ms = 0;
   std::uint64_t last_expiry_look = 0;
   token_pace pace;
+  // Texts that wait for their scorer's call, in the order they came: the batch
+  // and the item.
+  std::deque<std::pair<std::string, std::size_t>> unscored;
+  score_limit scores;
   std::uint64_t next_run = 1;
   bool plan_posted = false;
   bool leaving = false;
--- a/cactusford/batches/ownership.cc
+++ b/cactusford/batches/ownership.cc
@@ -115,7 +115,7 @@
       stop_run(i);
     }
     if (i.stage == item_stage::scoring && i.cancel_score) {
-      i.cancel_score();
+      std::exchange(i.cancel_score, nullptr)();
     }
     i.stage = item_stage::waiting;
   }
--- a/cactusford/batches/runs.cc
+++ b/cactusford/batches/runs.cc
@@ -397,7 +397,7 @@
   for (auto& i : b.items) {
     if (i.stage == item_stage::scoring && i.score_again_ms != 0 &&
         i.score_again_ms <= now) {
-      score(b.stored.id, i.index);
+      want_score(b.stored.id, i.index);
     }
     if (i.stage != item_stage::running) {
       continue;
--- a/cactusford/edge/forward.cc
+++ b/cactusford/edge/forward.cc
@@ -15,11 +15,6 @@
 // Backend servers asked for one call, those included that refuse to run it.
 constexpr std::uint32_t max_tries = 6;
 
-// A repeatable call without an answer goes to a second backend server after
-// this long. Plain calls take some 25 ms, one in a hundred five times that; a
-// lost answer would otherwise cost the caller all of its time.
-constexpr std::uint64_t hedge_ms = 130;
-
 // How long an attempt may go on when another has been answered: plain calls
 // that take five times the usual are through by then.
 constexpr std::uint64_t lost_attempt_ms = 300;
@@ -105,6 +100,7 @@
   std::unique_ptr<asio::steady_timer> hedge;
   std::uint32_t runs = 0;
   std::uint32_t failed_runs = 0;
+  std::uint32_t refusals = 0;
   bool finished = false;
 
   bool is_repeatable() const
@@ -140,6 +136,7 @@
   f->done = std::move(done);
   const auto random = std::uniform_real_distribution<>{ 0, 1 }(random_);
   f->service = routes::pick_service(f->ask.route, random);
+  note_first_attempt(second_[f->ask.route.path_prefix]);
   const auto now = http::now_ms();
   const auto left = f->ask.give_up_ms > now ? f->ask.give_up_ms - now : 0;
   f->deadline = std::make_unique<asio::steady_timer>(
@@ -258,11 +255,13 @@
 void
 forwarder::hedge_later(const std::shared_ptr<flight>& f)
 {
+  const auto wait = second_attempt_after_ms(second_[f->ask.route.path_prefix]);
   f->hedge = std::make_unique<asio::steady_timer>(
-    io_, std::chrono::milliseconds{ hedge_ms });
+    io_, std::chrono::milliseconds{ wait });
   f->hedge->async_wait([this, f](asio::error_code ec) {
     if (!ec && !f->finished && f->runs < f->ask.route.max_attempts &&
-        f->tried.size() < max_tries) {
+        f->tried.size() < max_tries &&
+        take_second_attempt(second_[f->ask.route.path_prefix])) {
       step(f);
     }
   });
@@ -293,6 +292,7 @@
       }
     }
     if (complete && !not_run) {
+      note_answer(second_[f->ask.route.path_prefix], now - a.at_ms);
       backends::note_success(*b, now - a.at_ms);
     } else {
       backends::note_failure(*b, now);
@@ -303,6 +303,7 @@
   }
   const bool was_run = !not_run && end != http::end_state::not_sent;
   f->runs -= was_run ? 0 : 1;
+  f->refusals += not_run ? 1 : 0;
   attempt_end ended;
   ended.state = end;
   ended.status = r.status;
@@ -391,6 +392,7 @@
   o.what = what;
   o.answer = std::move(r);
   o.failed_runs = f->failed_runs;
+  o.refusals = f->refusals;
   o.attempts = static_cast<std::uint32_t>(f->attempts.size());
   if (!f->tried.empty()) {
     o.backend = f->tried.back();
--- a/cactusford/edge/forward.h
+++ b/cactusford/edge/forward.h
@@ -3,11 +3,13 @@
 #pragma once
 
 #include "cactusford/edge/dialect.h"
+#include "cactusford/edge/second_attempt.h"
 #include "cactusford/http/client.h"
 
 #include <asio/io_context.hpp>
 
 #include <functional>
+#include <map>
 #include <memory>
 #include <random>
 #include <string>
@@ -45,6 +47,8 @@
   http::response answer;
   // Answers of backend servers that the call itself had failed.
   std::uint32_t failed_runs = 0;
+  // Answers of backend servers that had no place for it.
+  std::uint32_t refusals = 0;
   std::uint32_t attempts = 0;
   std::string backend;
 };
@@ -119,6 +123,8 @@
   backends::registry& registry_;
   const dialect& dialect_;
   std::string data_centre_;
+  // By the path of the route: calls of one kind take about the same time.
+  std::map<std::string, second_attempts> second_;
   std::mt19937_64 random_{ std::random_device{}() };
 };
 
