--- a/cactusford/backends/registry-test.cc
+++ b/cactusford/backends/registry-test.cc
@@ -130,36 +130,6 @@
   }
 }
 
-// Two trainers share six engines. Three have weights that are new enough for
-// both, three only for the one whose step begins first. That step goes to the
-// latter three: spread over all, it leaves the other trainer's step half of the
-// places that it could have had, and its items wait for loads.
-Test(registry, leaves_engines_that_another_trainer_can_use)
-{
-  registry r;
-  for (int i = 0; i < 6; ++i) {
-    auto a = engine(std::to_string(i), 5);
-    a.versions["other"] = i < 3 ? 7 : 5;
-    announce(r, a);
-  }
-  int on_shared = 0;
-  for (int i = 0; i < 12; ++i) {
-    auto* b = choose_for_item(r, needs(5), 0);
-    on_shared += b->said.versions["other"] == 7 ? 1 : 0;
-    ++b->in_flight;
-  }
-  cr_assert_eq(on_shared, 0);
-  SECTION("but not at any price")
-  {
-    for (int i = 0; i < 24; ++i) {
-      auto* b = choose_for_item(r, needs(5), 0);
-      on_shared += b->said.versions["other"] == 7 ? 1 : 0;
-      ++b->in_flight;
-    }
-    cr_assert_geq(on_shared, 6);
-  }
-}
-
 Test(registry, spreads_plain_calls_over_the_least_loaded)
 {
   registry r;
--- a/cactusford/backends/registry.cc
+++ b/cactusford/backends/registry.cc
@@ -39,15 +39,6 @@
 constexpr double far_penalty = 0.05;
 constexpr double slow_penalty = 4;
 
-// An engine that another trainer's next step could use is left to it, unless
-// the engines that are of use to this trainer alone have half of their places
-// taken more. Engines that run six texts are some percent slower than idle
-// ones, and a step that finds no place waits a second.
-constexpr double shared_penalty = 0.5;
-
-// Versions behind the newest that a trainer's next step still accepts.
-constexpr std::uint64_t accepted_lag = 1;
-
 // What opening a connection adds to a call: a round trip between data centres
 // and the server's work on it. A server that is faster or less loaded by more
 // than that is taken all the same.
@@ -85,39 +76,6 @@
          (needs.only_version == 0 || found->second == needs.only_version);
 }
 
-// The newest version of each model that any engine of the service has.
-std::map<std::string_view, std::uint64_t>
-newest_versions(const registry& r, std::string_view service)
-{
-  std::map<std::string_view, std::uint64_t> newest;
-  for (const auto& [id, b] : r.all) {
-    if (b.said.service != service) {
-      continue;
-    }
-    for (const auto& [model, version] : b.said.versions) {
-      auto& known = newest[model];
-      known = std::max(known, version);
-    }
-  }
-  return newest;
-}
-
-// Other models of which the engine could begin the next step.
-int
-others_served(const backend& b,
-              std::string_view model,
-              const std::map<std::string_view, std::uint64_t>& newest)
-{
-  int count = 0;
-  for (const auto& [other, version] : b.said.versions) {
-    const auto found = newest.find(other);
-    const bool is_current =
-      found != newest.end() && version + accepted_lag >= found->second;
-    count += other != model && is_current ? 1 : 0;
-  }
-  return count;
-}
-
 // In a deployment whose backend servers may start again all of them tell when
 // their life began. Most decide: one entry of another writer, with a life where
 // nobody tells of one, must not take all others away.
@@ -369,7 +327,6 @@
 choose_for_item(registry& r, const item_needs& needs, std::uint64_t now_ms)
 {
   const auto usual = usual_pace_ms(r, needs.service, now_ms);
-  const auto newest = newest_versions(r, needs.service);
   backend* best = nullptr;
   double best_cost = std::numeric_limits<double>::max();
   for (auto& [id, b] : r.all) {
@@ -379,8 +336,7 @@
     }
     const double cost =
       load_of(b, now_ms) + (is_slow(b, usual, now_ms) ? slow_penalty : 0) +
-      (b.said.data_centre == needs.data_centre ? 0 : far_penalty) +
-      shared_penalty * others_served(b, needs.model, newest);
+      (b.said.data_centre == needs.data_centre ? 0 : far_penalty);
     if (cost < best_cost) {
       best = &b;
       best_cost = cost;
--- a/cactusford/backends/registry.h
+++ b/cactusford/backends/registry.h
@@ -202,13 +202,8 @@
   std::string_view data_centre;
 };
 
-// Which engine runs an item: one with a free slot, the least loaded, those that
-// other trainers could use and slow ones last. Null when none has room.
-//
-// Pattern: engines are shared by trainers and have weights of each that are new
-// enough only for a part of the time. When a trainer's step begins, some tens
-// of its items find their places taken by another trainer's, while engines that
-// only that one can use stand idle; they wait up to two seconds for loads.
+// Which engine runs an item: one with a free slot, the least loaded, slow ones
+// last. Null when none has room.
 backend*
 choose_for_item(registry& r, const item_needs& needs, std::uint64_t now_ms);
 
--- a/cactusford/orders/load_plan-test.cc
+++ b/cactusford/orders/load_plan-test.cc
@@ -100,33 +100,27 @@
 Test(load_plan, adapts_to_how_long_loads_take)
 {
   for (const std::uint64_t alone_ms : { 300U, 900U, 5000U }) {
-    load_pace first;
-    note_load(first, alone_ms);
+    load_pace p;
+    note_load(p, alone_ms);
     SECTION("loads that slow each other become fewer")
     {
-      auto p = first;
       for (int i = 0; i < 20; ++i) {
         note_load(p, 3 * alone_ms);
       }
-      cr_assert_eq(p.stride, 5);
+      cr_assert_eq(p.stride, 4);
     }
     SECTION("and more again when they do not")
     {
-      auto p = first;
       for (int i = 0; i < 20; ++i) {
         note_load(p, alone_ms);
       }
       cr_assert_eq(p.stride, 2);
     }
-    SECTION("one that met an outage is made up for")
+    SECTION("one that met an outage changes nothing")
     {
-      auto p = first;
       note_load(p, 10 * alone_ms);
-      cr_assert_eq(p.stride, 4);
-      for (int i = 0; i < 4; ++i) {
-        note_load(p, alone_ms);
-      }
-      cr_assert_eq(p.stride, 3);
+      note_load(p, alone_ms);
+      cr_assert_eq(p.stride, 2);
     }
   }
 }
--- a/cactusford/orders/load_plan.cc
+++ b/cactusford/orders/load_plan.cc
@@ -7,10 +7,10 @@
 
 namespace {
 
-// At a stride of two every engine can begin every step. Beyond five an engine
-// would be of no use to a model for most of the time.
+// At a stride of two every engine can begin every step. Beyond four an engine
+// would be of no use to a model for half of the time and more.
 constexpr std::uint32_t least_stride = 2;
-constexpr std::uint32_t largest_stride = 5;
+constexpr std::uint32_t largest_stride = 4;
 
 // A load that takes this many times the shortest was slowed by others, and one
 // that takes less than that was not. In between nothing changes: a few loads at
@@ -18,11 +18,9 @@
 constexpr double slowed_times = 1.8;
 constexpr double unslowed_times = 1.3;
 
-// Loads in a row before the stride changes. An engine loads every few seconds:
-// when many were replaced and all are behind, waiting for a second slowed load
-// would let the loads of ten seconds pile up.
-constexpr std::uint32_t slowed_in_a_row = 1;
-constexpr std::uint32_t unslowed_in_a_row = 4;
+// Loads in a row before the stride changes: one alone may have met an outage.
+constexpr std::uint32_t slowed_in_a_row = 2;
+constexpr std::uint32_t unslowed_in_a_row = 8;
 
 // In parts of a step's time: most items run in its first third; the loads of
 // all engines are spread over the rest.
