--- a/tests/loader-test.cc
+++ b/tests/loader-test.cc
@@ -23,10 +23,7 @@
   standins::order_engine engine{ io };
   http::client http{ io };
   edge::dialect dialect = with_orders();
-  orders::loader loader{ io,
-                         http,
-                         dialect,
-                         { "side-a-1", engine.address() } };
+  orders::loader loader{ io, http, dialect, { "side-a-1", engine.address() } };
 
   static edge::dialect with_orders()
   {
