Ranks of sidecars are counted over all relays; more second attempts

Cause: each relay counted the sidecars that it hears of. With eight engines and three relays three had rank 0, three rank 1: they loaded at the same time, and six of eight engines that were behind loaded at once in place of four. And with one server of three silent one call in three needs a second attempt; one in ten were allowed.

Change: the rank is interleaved over the relays; three calls in ten, twenty at once. Tests: relay_talk/gives_no_rank_twice, second_attempt.

--- a/cactusford/edge/edge.cc
+++ b/cactusford/edge/edge.cc
@@ -103,6 +103,7 @@
   void watch_all();
   void keep_missing();
   void talk_to_relays();
+  nlohmann::json tell_rank(const std::string& sidecar) const;
   membership::member self() const;
 
   host h;
@@ -247,6 +248,18 @@
   return { s.instance, s.peer, leaving ? 0 : s.capacity, started_ms };
 }
 
+// Only the relays of the settings count: all instances know the same of them.
+nlohmann::json
+edge_process::tell_rank(const std::string& sidecar) const
+{
+  const auto& s = h.settings;
+  if (!s.peer_rank) {
+    return {};
+  }
+  const auto here = membership::rank_of(sidecars, sidecar);
+  return say_rank(rank_among_all(here, *s.peer_rank, s.peers.size() + 1));
+}
+
 void
 edge_process::talk_to_relays()
 {
@@ -262,7 +275,7 @@
     const auto now = http::now_ms();
     if (const auto sidecar = sidecar_from(said)) {
       membership::note(sidecars, { *sidecar, "", 1 }, now);
-      return say_rank(membership::rank_of(sidecars, *sidecar));
+      return tell_rank(*sidecar);
     }
     for (const auto& m : membership::members_from(said)) {
       membership::note(entries, m, now);
--- a/cactusford/edge/relay_talk-test.cc
+++ b/cactusford/edge/relay_talk-test.cc
@@ -2,9 +2,25 @@
 
 #include <criterion/criterion.h>
 
+#include <set>
+
 using namespace cactusford::edge;
 using nlohmann::json;
 
+// Eight sidecars follow the versions through three relays, which count them
+// apart. Engines with the same rank load at the same moment and slow each
+// other: items of the next step are refused meanwhile.
+Test(relay_talk, gives_no_rank_twice)
+{
+  std::set<std::uint32_t> ranks;
+  for (std::size_t sidecar = 0; sidecar < 8; ++sidecar) {
+    const auto here = static_cast<std::uint32_t>(sidecar / 3);
+    ranks.insert(rank_among_all(here, sidecar % 3, 3));
+  }
+  cr_assert_eq(ranks.size(), 8);
+  cr_assert_eq(*ranks.rbegin(), 7);
+}
+
 Test(relay_talk, says_what_it_hears)
 {
   cr_assert_eq(*sidecar_from(say_sidecar("side-1")), "side-1");
--- a/cactusford/edge/relay_talk.cc
+++ b/cactusford/edge/relay_talk.cc
@@ -16,6 +16,14 @@
   return store::read_shape([&] { return store::text_field(said, "sidecar"); });
 }
 
+std::uint32_t
+rank_among_all(std::uint32_t rank_here,
+               std::size_t relay,
+               std::size_t relays) noexcept
+{
+  return static_cast<std::uint32_t>(rank_here * relays + relay);
+}
+
 nlohmann::json
 say_rank(std::uint32_t rank)
 {
--- a/cactusford/edge/relay_talk.h
+++ b/cactusford/edge/relay_talk.h
@@ -6,6 +6,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -19,6 +20,14 @@
 std::optional<std::string>
 sidecar_from(const nlohmann::json& said);
 
+// The rank among the sidecars of all relays, each of which has heard of some:
+// ranks of different relays never meet. Counted by each relay alone, three
+// engines of eight had each turn, and loaded at the same time.
+std::uint32_t
+rank_among_all(std::uint32_t rank_here,
+               std::size_t relay,
+               std::size_t relays) noexcept;
+
 nlohmann::json
 say_rank(std::uint32_t rank);
 
--- a/cactusford/edge/second_attempt-test.cc
+++ b/cactusford/edge/second_attempt-test.cc
@@ -43,7 +43,7 @@
 // Two hundred scorer's calls at once on 36 places: each waits for a second.
 // With a second attempt for each of them the servers had twice the work, and
 // refused callers.
-Test(second_attempt, is_made_for_one_call_in_ten)
+Test(second_attempt, is_made_for_three_calls_in_ten)
 {
   second_attempts s;
   int made = 0;
@@ -51,6 +51,6 @@
     note_first_attempt(s);
     made += take_second_attempt(s) ? 1 : 0;
   }
-  cr_assert_geq(made, 20);
-  cr_assert_leq(made, 26);
+  cr_assert_geq(made, 60);
+  cr_assert_leq(made, 80);
 }
--- a/cactusford/edge/second_attempt.h
+++ b/cactusford/edge/second_attempt.h
@@ -6,8 +6,9 @@
 // wait for places, and take longer than any fixed time after which a second
 // attempt is made: half of them ran twice, the servers refused what they had no
 // place for, and one caller in four was answered late. So a second attempt is
-// made when a call takes longer than nearly all of its kind, and for one call
-// in ten at most.
+// made when a call takes longer than nearly all of its kind, and for three
+// calls in ten at most: with one server of three silent, one call in three
+// needs it.
 #pragma once
 
 #include "cactusford/admission/budget.h"
@@ -25,7 +26,7 @@
   // The latest times of calls that were answered, in milliseconds.
   std::array<std::uint32_t, window> took_ms{};
   std::size_t seen = 0;
-  admission::retry_budget budget{ 0.1, 5, 5 };
+  admission::retry_budget budget{ 0.3, 20, 20 };
 
   friend bool operator==(const second_attempts&,
                          const second_attempts&) = default;
