--- a/cactusford/batches/finish.cc
+++ b/cactusford/batches/finish.cc
@@ -40,7 +40,7 @@
 keeper::impl::want_score(const std::string& id, std::size_t at)
 {
   known(id)->items[at].score_again_ms = 0;
-  unscored.emplace_back(id, at);
+  unscored.push_back({ id, at });
   start_scores();
 }
 
@@ -48,9 +48,9 @@
 keeper::impl::start_scores()
 {
   while (!unscored.empty() && may_start(scores)) {
-    const auto [id, at] = unscored.front();
+    const auto next = std::move(unscored.front());
     unscored.pop_front();
-    score(id, at);
+    score(next.batch, next.at);
   }
 }
 
--- a/cactusford/batches/keeper.cc
+++ b/cactusford/batches/keeper.cc
@@ -491,19 +491,19 @@
   *left += ids.size();
   for (const auto& id : ids) {
     const auto& stored = impl_->known(id)->stored;
-    const auto heir =
+    const auto successor =
       choose_successor(impl_->view_of(stored.host, stored.target))
         .value_or(membership::member{});
     process::log_line(timeline::event{ "batch_handed_over" }
                         .with("batch", id)
-                        .with("to", heir.instance));
-    const auto release = [self = impl_, id, heir, one_done] {
+                        .with("to", successor.instance));
+    const auto release = [self = impl_, id, successor, one_done] {
       self->write_status(
         id,
-        [heir](stored_batch& s) {
-          s.owner = heir.instance;
-          s.owner_address = heir.address;
-          s.owner_capacity = heir.capacity;
+        [successor](stored_batch& s) {
+          s.owner = successor.instance;
+          s.owner_address = successor.address;
+          s.owner_capacity = successor.capacity;
         },
         [one_done](store::verdict) { one_done(); },
         2);
--- a/cactusford/batches/keeper_impl.h
+++ b/cactusford/batches/keeper_impl.h
@@ -34,6 +34,13 @@
 
 namespace detail {
 
+// A text without its score: the batch, and the item's place in it.
+struct unscored_text
+{
+  std::string batch;
+  std::size_t at = 0;
+};
+
 // A batch on its way into the store.
 struct acceptance
 {
@@ -208,9 +215,8 @@
   std::uint64_t alive_wall_ms = 0;
   std::uint64_t last_expiry_look = 0;
   token_pace pace;
-  // Texts that wait for their scorer's call, in the order they came: the batch
-  // and the item.
-  std::deque<std::pair<std::string, std::size_t>> unscored;
+  // Texts that wait for their scorer's call, in the order they came.
+  std::deque<detail::unscored_text> unscored;
   score_limit scores;
   std::uint64_t next_run = 1;
   bool plan_posted = false;
--- a/cactusford/edge/edge.cc
+++ b/cactusford/edge/edge.cc
@@ -1,7 +1,7 @@
 #include "cactusford/batches/keeper.h"
 #include "cactusford/edge/forward.h"
 #include "cactusford/edge/hosted.h"
-#include "cactusford/edge/relay_talk.h"
+#include "cactusford/edge/piggyback.h"
 #include "cactusford/http/server.h"
 #include "cactusford/http/socket.h"
 #include "cactusford/membership/directory.h"
@@ -45,9 +45,9 @@
 constexpr std::uint64_t missing_grace_ms = 2300;
 constexpr std::uint64_t least_outage_ms = 1000;
 
-// An entry tells relays of itself this often; they take it for alive four times
-// as long.
-constexpr std::uint64_t say_ms = 500;
+// An entry announces itself to its relay this often, and counts as alive for
+// four times as long.
+constexpr std::uint64_t announce_ms = 500;
 
 // Entries that a relay names. Trainers are few; each needs one large entry.
 constexpr std::size_t entries_named = 6;
@@ -102,8 +102,8 @@
   void on_broken_backend(const store::unreadable& u);
   void watch_all();
   void keep_missing();
-  void talk_to_relays();
-  nlohmann::json tell_rank(const std::string& sidecar) const;
+  void exchange_with_relays();
+  nlohmann::json answer_rank(const std::string& sidecar) const;
   membership::member self() const;
 
   host h;
@@ -117,8 +117,8 @@
   // As a relay: sidecars that follow the weight versions through this entry.
   membership::directory sidecars;
   std::uint64_t started_ms = timeline::wall_ms();
-  // When this entry last told a relay of itself.
-  std::uint64_t said_ms = 0;
+  // When this entry last announced itself to a relay.
+  std::uint64_t announced_ms = 0;
   forwarder calls;
   batches::keeper keeper;
   store::watcher configuration;
@@ -250,42 +250,42 @@
 
 // Only the relays of the settings count: all instances know the same of them.
 nlohmann::json
-edge_process::tell_rank(const std::string& sidecar) const
+edge_process::answer_rank(const std::string& sidecar) const
 {
   const auto& s = h.settings;
   if (!s.peer_rank) {
     return {};
   }
   const auto here = membership::rank_of(sidecars, sidecar);
-  return say_rank(rank_among_all(here, *s.peer_rank, s.peers.size() + 1));
+  return encode_rank(rank_among_all(here, *s.peer_rank, s.peers.size() + 1));
 }
 
 void
-edge_process::talk_to_relays()
+edge_process::exchange_with_relays()
 {
-  store.talk.say = [this] {
+  store.piggyback.outgoing = [this] {
     const auto now = http::now_ms();
-    if (now - said_ms < say_ms) {
+    if (now - announced_ms < announce_ms) {
       return nlohmann::json{};
     }
-    said_ms = now;
+    announced_ms = now;
     return membership::encode({ self() });
   };
-  store.talk.answer = [this](const nlohmann::json& said) {
+  store.piggyback.answer = [this](const nlohmann::json& sent) {
     const auto now = http::now_ms();
-    if (const auto sidecar = sidecar_from(said)) {
+    if (const auto sidecar = sidecar_from(sent)) {
       membership::note(sidecars, { *sidecar, "", 1 }, now);
-      return tell_rank(*sidecar);
+      return answer_rank(*sidecar);
     }
-    for (const auto& m : membership::members_from(said)) {
+    for (const auto& m : membership::members_from(sent)) {
       membership::note(entries, m, now);
     }
     auto named = membership::largest(entries, entries_named, now);
     named.push_back(self());
     return membership::encode(named);
   };
-  store.talk.hear = [this](const nlohmann::json& told) {
-    for (const auto& m : membership::members_from(told)) {
+  store.piggyback.incoming = [this](const nlohmann::json& answered) {
+    for (const auto& m : membership::members_from(answered)) {
       if (m.instance != h.settings.instance) {
         membership::note(entries, m, http::now_ms());
       }
@@ -568,7 +568,7 @@
 edge_process::leave()
 {
   leaving = true;
-  said_ms = 0;
+  announced_ms = 0;
   leave_since = http::now_ms();
   front.leave();
   store.stop_relaying();
@@ -607,7 +607,7 @@
     store.use_relays(fresh.peers, fresh.peer_rank);
   };
   keeper.start();
-  talk_to_relays();
+  exchange_with_relays();
   watch_all();
   h.run([this] { leave(); });
   return 0;
--- a/cactusford/edge/relay_talk-test.cc
+++ b/cactusford/edge/piggyback-test.cc
@@ -1,4 +1,4 @@
-#include "cactusford/edge/relay_talk.h"
+#include "cactusford/edge/piggyback.h"
 
 #include <criterion/criterion.h>
 
@@ -10,7 +10,7 @@
 // Eight sidecars follow the versions through three relays, which count them
 // apart. Engines with the same rank load at the same moment and slow each
 // other: items of the next step are refused meanwhile.
-Test(relay_talk, gives_no_rank_twice)
+Test(piggyback, gives_no_rank_twice)
 {
   std::set<std::uint32_t> ranks;
   for (std::size_t sidecar = 0; sidecar < 8; ++sidecar) {
@@ -21,11 +21,11 @@
   cr_assert_eq(*ranks.rbegin(), 7);
 }
 
-Test(relay_talk, says_what_it_hears)
+Test(piggyback, reads_back_what_it_encodes)
 {
-  cr_assert_eq(*sidecar_from(say_sidecar("side-1")), "side-1");
-  cr_assert_eq(*rank_from(say_rank(7)), 7);
-  cr_assert_not(sidecar_from(json::array()), "an entry speaks");
+  cr_assert_eq(*sidecar_from(encode_sidecar("side-1")), "side-1");
+  cr_assert_eq(*rank_from(encode_rank(7)), 7);
+  cr_assert_not(sidecar_from(json::array()), "an entry");
   cr_assert_not(rank_from({ { "rank", -1 } }));
   cr_assert_not(rank_from("text"));
 }
--- a/cactusford/edge/relay_talk.cc
+++ b/cactusford/edge/piggyback.cc
@@ -1,19 +1,19 @@
-#include "cactusford/edge/relay_talk.h"
+#include "cactusford/edge/piggyback.h"
 
 #include "cactusford/store/fields.h"
 
 namespace cactusford::edge {
 
 nlohmann::json
-say_sidecar(const std::string& instance)
+encode_sidecar(const std::string& instance)
 {
   return { { "sidecar", instance } };
 }
 
 std::optional<std::string>
-sidecar_from(const nlohmann::json& said)
+sidecar_from(const nlohmann::json& sent)
 {
-  return store::read_shape([&] { return store::text_field(said, "sidecar"); });
+  return store::read_shape([&] { return store::text_field(sent, "sidecar"); });
 }
 
 std::uint32_t
@@ -25,16 +25,16 @@
 }
 
 nlohmann::json
-say_rank(std::uint32_t rank)
+encode_rank(std::uint32_t rank)
 {
   return { { "rank", rank } };
 }
 
 std::optional<std::uint32_t>
-rank_from(const nlohmann::json& told)
+rank_from(const nlohmann::json& answered)
 {
   const auto rank =
-    store::read_shape([&] { return store::whole_field(told, "rank"); });
+    store::read_shape([&] { return store::whole_field(answered, "rank"); });
   return rank ? std::optional{ static_cast<std::uint32_t>(*rank) }
               : std::nullopt;
 }
--- a/cactusford/edge/relay_talk.h
+++ b/cactusford/edge/piggyback.h
@@ -1,7 +1,6 @@
-// What sidecars and relays tell each other beside the watches that a relay
-// makes for a sidecar: the sidecar its name, the relay its rank among all that
-// it has heard of. Sidecars take turns by it, without a message among
-// themselves.
+// Messages that ride along with the watches that a relay makes for a sidecar:
+// the sidecar sends its name, the relay answers its rank among all sidecars.
+// Sidecars take turns by it, without a message among themselves.
 #pragma once
 
 #include <nlohmann/json.hpp>
@@ -14,11 +13,11 @@
 namespace cactusford::edge {
 
 nlohmann::json
-say_sidecar(const std::string& instance);
+encode_sidecar(const std::string& instance);
 
-// Nothing when it is no sidecar that speaks.
+// Nothing when it is an entry that announces itself.
 std::optional<std::string>
-sidecar_from(const nlohmann::json& said);
+sidecar_from(const nlohmann::json& sent);
 
 // The rank among the sidecars of all relays, each of which has heard of some:
 // ranks of different relays never meet. Counted by each relay alone, three
@@ -29,9 +28,9 @@
                std::size_t relays) noexcept;
 
 nlohmann::json
-say_rank(std::uint32_t rank);
+encode_rank(std::uint32_t rank);
 
 std::optional<std::uint32_t>
-rank_from(const nlohmann::json& told);
+rank_from(const nlohmann::json& answered);
 
 } // namespace cactusford::edge
--- a/cactusford/edge/side.cc
+++ b/cactusford/edge/side.cc
@@ -1,5 +1,5 @@
 #include "cactusford/edge/hosted.h"
-#include "cactusford/edge/relay_talk.h"
+#include "cactusford/edge/piggyback.h"
 #include "cactusford/orders/loader.h"
 #include "cactusford/process/line_log.h"
 #include "cactusford/store/watcher.h"
@@ -37,9 +37,9 @@
   // There is a sidecar for each engine, and all wait for the same versions.
   store::client store{ h.io, http, d.store, { s.store, s.peers, true } };
   orders::loader loader{ h.io, http, d, { s.instance, s.engine } };
-  store.talk.say = [&s] { return say_sidecar(s.instance); };
-  store.talk.hear = [&loader](const nlohmann::json& told) {
-    if (const auto rank = rank_from(told)) {
+  store.piggyback.outgoing = [&s] { return encode_sidecar(s.instance); };
+  store.piggyback.incoming = [&loader](const nlohmann::json& answered) {
+    if (const auto rank = rank_from(answered)) {
       loader.stand_at({ *rank });
     }
   };
--- a/cactusford/store/store.cc
+++ b/cactusford/store/store.cc
@@ -20,8 +20,8 @@
 // A relay that lives and doesn't reach the store says so.
 constexpr std::string_view away_header = "Store-Away";
 
-// What a relay answers to an instance that told of itself.
-constexpr std::string_view talk_header = "Relay-Talk";
+// What a relay answers to a message that came with a watch.
+constexpr std::string_view piggyback_header = "Piggyback";
 
 // Relays that are kept in mind, those of the settings included. A partition
 // that cuts off all of them cuts off most instances.
@@ -43,7 +43,7 @@
   if (end == http::end_state::complete) {
     http::headers fields;
     if (!told.is_null()) {
-      fields.push_back({ std::string{ talk_header }, told.dump() });
+      fields.push_back({ std::string{ piggyback_header }, told.dump() });
     }
     if (const auto away = http::find(r.fields, away_header)) {
       fields.push_back({ std::string{ away_header }, std::string{ *away } });
@@ -77,24 +77,23 @@
   std::uint64_t timeout_ms = 0;
   bool shared = false;
   std::uint64_t hops = 0;
-  // What the other instance says of itself; null: nothing.
-  nlohmann::json said;
+  // The message that came along; null: none.
+  nlohmann::json sent_along;
 };
 
 http::request
 wrap(const http::request& inner,
      std::uint64_t timeout_ms,
      bool shared,
-     const nlohmann::json& said = {},
+     const nlohmann::json& sent_along = {},
      std::uint64_t hops = 1)
 {
-  const nlohmann::json body{ { "method", inner.method },
-                             { "target", inner.target },
-                             { "body", inner.body },
-                             { "timeout_ms", timeout_ms },
-                             { "shared", shared },
-                             { "hops", hops },
-                             { "said", said } };
+  const nlohmann::json body{
+    { "method", inner.method },  { "target", inner.target },
+    { "body", inner.body },      { "timeout_ms", timeout_ms },
+    { "shared", shared },        { "hops", hops },
+    { "sent_along", sent_along }
+  };
   http::request r;
   r.method = "POST";
   r.target = std::string{ relay_path };
@@ -272,7 +271,8 @@
               wrap(a->request,
                    timeout_ms,
                    is_joined,
-                   is_joined && talk.say ? talk.say() : nlohmann::json{}),
+                   is_joined && piggyback.outgoing ? piggyback.outgoing()
+                                                   : nlohmann::json{}),
               o,
               ended);
 }
@@ -323,13 +323,13 @@
   try_next(a);
 }
 
-// Takes in what a relay says beside the store's answer.
+// Takes in what a relay has sent along with the store's answer.
 void
 client::hear(const http::response& r) const
 {
-  const auto told = http::find(r.fields, talk_header);
-  if (told && talk.hear) {
-    talk.hear(parse_message(*told));
+  const auto told = http::find(r.fields, piggyback_header);
+  if (told && piggyback.incoming) {
+    piggyback.incoming(parse_message(*told));
   }
 }
 
@@ -403,7 +403,7 @@
     r.timeout_ms = whole_field(body, "timeout_ms");
     r.shared = flag_field(body, "shared");
     r.hops = whole_field(body, "hops");
-    r.said = body.value("said", nlohmann::json{});
+    r.sent_along = body.value("sent_along", nlohmann::json{});
     return r;
   });
   if (!asked) {
@@ -419,7 +419,8 @@
   }
   inner.fields.push_back({ "Host", settings_.address });
   if (asked->shared) {
-    relay_watch(caller, inner, asked->timeout_ms, asked->hops, asked->said);
+    relay_watch(
+      caller, inner, asked->timeout_ms, asked->hops, asked->sent_along);
     return;
   }
   http::exchange_options o;
@@ -442,10 +443,10 @@
                     const http::request& inner,
                     std::uint64_t timeout_ms,
                     std::uint64_t hops,
-                    const nlohmann::json& said)
+                    const nlohmann::json& sent_along)
 {
-  const bool answers = !said.is_null() && talk.answer;
-  const auto told = answers ? talk.answer(said) : nlohmann::json{};
+  const bool answers = !sent_along.is_null() && piggyback.answer;
+  const auto told = answers ? piggyback.answer(sent_along) : nlohmann::json{};
   const auto done = [caller, told](http::end_state end,
                                    const http::response& r) {
     respond_relayed(caller, end, r, told);
@@ -510,7 +511,7 @@
       wrap(inner,
            timeout_ms,
            true,
-           talk.say ? talk.say() : nlohmann::json{},
+           piggyback.outgoing ? piggyback.outgoing() : nlohmann::json{},
            hops + 1),
       o,
       [this, inner, timeout_ms](http::end_state end, http::response&& r) {
--- a/cactusford/store/store.h
+++ b/cactusford/store/store.h
@@ -148,16 +148,16 @@
   answer_limits limits = {};
 };
 
-// What instances tell each other beside the watches that one makes for another.
-// Plain JSON: what it says is no matter of the store.
-struct relay_talk
+// Small messages that ride along with the watches that one instance makes for
+// another. What they hold is no matter of the store.
+struct piggyback
 {
-  // What this instance says of itself; null: nothing for now.
-  std::function<nlohmann::json()> say;
-  // What it answers, as a relay, to an instance that said something.
+  // What this instance sends with its next watch; null: nothing for now.
+  std::function<nlohmann::json()> outgoing;
+  // What it answers, as a relay, to what another instance sent.
   std::function<nlohmann::json(const nlohmann::json&)> answer;
-  // What a relay has answered.
-  std::function<void(const nlohmann::json&)> hear;
+  // Takes in what a relay has answered.
+  std::function<void(const nlohmann::json&)> incoming;
 };
 
 class client
@@ -202,7 +202,7 @@
   std::function<void(std::uint64_t)> on_regained;
   std::function<void(std::string_view)> on_lost;
 
-  relay_talk talk;
+  store::piggyback piggyback;
 
 private:
   struct attempt;
@@ -218,7 +218,7 @@
                    const http::request& inner,
                    std::uint64_t timeout_ms,
                    std::uint64_t hops,
-                   const nlohmann::json& said);
+                   const nlohmann::json& sent_along);
   void join_watch(const http::request& inner,
                   std::uint64_t timeout_ms,
                   shared_watches::origin from,
