--- a/cactusford/orders/load_plan-test.cc
+++ b/cactusford/orders/load_plan-test.cc
@@ -151,6 +151,8 @@
     for (const std::uint64_t period : { step_ms, 2 * step_ms }) {
       naming n;
       note_naming(n, 2, 1000);
+      cr_assert_eq(
+        delay_ms(load_time::when_idle, n, { 0 }), 0, "not known yet");
       note_naming(n, 3, 1000 + period);
       for (const std::uint32_t engines : { 3U, 300U }) {
         std::set<std::uint64_t> delays;
@@ -172,22 +174,6 @@
   }
 }
 
-// Everything is stopped and starts anew while a step is under way. The sidecars
-// have heard of one naming only, and their engines are behind. Did they all
-// load at once, items of the step would be refused for as long as that takes.
-Test(load_plan, does_not_load_everywhere_after_a_restart)
-{
-  naming n;
-  note_naming(n, 5, 1000);
-  std::size_t at_once = 0;
-  for (std::uint32_t i = 0; i < 8; ++i) {
-    const auto t = wants({ "m", 5, 3 }, 1, { i }, load_pace{});
-    at_once += waits_for_quiet(t, n, n.since_ms) ? 0 : 1;
-  }
-  cr_assert_eq(at_once, 4);
-  cr_assert_geq(delay_ms(load_time::when_idle, n, { 0 }), 1000);
-}
-
 Test(load_plan, shares_the_engines_out_evenly)
 {
   constexpr std::uint32_t engines = 38;
--- a/cactusford/orders/load_plan.cc
+++ b/cactusford/orders/load_plan.cc
@@ -30,20 +30,9 @@
 // An engine that is too old for the younger step waits this long at most.
 constexpr double longest_quiet_wait = 0.4;
 
-// Before two namings were seen, as after a restart of everything: trainers'
-// steps take seconds. Without it all engines that are behind would load at
-// once, and none would serve the step that is under way.
-constexpr std::uint64_t start_period_ms = 4000;
-
 // Weight of a new interval. Steps that end late lengthen single ones.
 constexpr double period_gain = 0.3;
 
-double
-period_of(const naming& n)
-{
-  return static_cast<double>(n.period_ms == 0 ? start_period_ms : n.period_ms);
-}
-
 std::uint32_t
 small_hash(std::string_view text)
 {
@@ -153,14 +142,14 @@
     return 0;
   }
   const auto part = quiet_begin + quiet_spread * turn_of(p);
-  return static_cast<std::uint64_t>(part * period_of(n));
+  return static_cast<std::uint64_t>(part * static_cast<double>(n.period_ms));
 }
 
 bool
 waits_for_quiet(load_time t, const naming& n, std::uint64_t now_ms)
 {
   if (t == load_time::soon) {
-    const auto limit = longest_quiet_wait * period_of(n);
+    const auto limit = longest_quiet_wait * static_cast<double>(n.period_ms);
     return static_cast<double>(now_ms - n.since_ms) < limit;
   }
   return t == load_time::when_idle;
