--- a/cactusford/batches/score_limit.h
+++ b/cactusford/batches/score_limit.h
@@ -3,9 +3,9 @@
 // Pattern: a hundred texts of a step end within half a second. Their scorer's
 // calls, of 80 ms each, share 36 places with callers whose answers are due in
 // 150 ms. Sent at once, many are refused as full and sent to one server after
-// the other, and callers are refused as well: on a day of 3,516 scored texts the
-// servers met 11,079 calls, refused 3,330, and one caller in four was answered
-// late. A text can wait for its score for some tenths of a second.
+// the other, and callers are refused as well: on a day of 3,516 scored texts
+// the servers met 11,079 calls, refused 3,330, and one caller in four was
+// answered late. A text can wait for its score for some tenths of a second.
 //
 // The limit grows by one for as many answers as it is large, and shrinks by a
 // third when a server was full: owners that share a service settle beside each
--- a/cactusford/edge/second_attempt.h
+++ b/cactusford/edge/second_attempt.h
@@ -6,8 +6,8 @@
 // wait for places, and take longer than any fixed time after which a second
 // attempt is made: of 11,079 calls 6,025 were repeats, and one caller in four
 // was answered late. So a second attempt is made when a call takes longer than
-// nearly all of its kind, and for three calls in ten at most: with one server of
-// three silent, about as many need it.
+// nearly all of its kind, and for three calls in ten at most: with one server
+// of three silent, about as many need it.
 #pragma once
 
 #include "cactusford/admission/budget.h"
