--- a/cactusford/batches/keeper.cc
+++ b/cactusford/batches/keeper.cc
@@ -81,7 +81,13 @@
   if (mine != accepting.end()) {
     b->set(mine->second->submission, p.dialect.version_line);
   }
-  own_ours(*b, false);
+  const bool was_offered = take_offered(*b);
+  own_ours(*b, was_offered && b->stored.is_unchanged);
+  // It may have been taken over since, if this instance stood still: the store
+  // is asked before anybody is told that nothing is listed.
+  if (was_offered) {
+    doubt(*b, "offered");
+  }
   return b;
 }
 
@@ -255,6 +261,7 @@
   note_alive(now);
   note_store(now);
   ask_owners(now);
+  drop_old_offers(now);
   remove_expired(now);
   leave_ended_lives();
   bool waiting = false;
--- a/cactusford/batches/keeper.h
+++ b/cactusford/batches/keeper.h
@@ -31,6 +31,7 @@
 constexpr std::string_view peer_alive_path = "/alive";
 constexpr std::string_view peer_ended_path = "/ended/";
 constexpr std::string_view peer_taken_path = "/taken/";
+constexpr std::string_view peer_offered_path = "/offered/";
 constexpr std::string_view peer_given_path = "/given/";
 
 // What the keeper works with; all outlive it.
@@ -83,6 +84,10 @@
   // Another instance says that it has taken a batch over.
   void on_taken(const std::string& id);
 
+  // Another instance is accepting a batch that this one is to run; `body` is
+  // the submission as its caller sent it. False: it must run elsewhere.
+  bool on_offered(const std::string& id, const std::string& body);
+
   // Another instance has accepted a batch for this one to run. `body` is what
   // that instance sent.
   void on_given(const std::string& id, const std::string& body);
--- a/cactusford/batches/submissions.cc
+++ b/cactusford/batches/submissions.cc
@@ -11,13 +11,6 @@
 
 using detail::acceptance;
 
-namespace {
-
-// A submission of some hundred kilobytes between two small entries.
-constexpr std::uint64_t give_ms = 1000;
-
-} // namespace
-
 // The parts go first and the head last: a batch is there when its head stands.
 void
 keeper::accept(const http::call& caller,
@@ -48,6 +41,8 @@
   head.parts = a->parts.size();
   a->submission = std::move(*submission);
   impl_->accepting[id] = a;
+  impl_->place(head);
+  impl_->offer(a);
   impl_->write_parts(a);
 }
 
@@ -79,7 +74,10 @@
 void
 keeper::impl::write_head(const std::shared_ptr<acceptance>& a)
 {
-  place(a->head);
+  a->head_waits = a->offering;
+  if (a->head_waits) {
+    return;
+  }
   store::call c;
   c.op = store::operation::create;
   c.kind = batch_kind;
@@ -92,11 +90,17 @@
 
 // A leaving instance accepts for the others.
 void
-keeper::impl::place(stored_batch& head)
+keeper::impl::keep(stored_batch& head) const
 {
   head.owner = leaving ? "" : p.instance;
   head.owner_address = leaving ? "" : p.address;
   head.owner_capacity = leaving ? 0 : p.capacity;
+}
+
+void
+keeper::impl::place(stored_batch& head)
+{
+  keep(head);
   const auto now = http::now_ms();
   const auto route = route_to(head.host, head.target);
   std::vector<runner> of_trainer;
@@ -118,80 +122,6 @@
   }
 }
 
-// Hands a batch to the instance that the store names as its owner, with the
-// submission: it need not wait for its watch, nor read the parts. A message
-// that is lost costs just that.
-void
-keeper::impl::give(const acceptance& a, const store::object& o)
-{
-  const auto& to = a.head.owner_address;
-  if (to.empty() || to == p.address) {
-    return;
-  }
-  std::string submission;
-  for (const auto part : a.parts) {
-    submission += part;
-  }
-  const nlohmann::json body{ { "revision", o.revision },
-                             { "head", o.spec },
-                             { "submission", submission } };
-  http::request r;
-  r.method = "POST";
-  r.target = std::string{ peer_given_path } + a.id;
-  r.body = body.dump();
-  http::exchange_options options;
-  options.timeout_ms = give_ms;
-  process::log_line(timeline::event{ "batch_given" }
-                      .with("batch", a.id)
-                      .with("to", a.head.owner));
-  p.http.fetch(
-    to, r, options, [id = a.id](http::end_state end, http::response&&) {
-      if (end != http::end_state::complete) {
-        process::log_line(timeline::event{ "batch_not_given" }
-                            .with("batch", id)
-                            .with("end", http::name_of(end)));
-      }
-    });
-}
-
-// What was given may have been taken over since, if this instance stood still:
-// the store is asked before anybody is told that nothing is listed.
-void
-keeper::on_given(const std::string& id, const std::string& body)
-{
-  const auto j = store::parse_message(body);
-  const auto read = store::read_shape([&] {
-    store::object o;
-    o.name = id;
-    o.revision = store::whole_field(j, "revision");
-    o.spec = store::field(j, "head");
-    return std::pair{ o, store::text_field(j, "submission") };
-  });
-  if (!read) {
-    process::log_line(timeline::event{ "given_unreadable" }
-                        .with("batch", id)
-                        .with("field", read.fault.field)
-                        .with("why", read.fault.what));
-    return;
-  }
-  if (impl_->known(id) != nullptr) {
-    return;
-  }
-  auto submission = impl_->p.dialect.submission_from(read->second);
-  if (!submission) {
-    return;
-  }
-  auto a = std::make_shared<acceptance>();
-  a->submission = std::move(*submission);
-  impl_->accepting[id] = a;
-  auto* b = impl_->learn(read->first);
-  impl_->accepting.erase(id);
-  if (b != nullptr) {
-    impl_->own_ours(*b, true);
-    impl_->doubt(*b, "given");
-  }
-}
-
 void
 keeper::impl::on_head(const std::shared_ptr<acceptance>& a,
                       const store::reply& r)
--- a/cactusford/edge/edge.cc
+++ b/cactusford/edge/edge.cc
@@ -465,6 +465,10 @@
     keeper.on_taken(
       std::string{ path.substr(batches::peer_taken_path.size()) });
     c.respond(answer(200));
+  } else if (path.starts_with(batches::peer_offered_path)) {
+    const auto id = path.substr(batches::peer_offered_path.size());
+    const bool taken = keeper.on_offered(std::string{ id }, request.body);
+    c.respond(answer(taken ? 200 : 503));
   } else if (path.starts_with(batches::peer_given_path)) {
     keeper.on_given(std::string{ path.substr(batches::peer_given_path.size()) },
                     request.body);
--- a/tests/batches-test.cc
+++ b/tests/batches-test.cc
@@ -67,6 +67,9 @@
   bool running = true;
   // Does not tell others that it lives.
   bool is_mute = false;
+  // Messages that a batch was accepted for it are lost.
+  bool misses_gifts = false;
+  bool refuses_offers = false;
   int alive_answers = 0;
   std::vector<http::call> unanswered;
 
@@ -126,6 +129,18 @@
       store.relay(c);
       return;
     }
+    if (path.starts_with(batches::peer_offered_path)) {
+      const auto id = path.substr(batches::peer_offered_path.size());
+      const bool taken =
+        !refuses_offers &&
+        keeper->on_offered(std::string{ id }, c.request().body);
+      c.respond({ taken ? 200 : 503, {}, "" });
+      return;
+    }
+    if (path.starts_with(batches::peer_given_path) && misses_gifts) {
+      c.respond({ 503, {}, "" });
+      return;
+    }
     if (path.starts_with(batches::peer_given_path)) {
       keeper->on_given(
         std::string{ path.substr(batches::peer_given_path.size()) },
@@ -679,6 +694,51 @@
   cr_assert_eq(w.owner(), "entry-0");
 }
 
+// A step arrives at one entry and runs at another, whose watch shows it before
+// the message of the first. That entry read the submission and the results back
+// from the store and wrote a fence before it began: the trainer's step started
+// up to 0.9 s late, and so did all behind it.
+Test(batches, begin_at_once_at_another_entry)
+{
+  world w{ 2 };
+  auto& runner = *w.entries[1];
+  auto& acceptor = *w.entries[0];
+  w.engine.events = 30;
+  w.call(runner, "POST", submission(1), "batch-0");
+  const auto asked = runner.alive_answers;
+  w.run_until([&] { return runner.alive_answers >= asked + 2; });
+  int parts_read = 0;
+  w.store.faults = [&](const store::call& c) {
+    const bool reads = c.op == store::operation::get;
+    parts_read += reads && c.kind == batches::part_kind ? 1 : 0;
+    return object_store::fault::none;
+  };
+  runner.misses_gifts = true;
+  w.engine.events = 5;
+  w.call(acceptor, "POST", submission(4));
+  cr_assert_eq(w.owner(), "entry-1");
+  check_whole(w.read_whole(runner, 4), w.engine);
+  cr_assert_eq(parts_read, 0);
+  const auto* first = w.store.find(std::string{ batches::chunk_kind },
+                                   batches::chunk_name("batch-1", 0));
+  cr_assert_not(batches::decode_chunk(first->spec)->results.empty());
+}
+
+// The entry that runs a trainer's steps takes no more. The next one is accepted
+// in time all the same, and runs where it arrived.
+Test(batches, run_where_they_arrive_when_the_offer_is_refused)
+{
+  world w{ 2 };
+  auto& runner = *w.entries[1];
+  w.engine.events = 30;
+  w.call(runner, "POST", submission(1), "batch-0");
+  const auto asked = runner.alive_answers;
+  w.run_until([&] { return runner.alive_answers >= asked + 2; });
+  runner.refuses_offers = true;
+  cr_assert_eq(w.call(*w.entries[0], "POST", submission(2)), 202);
+  cr_assert_eq(w.owner(), "entry-0");
+}
+
 // What comes for a batch that another entry hands over is cut short, or of
 // another shape. It is left out; the batch is learned from the store.
 Test(batches, leaves_out_what_is_given_malformed)
@@ -689,6 +749,7 @@
                             "{\"head\": 1, \"revision\": 2, \"submission\": 3}",
                             "{\"head\": {}, \"revision\": 2}" }) {
     w.entries[0]->keeper->on_given("batch-x", body);
+    w.entries[0]->keeper->on_offered("batch-x", body);
   }
   cr_assert_eq(w.entries[0]->keeper->owned(), 0);
 }
