Lines tell which requests are the same work, and every run that is cut

Cause: in the incident's logs two arrivals of one request look like two requests, and the last attempt that is cut leaves no line, so that a request that ends servers cannot be told from a bystander of servers that end by themselves. Change: call_sent and item_started carry a fingerprint of what is asked; run_cut names server, life and time of each run whose connection ended. No logic changes.

--- a/cactusford/batches/runs.cc
+++ b/cactusford/batches/runs.cc
@@ -105,6 +105,10 @@
     i.text = {};
     needs.only_version = 0;
   }
+  if (i.work.empty()) {
+    i.work = quarantine::fingerprint_of(
+      { b.stored.host, "POST", item.path, "", item.body });
+  }
   const auto now = http::now_ms();
   auto* backend = backends::choose_for_item(p.registry, needs, now);
   if (backend == nullptr) {
@@ -145,6 +149,7 @@
   process::log_line(
     timeline::event{ "item_started" }
       .with("request", item.id)
+      .with("work", i.work)
       .with("batch", b.stored.id)
       .with("backend", backend->said.id)
       .with("in_flight", backend->in_flight)
--- a/cactusford/batches/state.h
+++ b/cactusford/batches/state.h
@@ -7,6 +7,7 @@
 #include "cactusford/batches/ledger.h"
 #include "cactusford/http/client.h"
 #include "cactusford/http/server.h"
+#include "cactusford/quarantine/fingerprint.h"
 
 #include <functional>
 #include <map>
@@ -36,6 +37,8 @@
   std::uint64_t not_before_ms = 0;
   // The engine that just failed it.
   std::string not_on;
+  // What it asks for, whatever its id; set by its first run.
+  quarantine::fingerprint work;
 
   // The present run.
   std::uint64_t run = 0;
--- a/cactusford/edge/forward.cc
+++ b/cactusford/edge/forward.cc
@@ -2,6 +2,7 @@
 
 #include "cactusford/http/socket.h"
 #include "cactusford/process/line_log.h"
+#include "cactusford/quarantine/fingerprint.h"
 
 #include <asio/post.hpp>
 #include <asio/steady_timer.hpp>
@@ -81,19 +82,20 @@
   return may_repeat ? next_step::try_another : next_step::give_up_unknown;
 }
 
-struct forwarder::flight
+struct forwarder::attempt
 {
-  struct attempt
-  {
-    http::pending sent;
-    backends::life backend;
-    std::uint64_t at_ms = 0;
-    bool ended = false;
-  };
+  http::pending sent;
+  backends::life backend;
+  std::uint64_t at_ms = 0;
+  bool ended = false;
+};
 
+struct forwarder::flight
+{
   forward_request ask;
   handler done;
   std::string service;
+  quarantine::fingerprint work;
   std::vector<std::string> tried;
   std::vector<attempt> attempts;
   std::unique_ptr<asio::steady_timer> deadline;
@@ -115,6 +117,19 @@
   }
 };
 
+// Also when it is the last attempt, or another has been answered meanwhile.
+void
+forwarder::log_cut(const flight& f, const attempt& a, std::uint64_t now) const
+{
+  process::log_line(timeline::event{ "run_cut" }
+                      .with("request", f.ask.id)
+                      .with("work", f.work)
+                      .with("backend", a.backend.id)
+                      .with("started_ms", a.backend.started_ms)
+                      .with("ran_ms", now - a.at_ms)
+                      .with("attempts", f.attempts.size()));
+}
+
 forwarder::forwarder(asio::io_context& io,
                      http::client& http,
                      backends::registry& registry,
@@ -136,6 +151,7 @@
   f->done = std::move(done);
   const auto random = std::uniform_real_distribution<>{ 0, 1 }(random_);
   f->service = routes::pick_service(f->ask.route, random);
+  f->work = quarantine::fingerprint_of(f->ask.request);
   note_first_attempt(second_[f->ask.route.path_prefix]);
   const auto now = http::now_ms();
   const auto left = f->ask.give_up_ms > now ? f->ask.give_up_ms - now : 0;
@@ -222,6 +238,7 @@
   process::log_line(
     timeline::event{ "call_sent" }
       .with("request", f->ask.id)
+      .with("work", f->work)
       .with("route", f->ask.route.name)
       .with("backend", b.said.id)
       .with("address", b.said.address)
@@ -298,6 +315,9 @@
       backends::note_failure(*b, now);
     }
   }
+  if (end == http::end_state::cut) {
+    log_cut(*f, a, now);
+  }
   if (f->finished) {
     return;
   }
--- a/cactusford/edge/forward.h
+++ b/cactusford/edge/forward.h
@@ -104,6 +104,7 @@
 
 private:
   struct flight;
+  struct attempt;
   void step(const std::shared_ptr<flight>& f);
   void send(const std::shared_ptr<flight>& f, backends::backend& b);
   void hedge_later(const std::shared_ptr<flight>& f);
@@ -116,6 +117,7 @@
   void finish(const std::shared_ptr<flight>& f,
               forward_end what,
               http::response&& r);
+  void log_cut(const flight& f, const attempt& a, std::uint64_t now) const;
   http::request prepare(const flight& f, const backends::backend& b) const;
 
   asio::io_context& io_;
--- /dev/null
+++ b/cactusford/quarantine/fingerprint.cc
@@ -0,0 +1,37 @@
+#include "cactusford/quarantine/fingerprint.h"
+
+#include <xxhash.h>
+
+#include <array>
+#include <cstdint>
+#include <cstdio>
+
+namespace cactusford::quarantine {
+
+// Each part is hashed with the parts before it as seed: "a" + "bc" is not
+// "ab" + "c".
+fingerprint
+fingerprint_of(const work& w)
+{
+  XXH64_hash_t hash = 0;
+  for (const auto part : { w.host, w.method, w.target, w.caller, w.body }) {
+    hash = XXH3_64bits_withSeed(part.data(), part.size(), hash);
+  }
+  constexpr std::size_t digits = 16;
+  std::array<char, digits + 1> text{};
+  std::snprintf(
+    text.data(), text.size(), "%016llx", static_cast<unsigned long long>(hash));
+  return text.data();
+}
+
+fingerprint
+fingerprint_of(const http::request& r)
+{
+  return fingerprint_of({ http::find(r.fields, "Host").value_or(""),
+                          r.method,
+                          r.target,
+                          http::find(r.fields, "Authorization").value_or(""),
+                          r.body });
+}
+
+} // namespace cactusford::quarantine
