--- a/cactusford/http/server.cc
+++ b/cactusford/http/server.cc
@@ -11,6 +11,7 @@
 
 #include <array>
 #include <unordered_set>
+#include <vector>
 
 namespace cactusford::http {
 
@@ -529,6 +530,21 @@
   state_->leaving = true;
 }
 
+void
+server::close()
+{
+  state_->closed = true;
+  asio::error_code ignored;
+  state_->acceptor.close(ignored);
+  std::vector<std::shared_ptr<detail::server_connection>> open;
+  for (auto* c : state_->all) {
+    open.push_back(c->shared_from_this());
+  }
+  for (const auto& c : open) {
+    c->close();
+  }
+}
+
 std::size_t
 server::busy() const
 {
--- a/cactusford/http/server.h
+++ b/cactusford/http/server.h
@@ -78,6 +78,9 @@
   // From now on answers end their connection, so that callers move on.
   void leave();
 
+  // Ends all connections and takes no more, as when the process ends.
+  void close();
+
   // Requests without a whole answer.
   std::size_t busy() const;
 
--- a/standins/child.cc
+++ b/standins/child.cc
@@ -19,6 +19,10 @@
   posix_spawn_file_actions_addopen(
     &actions, 1, output.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
   posix_spawn_file_actions_adddup2(&actions, 1, 2);
+  // A child that holds the test's listening sockets keeps their ports open when
+  // a stand-in of the test ends: connections would wait where they are refused.
+  constexpr int first_inherited = 3;
+  posix_spawn_file_actions_addclosefrom_np(&actions, first_inherited);
   pid_t pid = 0;
   const int rc = posix_spawn(
     &pid, words[0].c_str(), &actions, nullptr, arguments.data(), environ);
