--- /dev/null
+++ b/tests/batches_world.h
@@ -0,0 +1,389 @@
+// Entries that share batches through a store, in one process: each entry has
+// its own event loop, so that one can be paused and woken.
+#pragma once
+
+#include "cactusford/batches/keeper.h"
+#include "cactusford/http/socket.h"
+#include "cactusford/store/watcher.h"
+#include "standins/object_store.h"
+#include "standins/stream_engine.h"
+
+#include <criterion/criterion.h>
+#include <nlohmann/json.hpp>
+
+#include <memory>
+#include <set>
+
+namespace cactusford::testing {
+
+using nlohmann::json;
+using standins::object_store;
+using standins::stream_engine;
+
+constexpr std::string_view batch_id = "batch-1";
+
+// Longer than any step here takes; reached only when something hangs.
+constexpr std::uint64_t hang_ms = 30000;
+
+inline routes::table_ptr
+table_of_tests()
+{
+  auto t = std::make_shared<routes::table>();
+  routes::route batch;
+  batch.host = "h";
+  batch.path_prefix = "/b/";
+  batch.kind = routes::call_kind::rollout;
+  batch.services = { { "engines", 1 } };
+  batch.max_attempts = 3;
+  batch.due_ms = 7500;
+  batch.give_up_ms = 40000;
+  routes::route score;
+  score.host = "h";
+  score.path_prefix = "/score/";
+  score.kind = routes::call_kind::idempotent;
+  score.services = { { "scorers", 1 } };
+  score.max_attempts = 4;
+  score.timeout_ms = 1500;
+  t->routes = { batch, score };
+  return t;
+}
+
+// Long enough for every test that reads, short enough to wait for.
+constexpr std::uint64_t keep_ms = 2000;
+
+struct entry
+{
+  asio::io_context io;
+  http::client http{ io };
+  edge::dialect dialect = standins::plain_dialect();
+  backends::registry registry;
+  routes::table_ptr table = table_of_tests();
+  http::server peer;
+  http::server front;
+  store::client store;
+  edge::forwarder forwarder;
+  std::unique_ptr<batches::keeper> keeper;
+  std::unique_ptr<store::watcher> watcher;
+  bool running = true;
+  // The largest entries, as it has heard.
+  std::vector<membership::member> others;
+  // Does not tell others that it lives.
+  bool is_mute = false;
+  // Takes no submission that is passed on; or does not answer to one.
+  bool refuses_batches = false;
+  bool hides_acceptance = false;
+  int alive_answers = 0;
+  std::vector<http::call> unanswered;
+
+  entry(const std::string& name, const std::string& store_address)
+    : peer{ io, {}, [this](const http::call& c) { on_peer(c); } }
+    , front{ io, {}, [this](const http::call& c) { on_caller(c); } }
+    , store{ io, http, dialect.store, { store_address, {} } }
+    , forwarder{ io, http, registry, dialect, "a" }
+  {
+    cr_assert_not(peer.listen("127.0.0.1:0"));
+    cr_assert_not(front.listen("127.0.0.1:0"));
+    keeper = std::make_unique<batches::keeper>(
+      batches::keeper_parts{ io,
+                             http,
+                             store,
+                             registry,
+                             dialect,
+                             forwarder,
+                             [this] { return table; },
+                             name,
+                             "127.0.0.1:" + std::to_string(peer.port()),
+                             "a",
+                             keep_ms,
+                             1,
+                             [this] { return others; } });
+    watcher = std::make_unique<store::watcher>(
+      io,
+      store,
+      store::watch_settings{ std::string{ batches::batch_kind }, 1000 },
+      store::watch_events{
+        [this](std::vector<store::object>&& all) {
+          keeper->on_list(std::move(all));
+        },
+        [this](store::change&& c) { keeper->on_change(std::move(c)); },
+        {} });
+    store.on_regained = [this](std::uint64_t) { watcher->refresh(); };
+    keeper->start();
+    watcher->start();
+  }
+
+  std::string front_address() const
+  {
+    return "127.0.0.1:" + std::to_string(front.port());
+  }
+
+  void on_peer(const http::call& c)
+  {
+    const auto path = http::path_of(c.request().target);
+    if (path == batches::peer_alive_path) {
+      if (is_mute) {
+        unanswered.push_back(c);
+      } else {
+        ++alive_answers;
+        c.respond({ keeper->can_own() ? 200 : 503, {}, "" });
+      }
+      return;
+    }
+    if (path == store::relay_path) {
+      store.relay(c);
+      return;
+    }
+    if (path.starts_with(batches::peer_passed_path)) {
+      const auto id = path.substr(batches::peer_passed_path.size());
+      if (refuses_batches) {
+        c.respond({ 421, {}, "" });
+      } else if (hides_acceptance) {
+        unanswered.push_back(c);
+      } else {
+        keeper->on_passed(c, std::string{ id });
+      }
+      return;
+    }
+    if (path.starts_with(batches::peer_taken_path)) {
+      keeper->on_taken(
+        std::string{ path.substr(batches::peer_taken_path.size()) });
+      c.respond({ 200, {}, "" });
+      return;
+    }
+    if (path.starts_with(batches::peer_ended_path)) {
+      keeper->on_ended(
+        std::string{ path.substr(batches::peer_ended_path.size()) });
+      c.respond({ 200, {}, "" });
+      return;
+    }
+    edge::batch_request r;
+    r.id = path.substr(batches::peer_results_path.size());
+    r.after = http::parse_number(
+                http::query_value(c.request().target, "after").value_or("0"))
+                .value_or(0);
+    keeper->read(c, r, true);
+  }
+
+  void on_caller(const http::call& c)
+  {
+    const auto& r = c.request();
+    edge::batch_request b;
+    b.id = std::string{ http::find(r.fields, "Id").value_or("") };
+    if (r.method == "POST") {
+      keeper->accept(c, b.id, http::now_ms() + 1500);
+    } else if (r.method == "DELETE") {
+      keeper->end(c, b.id);
+    } else {
+      b.after = http::number(r.fields, "After").value_or(0);
+      keeper->read(c, b, false);
+    }
+  }
+
+  void know(const std::string& id,
+            const std::string& service,
+            const std::string& address,
+            std::uint64_t version,
+            std::uint64_t started_ms = 1)
+  {
+    backends::announcement a;
+    a.id = id;
+    a.started_ms = started_ms;
+    a.service = service;
+    a.address = address;
+    a.slots = 8;
+    a.versions["m"] = version;
+    backends::announce(registry, a);
+    keeper->on_backends();
+  }
+};
+
+struct world
+{
+  asio::io_context io;
+  object_store store{ io };
+  stream_engine engine{ io, "e1" };
+  stream_engine scorer{ io, "s1" };
+  http::client caller{ io };
+  std::vector<std::unique_ptr<entry>> entries;
+
+  explicit world(int count)
+  {
+    for (int i = 0; i < count; ++i) {
+      add_entry("entry-" + std::to_string(i));
+    }
+    run_until([&] {
+      return std::all_of(entries.begin(), entries.end(), [](const auto& e) {
+        return e->watcher->is_current();
+      });
+    });
+  }
+
+  entry& add_entry(const std::string& name)
+  {
+    entries.push_back(std::make_unique<entry>(name, store.address()));
+    entries.back()->know("e1", "engines", engine.address(), engine.version);
+    entries.back()->know("s1", "scorers", scorer.address(), 0);
+    return *entries.back();
+  }
+
+  void run_until(const std::function<bool()>& done)
+  {
+    const auto limit = http::now_ms() + hang_ms;
+    while (!done()) {
+      cr_assert_lt(http::now_ms(), limit, "it hangs");
+      std::size_t ran = io.poll();
+      for (const auto& e : entries) {
+        ran += e->running ? e->io.poll() : 0;
+      }
+      if (ran == 0) {
+        io.run_one_for(std::chrono::milliseconds{ 1 });
+      }
+    }
+  }
+
+  int call(entry& e,
+           const char* method,
+           const std::string& body = {},
+           std::string_view id = batch_id)
+  {
+    int status = 0;
+    bool done = false;
+    http::request r{
+      method, "/b/", { { "Host", "h" }, { "Id", std::string{ id } } }, body
+    };
+    http::exchange_options o;
+    o.timeout_ms = hang_ms;
+    caller.fetch(
+      e.front_address(), r, o, [&](http::end_state, http::response&& a) {
+        status = a.status;
+        done = true;
+      });
+    run_until([&] { return done; });
+    return status;
+  }
+
+  // The results from a position onward, or nothing when refused.
+  std::optional<json> read(entry& e, std::size_t after = 0)
+  {
+    std::optional<json> page;
+    bool done = false;
+    http::request r{ "GET",
+                     "/b/",
+                     { { "Host", "h" },
+                       { "Id", std::string{ batch_id } },
+                       { "After", std::to_string(after) } },
+                     "" };
+    http::exchange_options o;
+    o.timeout_ms = hang_ms;
+    caller.fetch(
+      e.front_address(), r, o, [&](http::end_state, http::response&& a) {
+        if (a.status == 200) {
+          page = json::parse(a.body);
+        }
+        done = true;
+      });
+    run_until([&] { return done; });
+    return page;
+  }
+
+  // Reads until all items are listed.
+  json read_whole(entry& e, std::size_t total)
+  {
+    json all = json::array();
+    while (all.size() < total) {
+      const auto page = read(e, all.size());
+      if (page) {
+        for (const auto& r : page->at("results")) {
+          all.push_back(r);
+        }
+      }
+    }
+    return all;
+  }
+
+  // A chunk with results stands in the store.
+  bool has_results() const
+  {
+    const auto chunks = store.all("results");
+    return std::any_of(chunks.begin(), chunks.end(), [](const auto& o) {
+      const auto chunk = batches::decode_chunk(o.spec);
+      return chunk && !chunk->results.empty();
+    });
+  }
+
+  // An answer that says nothing is listed denies results that were shown.
+  bool denies_results(entry& e)
+  {
+    const auto page = read(e);
+    return page && page->at("results").empty();
+  }
+
+  // Until the others have heard that it lives.
+  void wait_until_seen(entry& e)
+  {
+    const auto asked = e.alive_answers;
+    run_until([&] { return e.alive_answers >= asked + 2; });
+  }
+
+  // Passes a submission on as another entry would; the answer's status.
+  int pass_on(entry& e, http::headers fields, const std::string& body)
+  {
+    int status = 0;
+    http::request r{ "POST", "/passed/batch-x", std::move(fields), body };
+    http::exchange_options o;
+    o.timeout_ms = hang_ms;
+    caller.fetch(
+      "127.0.0.1:" + std::to_string(e.peer.port()),
+      r,
+      o,
+      [&](http::end_state, http::response&& a) { status = a.status; });
+    run_until([&] { return status != 0; });
+    return status;
+  }
+
+  // Who owns the batch, by the store.
+  std::string owner() const
+  {
+    const auto* o =
+      store.find(std::string{ batches::batch_kind }, std::string{ batch_id });
+    const auto b =
+      batches::decode_batch(o->name, o->revision, o->spec, o->status);
+    return b->owner;
+  }
+
+  entry& by_name(const std::string& name)
+  {
+    return *entries.at(static_cast<std::size_t>(name.back() - '0'));
+  }
+};
+
+inline std::string
+submission(int items, std::uint64_t min_version = 1)
+{
+  json j{ { "model", "m" },
+          { "min_version", min_version },
+          { "items", json::array() } };
+  for (int i = 0; i < items; ++i) {
+    const auto id = "item" + std::to_string(i);
+    j["items"].push_back({ { "id", id },
+                           { "group", "g" + std::to_string(i / 2) },
+                           { "scorer", "score-" + id } });
+  }
+  return j.dump();
+}
+
+// Each item stands once, whole, scored by its own call.
+inline void
+check_whole(const json& all, const stream_engine& engine)
+{
+  std::set<std::string> seen;
+  for (const auto& r : all) {
+    const auto id = r.at("id").get<std::string>();
+    cr_assert(seen.insert(id).second, "%s stands twice", id.c_str());
+    cr_assert(r.at("done").get<bool>());
+    cr_assert(r.at("text") == stream_engine::text_of(id, engine.events));
+    cr_assert(r.at("score") == "sig-score-" + id);
+  }
+}
+
+} // namespace cactusford::testing
