A request that ends backend servers is kept out by all entries

Cause: nothing remembered that servers had ended under a request. Each entry judged each attempt alone, so that it was sent to two servers at every arrival, for ever. Change: an entry whose run is cut looks whether the server still listens; an end is reported in the store with what ran there, one object a report, and every entry follows them. Three ends under the same work without an answer in between keep it out everywhere for ten minutes (four where another request shares them, five for items); what explains an end clears the others. Calls, second attempts, items and scorers' calls ask before each send. The answer is 503 with when to come back.

--- a/cactusford/batches/finish.cc
+++ b/cactusford/batches/finish.cc
@@ -19,6 +19,10 @@
 // A scorer call that got no answer is made again after this pause.
 constexpr std::uint64_t scorer_pause_ms = 80;
 
+// How often it is looked whether a scorer call that ends its backend servers
+// may be made. Nothing is sent for it.
+constexpr std::uint64_t kept_out_look_ms = 1000;
+
 } // namespace
 
 // The whole text is there; the scorer's verdict makes it a result.
@@ -150,7 +154,16 @@
     finish_item(*b, i, { item.id, false, "", {}, "" });
     return;
   }
-  i.score_again_ms = http::now_ms() + scorer_pause_ms;
+  const bool kept_out = o.what == edge::forward_end::quarantined;
+  if (kept_out) {
+    process::log_line(timeline::event{ "item_score_quarantined" }
+                        .with("request", item.id)
+                        .with("scorer_request", item.scorer->id)
+                        .with("ends", o.ends)
+                        .with("come_back_ms", o.come_back_ms));
+  }
+  i.score_again_ms =
+    http::now_ms() + (kept_out ? kept_out_look_ms : scorer_pause_ms);
 }
 
 void
--- a/cactusford/batches/keeper.h
+++ b/cactusford/batches/keeper.h
@@ -56,6 +56,8 @@
   std::function<std::vector<membership::member>()> largest_entries = [] {
     return std::vector<membership::member>{};
   };
+  // Null: no item is kept out.
+  quarantine::guard* guard = nullptr;
 };
 
 class keeper
--- a/cactusford/batches/keeper_impl.h
+++ b/cactusford/batches/keeper_impl.h
@@ -131,6 +131,8 @@
   double usual_event_ms(const batch_state& b) const;
   void plan();
   bool launch(batch_state& b, item_state& i);
+  bool is_kept_out(const batch_state& b, const item_state& i);
+  void tell_guard(const item_state& i, http::end_state end);
   void on_run_head(const std::string& id,
                    std::size_t at,
                    std::uint64_t run,
--- a/cactusford/batches/runs.cc
+++ b/cactusford/batches/runs.cc
@@ -17,6 +17,15 @@
 // A run is moved off a slow engine at most this often.
 constexpr std::uint64_t move_pause_ms = 600;
 
+// An item whose text has grown for this long does not end the engines that run
+// it: those that do end them as they begin. Engines that crash meet runs of any
+// age, so this leaves out most of what such crashes would be held against.
+constexpr std::uint64_t settled_run_ms = 500;
+
+// How often it is looked whether an item that is kept out may be run. Nothing
+// is sent for it.
+constexpr std::uint64_t kept_out_look_ms = 1000;
+
 // The longest run of one item, beyond any length that engines allow.
 constexpr std::uint64_t run_limit_ms = 60000;
 
@@ -110,6 +119,10 @@
       { b.stored.host, "POST", item.path, "", item.body });
   }
   const auto now = http::now_ms();
+  if (is_kept_out(b, i)) {
+    i.not_before_ms = now + kept_out_look_ms;
+    return true;
+  }
   auto* backend = backends::choose_for_item(p.registry, needs, now);
   if (backend == nullptr) {
     i.not_on.clear();
@@ -139,6 +152,7 @@
   i.stage = item_stage::running;
   i.run = next_run++;
   i.backend = backends::life_of(*backend);
+  i.address = backend->said.address;
   i.started_ms = now;
   i.last_event_ms = now;
   i.status = 0;
@@ -175,6 +189,46 @@
   return true;
 }
 
+// An item that ends the engines that run it would go on to the next one at
+// once, and take eight others' text with each. It cannot be given up before its
+// batch allows: it waits, its group is not whole, and the others go on.
+bool
+keeper::impl::is_kept_out(const batch_state& b, const item_state& i)
+{
+  if (p.guard == nullptr) {
+    return false;
+  }
+  const auto v = p.guard->judge(i.work, quarantine::run_kind::item);
+  if (v.what != quarantine::standing::refused) {
+    return false;
+  }
+  p.guard->note_refused();
+  process::log_line(timeline::event{ "item_quarantined" }
+                      .with("request", b.submission.items[i.index].id)
+                      .with("work", i.work)
+                      .with("batch", b.stored.id)
+                      .with("ends", v.ends)
+                      .with("until_ms", v.until_ms));
+  return true;
+}
+
+// The first answer of an engine that has run it, failed or not, clears it.
+void
+keeper::impl::tell_guard(const item_state& i, http::end_state end)
+{
+  if (p.guard == nullptr) {
+    return;
+  }
+  const auto now = http::now_ms();
+  const bool settled =
+    i.events_in_run > 0 && now - i.first_event_ms > settled_run_ms;
+  if (end == http::end_state::cut && !settled) {
+    p.guard->on_cut(i.backend, i.address, i.work);
+  } else if (end == http::end_state::complete && !i.not_run) {
+    p.guard->on_answered(i.work);
+  }
+}
+
 item_state*
 keeper::impl::current_run(const std::string& id,
                           std::size_t at,
@@ -283,6 +337,9 @@
     auto& said = backend->said.versions[b.submission.model];
     said = std::max(said, i->text.version);
   }
+  if (i->events_in_run == 0) {
+    i->first_event_ms = now;
+  }
   i->events_in_run += events.size();
   i->last_event_ms = now;
 }
@@ -303,6 +360,7 @@
     --backend->in_flight;
   }
   i->sent = {};
+  tell_guard(*i, end);
   const bool complete = end == http::end_state::complete;
   constexpr int ok = 200;
   constexpr int unprocessable = 422;
--- a/cactusford/batches/state.h
+++ b/cactusford/batches/state.h
@@ -43,11 +43,13 @@
   // The present run.
   std::uint64_t run = 0;
   backends::life backend;
+  std::string address;
   http::pending sent;
   event_reader reader{ "" };
   int status = 0;
   bool not_run = false;
   std::uint64_t started_ms = 0;
+  std::uint64_t first_event_ms = 0;
   std::uint64_t last_event_ms = 0;
   std::uint64_t events_in_run = 0;
 
--- a/cactusford/edge/edge.cc
+++ b/cactusford/edge/edge.cc
@@ -63,6 +63,14 @@
   }
 }
 
+// Rounded up: a caller that comes back earlier would be refused again.
+std::string
+whole_seconds(std::uint64_t ms)
+{
+  constexpr std::uint64_t ms_per_second = 1000;
+  return std::to_string((ms + ms_per_second - 1) / ms_per_second);
+}
+
 http::response
 answer(int status)
 {
@@ -94,13 +102,14 @@
   void on_forwarded(const http::call& c,
                     const std::string& id,
                     forward_outcome&& o);
-  void refuse(const http::call& c);
+  void refuse(const http::call& c, const std::string& come_back_s);
 
   void on_configuration(const store::object& o);
   void on_backend_list(std::vector<store::object>&& all);
   void on_backend(store::change&& c);
   void on_broken_backend(const store::unreadable& u);
   void watch_all();
+  void show_guard();
   void keep_missing();
   void exchange_with_relays();
   nlohmann::json answer_rank(const std::string& sidecar) const;
@@ -119,6 +128,7 @@
   std::uint64_t started_ms = timeline::wall_ms();
   // When this entry last announced itself to a relay.
   std::uint64_t announced_ms = 0;
+  quarantine::guard guard;
   forwarder calls;
   batches::keeper keeper;
   store::watcher configuration;
@@ -140,7 +150,8 @@
   , d{ dialect }
   , http{ h.io }
   , store{ h.io, http, d.store, { s.store, s.peers, false, true, s.peer_rank } }
-  , calls{ h.io, http, registry, d, s.data_centre }
+  , guard{ h.io, store, { s.instance, s.peer_rank.has_value() } }
+  , calls{ h.io, http, registry, d, s.data_centre, &guard }
   , keeper{ { h.io,
               http,
               store,
@@ -156,7 +167,8 @@
               [this] {
                 return membership::largest(
                   entries, entries_named, http::now_ms());
-              } } }
+              },
+              &guard } }
   , configuration{ h.io,
                    store,
                    { d.kinds.configuration, shared_wait_ms, 0, true },
@@ -205,6 +217,7 @@
       metrics.set("backend_connections_opened",
                   static_cast<double>(http.opened()));
       metrics.set("batches_owned", static_cast<double>(keeper.owned()));
+      show_guard();
       http::response r;
       r.status = 200;
       r.fields.push_back({ "Content-Type", "text/plain; version=0.0.4" });
@@ -233,11 +246,25 @@
   return !ec;
 }
 
+// An entry that knew nothing of requests that end backend servers would end
+// three more of them to learn of each.
 bool
 edge_process::is_ready() const
 {
   return !leaving && table != nullptr && backend_list.is_current() &&
-         batch_list.is_current();
+         batch_list.is_current() && guard.is_current();
+}
+
+void
+edge_process::show_guard()
+{
+  const auto& c = guard.counts();
+  metrics.set("run_cuts", static_cast<double>(c.cuts));
+  metrics.set("backend_ends", static_cast<double>(c.ends));
+  metrics.set("end_reports_written", static_cast<double>(c.reports_written));
+  metrics.set("end_reports_dropped", static_cast<double>(c.reports_dropped));
+  metrics.set("end_reports_known", static_cast<double>(guard.reports()));
+  metrics.set("quarantine_refusals", static_cast<double>(c.refusals));
 }
 
 // One that leaves has no capacity to offer.
@@ -311,10 +338,12 @@
     for (auto* w : { &configuration, &backend_list, &batch_list }) {
       w->refresh();
     }
+    guard.refresh();
   };
   configuration.start();
   backend_list.start();
   batch_list.start();
+  guard.start();
 }
 
 // Backend servers whose entries lapsed with the store come back.
@@ -398,10 +427,10 @@
 }
 
 void
-edge_process::refuse(const http::call& c)
+edge_process::refuse(const http::call& c, const std::string& come_back_s)
 {
   auto r = answer(503);
-  r.fields.push_back({ d.headers.retry_after, std::string{ come_back_s } });
+  r.fields.push_back({ d.headers.retry_after, come_back_s });
   const auto id = http::find(c.request().fields, d.headers.request_id);
   if (id) {
     r.fields.push_back({ d.headers.request_id, std::string{ *id } });
@@ -421,7 +450,7 @@
     process::log_line(timeline::event{ "call_refused" }
                         .with("request", id)
                         .with("why", "no_configuration"));
-    refuse(c);
+    refuse(c, std::string{ come_back_s });
     return;
   }
   const auto b = d.batch_request_from(request);
@@ -499,6 +528,8 @@
       .with("status", static_cast<std::uint64_t>(o.answer.status))
       .with("backend", o.backend)
       .with("attempts", o.attempts)
+      .with("ends", o.ends)
+      .with("come_back_ms", o.come_back_ms)
       .with("took_ms", took)
       .with("table", table->version));
   switch (o.what) {
@@ -515,7 +546,10 @@
       return;
     }
     case forward_end::not_run:
-      refuse(c);
+      refuse(c, std::string{ come_back_s });
+      return;
+    case forward_end::quarantined:
+      refuse(c, whole_seconds(o.come_back_ms));
       return;
     case forward_end::unknown:
       c.respond(answer(502));
--- a/cactusford/edge/forward.cc
+++ b/cactusford/edge/forward.cc
@@ -2,7 +2,7 @@
 
 #include "cactusford/http/socket.h"
 #include "cactusford/process/line_log.h"
-#include "cactusford/quarantine/fingerprint.h"
+#include "cactusford/timeline/clock.h"
 
 #include <asio/post.hpp>
 #include <asio/steady_timer.hpp>
@@ -39,6 +39,8 @@
       return "answered";
     case forward_end::not_run:
       return "not_run";
+    case forward_end::quarantined:
+      return "quarantined";
     case forward_end::unknown:
       return "unknown";
     case forward_end::timed_out:
@@ -86,6 +88,7 @@
 {
   http::pending sent;
   backends::life backend;
+  std::string address;
   std::uint64_t at_ms = 0;
   bool ended = false;
 };
@@ -103,6 +106,8 @@
   std::uint32_t runs = 0;
   std::uint32_t failed_runs = 0;
   std::uint32_t refusals = 0;
+  // What keeps it out, once it is kept out.
+  quarantine::verdict kept_out;
   bool finished = false;
 
   bool is_repeatable() const
@@ -134,12 +139,14 @@
                      http::client& http,
                      backends::registry& registry,
                      const dialect& d,
-                     std::string data_centre)
+                     std::string data_centre,
+                     quarantine::guard* guard)
   : io_{ io }
   , http_{ http }
   , registry_{ registry }
   , dialect_{ d }
   , data_centre_{ std::move(data_centre) }
+  , guard_{ guard }
 {
 }
 
@@ -190,9 +197,52 @@
   };
 }
 
+quarantine::verdict
+forwarder::judge(const flight& f)
+{
+  return guard_ == nullptr ? quarantine::verdict{}
+                           : guard_->judge(f.work, quarantine::run_kind::call);
+}
+
+// Without this a request that ends each backend server that runs it takes all
+// servers of a service down together, at every arrival at any entry, and all
+// other callers with them: four servers went down sixteen times within 90 s.
+// An attempt that is still out decides the call.
+void
+forwarder::keep_out(const std::shared_ptr<flight>& f,
+                    const quarantine::verdict& v)
+{
+  f->kept_out = v;
+  if (f->has_open_attempt()) {
+    return;
+  }
+  const bool may_have_run = f->runs > 0;
+  guard_->note_refused();
+  finish(f, may_have_run ? forward_end::unknown : forward_end::quarantined, {});
+}
+
+void
+forwarder::tell_guard(const flight& f, const attempt& a, const attempt_end& end)
+{
+  if (guard_ == nullptr) {
+    return;
+  }
+  if (end.state == http::end_state::cut) {
+    guard_->on_cut(a.backend, a.address, f.work);
+  } else if (end.state == http::end_state::complete && end.is_signed &&
+             !end.not_run) {
+    guard_->on_answered(f.work);
+  }
+}
+
 void
 forwarder::step(const std::shared_ptr<flight>& f)
 {
+  const auto v = judge(*f);
+  if (v.what == quarantine::standing::refused) {
+    keep_out(f, v);
+    return;
+  }
   const auto random = std::uniform_real_distribution<>{ 0, 1 }(random_);
   const backends::call_needs needs{ f->service,
                                     data_centre_,
@@ -234,7 +284,8 @@
   const auto index = f->attempts.size();
   const auto now = http::now_ms();
   f->tried.push_back(b.said.id);
-  f->attempts.push_back({ {}, backends::life_of(b), now, false });
+  f->attempts.push_back(
+    { {}, backends::life_of(b), b.said.address, now, false });
   process::log_line(
     timeline::event{ "call_sent" }
       .with("request", f->ask.id)
@@ -276,8 +327,10 @@
   f->hedge = std::make_unique<asio::steady_timer>(
     io_, std::chrono::milliseconds{ wait });
   f->hedge->async_wait([this, f](asio::error_code ec) {
+    // Two attempts of a suspect would end two backend servers at a time.
     if (!ec && !f->finished && f->runs < f->ask.route.max_attempts &&
         f->tried.size() < max_tries &&
+        judge(*f).what == quarantine::standing::clear &&
         take_second_attempt(second_[f->ask.route.path_prefix])) {
       step(f);
     }
@@ -315,21 +368,22 @@
       backends::note_failure(*b, now);
     }
   }
+  attempt_end ended;
+  ended.state = end;
+  ended.status = r.status;
+  ended.not_run = not_run;
+  ended.is_signed = http::find(r.fields, names.signature).has_value();
   if (end == http::end_state::cut) {
     log_cut(*f, a, now);
   }
+  tell_guard(*f, a, ended);
   if (f->finished) {
     return;
   }
   const bool was_run = !not_run && end != http::end_state::not_sent;
   f->runs -= was_run ? 0 : 1;
   f->refusals += not_run ? 1 : 0;
-  attempt_end ended;
-  ended.state = end;
-  ended.status = r.status;
-  ended.not_run = not_run;
   f->failed_runs += is_failed_run(ended) ? 1 : 0;
-  ended.is_signed = http::find(r.fields, names.signature).has_value();
   call_progress progress;
   progress.repeatable = f->is_repeatable();
   progress.runs = f->runs;
@@ -410,6 +464,12 @@
   }
   forward_outcome o;
   o.what = what;
+  if (what == forward_end::quarantined) {
+    const auto wall = timeline::wall_ms();
+    const auto until = f->kept_out.until_ms;
+    o.come_back_ms = until > wall ? until - wall : 0;
+    o.ends = f->kept_out.ends;
+  }
   o.answer = std::move(r);
   o.failed_runs = f->failed_runs;
   o.refusals = f->refusals;
--- a/cactusford/edge/forward.h
+++ b/cactusford/edge/forward.h
@@ -5,6 +5,7 @@
 #include "cactusford/edge/dialect.h"
 #include "cactusford/edge/second_attempt.h"
 #include "cactusford/http/client.h"
+#include "cactusford/quarantine/guard.h"
 
 #include <asio/io_context.hpp>
 
@@ -32,6 +33,8 @@
   answered,
   // No backend server has run it, and none will.
   not_run,
+  // The same: backend servers have ended under this request before.
+  quarantined,
   // It may have run.
   unknown,
   // Time is up; it may have run.
@@ -51,6 +54,10 @@
   std::uint32_t refusals = 0;
   std::uint32_t attempts = 0;
   std::string backend;
+  // For `quarantined`: in how many milliseconds it may be tried again, and how
+  // many backend servers have ended under it.
+  std::uint64_t come_back_ms = 0;
+  std::uint32_t ends = 0;
 };
 
 // What an attempt's end means for the call. Pure.
@@ -95,7 +102,8 @@
             http::client& http,
             backends::registry& registry,
             const dialect& d,
-            std::string data_centre);
+            std::string data_centre,
+            quarantine::guard* guard = nullptr);
 
   using handler = std::function<void(forward_outcome&&)>;
 
@@ -106,6 +114,9 @@
   struct flight;
   struct attempt;
   void step(const std::shared_ptr<flight>& f);
+  quarantine::verdict judge(const flight& f);
+  void keep_out(const std::shared_ptr<flight>& f, const quarantine::verdict& v);
+  void tell_guard(const flight& f, const attempt& a, const attempt_end& end);
   void send(const std::shared_ptr<flight>& f, backends::backend& b);
   void hedge_later(const std::shared_ptr<flight>& f);
   void on_attempt(const std::shared_ptr<flight>& f,
@@ -125,6 +136,8 @@
   backends::registry& registry_;
   const dialect& dialect_;
   std::string data_centre_;
+  // Null: no request is kept out.
+  quarantine::guard* guard_;
   // By the path of the route: calls of one kind take about the same time.
   std::map<std::string, second_attempts> second_;
   std::mt19937_64 random_{ std::random_device{}() };
--- /dev/null
+++ b/cactusford/http/probe.cc
@@ -0,0 +1,45 @@
+#include "cactusford/http/probe.h"
+
+#include "cactusford/http/socket.h"
+
+#include <asio/ip/tcp.hpp>
+#include <asio/post.hpp>
+#include <asio/steady_timer.hpp>
+
+#include <memory>
+
+namespace cactusford::http {
+
+void
+probe(asio::io_context& io,
+      const std::string& address,
+      std::uint64_t timeout_ms,
+      std::function<void(probe_end)> done)
+{
+  const auto peer = endpoint_from(address);
+  if (!peer) {
+    asio::post(io, [done] { done(probe_end::silent); });
+    return;
+  }
+  auto socket = std::make_shared<asio::ip::tcp::socket>(io);
+  auto timer = std::make_shared<asio::steady_timer>(
+    io, std::chrono::milliseconds{ timeout_ms });
+  timer->async_wait([socket](asio::error_code ec) {
+    if (!ec) {
+      asio::error_code ignored;
+      socket->close(ignored);
+    }
+  });
+  socket->async_connect(*peer, [socket, timer, done](asio::error_code ec) {
+    timer->cancel();
+    if (!ec) {
+      done(probe_end::accepted);
+    } else if (ec == asio::error::connection_refused) {
+      done(probe_end::refused);
+    } else {
+      done(probe_end::silent);
+    }
+  });
+}
+
+} // namespace cactusford::http
--- /dev/null
+++ b/cactusford/quarantine/evidence-test.cc
@@ -0,0 +1,319 @@
+#include "cactusford/quarantine/evidence.h"
+
+#include "cactusford/quarantine/report.h"
+#include "cactusford/testing/section.h"
+
+#include <criterion/criterion.h>
+
+#include <random>
+#include <set>
+
+using namespace cactusford::quarantine;
+
+namespace {
+
+constexpr std::uint64_t start_ms = 1'000'000'000;
+constexpr std::uint64_t second_ms = 1000;
+constexpr std::uint64_t minute_ms = 60000;
+
+const fingerprint guilty = "00000000000000aa";
+const fingerprint bystander = "00000000000000bb";
+
+// Each instance reports once a moment.
+struct story
+{
+  evidence e;
+  std::uint64_t now = start_ms;
+  int next = 0;
+
+  void add(report r)
+  {
+    r.at_ms = now;
+    take(e, r.reporter + "." + std::to_string(next++), std::move(r));
+  }
+
+  // A backend server ends; an instance was running these there.
+  void end(const std::string& backend,
+           std::vector<fingerprint> ran,
+           const std::string& reporter = "entry-0")
+  {
+    add({ reporter, now, { { backend, 1, std::move(ran) } }, {} });
+  }
+
+  void answer(const fingerprint& f) { add({ "entry-0", now, {}, { f } }); }
+
+  standing of(const fingerprint& f, run_kind kind = run_kind::call)
+  {
+    return judge(e, f, kind, now).what;
+  }
+};
+
+} // namespace
+
+// A request arrives at three entries, one after the other, and each sees one
+// backend server end under it. None of them has seen enough; together they
+// have.
+Test(quarantine, adds_up_what_entries_have_seen_once_each)
+{
+  story s;
+  cr_assert(s.of(guilty) == standing::clear);
+  s.end("a", { guilty }, "entry-0");
+  s.end("b", { guilty }, "entry-1");
+  cr_assert(s.of(guilty) == standing::suspected);
+  s.end("c", { guilty }, "entry-2");
+  cr_assert(s.of(guilty) == standing::refused);
+  SECTION("a life that two entries saw end has ended once")
+  {
+    story t;
+    t.end("a", { bystander }, "entry-0");
+    t.end("a", { bystander }, "entry-1");
+    t.end("b", { bystander }, "entry-0");
+    cr_assert(t.of(bystander) == standing::suspected);
+    cr_assert_eq(judge(t.e, bystander, run_kind::call, t.now).ends, 2);
+  }
+}
+
+// Servers crash under a healthy request again and again, for causes of their
+// own; between the crashes it is answered. What happened before an answer is
+// not held against it.
+Test(quarantine, an_answer_clears)
+{
+  story s;
+  for (const auto* backend : { "a", "b", "c", "d", "e", "f" }) {
+    s.end(backend, { bystander });
+    s.now += second_ms;
+    s.answer(bystander);
+    s.now += second_ms;
+    cr_assert(s.of(bystander) == standing::clear);
+  }
+}
+
+// The guilty request and a healthy one run on the same servers, and both die
+// there, time and again. The guilty one ends one more server elsewhere: that
+// explains all ends, and nothing is left against the other.
+Test(quarantine, a_bystander_is_not_blamed)
+{
+  story s;
+  s.end("a", { guilty, bystander });
+  s.end("b", { guilty });
+  s.end("c", { guilty });
+  cr_assert(s.of(guilty) == standing::refused);
+  cr_assert(s.of(bystander) == standing::clear);
+  SECTION("nor one that died once more by chance")
+  {
+    story t;
+    t.end("a", { guilty, bystander });
+    t.end("b", { guilty, bystander });
+    t.end("c", { bystander });
+    cr_assert(t.of(bystander) == standing::suspected);
+    t.end("d", { guilty });
+    t.end("e", { guilty });
+    cr_assert(t.of(guilty) == standing::refused);
+    cr_assert(t.of(bystander) == standing::suspected);
+  }
+  SECTION("two that always ran together: the next end tells")
+  {
+    story t;
+    for (const auto* backend : { "a", "b", "c" }) {
+      t.end(backend, { guilty, bystander });
+    }
+    cr_assert(t.of(guilty) == standing::suspected);
+    cr_assert(t.of(bystander) == standing::suspected);
+    t.end("d", { guilty });
+    cr_assert(t.of(guilty) == standing::refused);
+    cr_assert(t.of(bystander) == standing::clear);
+  }
+  SECTION("or shows that both are kept out, rather than neither for ever")
+  {
+    story t;
+    for (const auto* backend : { "a", "b", "c", "d" }) {
+      t.end(backend, { guilty, bystander });
+    }
+    cr_assert(t.of(guilty) == standing::refused);
+    cr_assert(t.of(bystander) == standing::refused);
+  }
+  SECTION("two guilty ones are both found")
+  {
+    story t;
+    for (const auto* backend : { "a", "b", "c" }) {
+      t.end(backend, { guilty });
+      t.end(std::string{ backend } + "2", { bystander });
+    }
+    cr_assert(t.of(guilty) == standing::refused);
+    cr_assert(t.of(bystander) == standing::refused);
+  }
+}
+
+// A rack goes down with sixty requests, of which some had a second attempt on
+// another server of it. None of them is kept out.
+Test(quarantine, a_rack_that_ends_keeps_nobody_out)
+{
+  story s;
+  for (int server = 0; server < 40; ++server) {
+    std::vector<fingerprint> ran;
+    for (int i = 0; i < 2; ++i) {
+      ran.push_back("work-" + std::to_string((server * 2 + i) % 60));
+    }
+    s.end("server-" + std::to_string(server), ran);
+  }
+  cr_assert(refused_calls(s.e, s.now).empty());
+}
+
+Test(quarantine, an_item_needs_more_ends_than_a_call)
+{
+  story s;
+  for (const auto* backend : { "a", "b", "c", "d" }) {
+    s.end(backend, { guilty });
+  }
+  cr_assert(s.of(guilty) == standing::refused);
+  cr_assert(s.of(guilty, run_kind::item) == standing::suspected);
+  s.end("e", { guilty });
+  cr_assert(s.of(guilty, run_kind::item) == standing::refused);
+}
+
+Test(quarantine, forgets_in_steps)
+{
+  story s;
+  for (const auto* backend : { "a", "b", "c" }) {
+    s.end(backend, { guilty });
+  }
+  const auto v = judge(s.e, guilty, run_kind::call, s.now);
+  cr_assert_eq(v.until_ms, s.now + 10 * minute_ms);
+  SECTION("kept out for ten minutes")
+  {
+    s.now += 10 * minute_ms - 1;
+    cr_assert(s.of(guilty) == standing::refused);
+  }
+  SECTION("then tried again, and kept out by one end more")
+  {
+    s.now += 1;
+    cr_assert(s.of(guilty) == standing::suspected);
+    s.end("d", { guilty });
+    cr_assert(s.of(guilty) == standing::refused);
+  }
+  SECTION("or cleared by an answer")
+  {
+    s.now += 10 * minute_ms;
+    s.answer(guilty);
+    cr_assert(s.of(guilty) == standing::clear);
+  }
+  SECTION("after an hour nothing is left of it")
+  {
+    s.now += 60 * minute_ms + 1;
+    cr_assert_eq(expire(s.e, s.now).size(), 5);
+    cr_assert(s.of(guilty) == standing::clear);
+    cr_assert(s.e.reports.empty());
+  }
+}
+
+Test(quarantine, holds_a_bounded_number_of_reports)
+{
+  story s;
+  constexpr int many = 5000;
+  for (int i = 0; i < many; ++i) {
+    s.now += 1;
+    s.end("server-" + std::to_string(i), { "work-" + std::to_string(i) });
+  }
+  cr_assert_eq(s.e.reports.size(), s.e.limits.reports);
+  SECTION("the oldest go first")
+  {
+    cr_assert(s.of("work-0") == standing::clear);
+    cr_assert(s.of("work-" + std::to_string(many - 1)) == standing::suspected);
+  }
+}
+
+// At full size each of 11,000 backend servers runs work of some forty entries.
+// 120 of them crash on an ordinary day, each reported by all that had work
+// there, and every report goes to every entry.
+Test(quarantine, costs_little_at_full_size)
+{
+  constexpr std::size_t entries_at_a_server = 40;
+  constexpr double ends_a_day = 120;
+  constexpr double day_s = 86400;
+  constexpr double budget_bytes_s = 2048;
+  report r{ "entry-dc-a-0001", start_ms, { { "i-7f3a91c2de", 1, {} } }, {} };
+  r.ended[0].ran = { guilty, bystander };
+  const auto bytes = static_cast<double>(encode(r).dump().size());
+  const auto bytes_s = bytes * entries_at_a_server * ends_a_day / day_s;
+  std::printf(
+    "    %.0f bytes a report, %.1f bytes/s at each entry\n", bytes, bytes_s);
+  // A hundredth of what a node may spend on control in all.
+  cr_assert_lt(bytes_s, budget_bytes_s / 100);
+}
+
+namespace {
+
+struct tally
+{
+  int others_refused = 0;
+  // Servers that the guilty one ended.
+  int ends = 0;
+};
+
+// Ten minutes of a service of 300 kinds of work in which a server ends every
+// five seconds, 140 times as often as the whole fleet's do on an ordinary day:
+// most by themselves and some under the guilty request, with what else runs
+// there. One other request runs beside the guilty one each second time. What
+// died is asked for again, and three in five are answered each second.
+tally
+play(std::uint64_t seed, const evidence_limits& limits)
+{
+  std::mt19937_64 random{ seed };
+  const auto below = [&](std::uint64_t n) { return random() % n; };
+  story s;
+  s.e.limits = limits;
+  tally t;
+  std::set<fingerprint> unanswered;
+  constexpr int rounds = 120;
+  constexpr int seconds_between = 5;
+  for (int i = 0; i < rounds; ++i) {
+    std::vector<fingerprint> ran;
+    for (auto beside = below(4); beside > 0; --beside) {
+      ran.push_back(std::to_string(1'000'000'000'000'000 + below(300)));
+    }
+    if (below(4) == 0 && s.of(guilty) != standing::refused) {
+      ++t.ends;
+      ran.push_back(guilty);
+      if (below(2) == 0) {
+        ran.push_back(bystander);
+      }
+    }
+    s.end("s" + std::to_string(i), ran);
+    unanswered.insert(ran.begin(), ran.end());
+    unanswered.erase(guilty);
+    for (const auto& [f, v] : refused_calls(s.e, s.now)) {
+      t.others_refused += f != guilty ? 1 : 0;
+    }
+    for (int second = 0; second < seconds_between; ++second) {
+      s.now += second_ms;
+      std::erase_if(unanswered, [&](const fingerprint& f) {
+        const bool answered = below(5) < 3;
+        if (answered) {
+          s.answer(f);
+        }
+        return answered;
+      });
+    }
+  }
+  return t;
+}
+
+} // namespace
+
+// Seeds 1 to 200: the guilty one is kept out after three ends, or four where
+// another always ran beside it, and nobody else ever is.
+Test(quarantine, finds_the_guilty_one_and_nobody_else)
+{
+  tally all;
+  constexpr std::uint64_t seeds = 200;
+  for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+    const auto t = play(seed, {});
+    all.others_refused += t.others_refused;
+    all.ends = std::max(all.ends, t.ends);
+  }
+  std::printf("    others refused %d, ends by the guilty one %d at most\n",
+              all.others_refused,
+              all.ends);
+  cr_assert_eq(all.others_refused, 0);
+  cr_assert_leq(all.ends, 4);
+}
--- a/cactusford/quarantine/fingerprint.cc
+++ b/cactusford/quarantine/fingerprint.cc
@@ -17,8 +17,7 @@
   for (const auto part : { w.host, w.method, w.target, w.caller, w.body }) {
     hash = XXH3_64bits_withSeed(part.data(), part.size(), hash);
   }
-  constexpr std::size_t digits = 16;
-  std::array<char, digits + 1> text{};
+  std::array<char, fingerprint_digits + 1> text{};
   std::snprintf(
     text.data(), text.size(), "%016llx", static_cast<unsigned long long>(hash));
   return text.data();
--- a/cactusford/quarantine/fingerprint.h
+++ b/cactusford/quarantine/fingerprint.h
@@ -11,6 +11,8 @@
 // Sixteen hexadecimal digits; empty: nothing to recognise it by.
 using fingerprint = std::string;
 
+constexpr std::size_t fingerprint_digits = 16;
+
 // All that a backend server computes its answer from. What differs from one
 // attempt to the next, such as ids and deadlines, is left out.
 struct work
--- /dev/null
+++ b/cactusford/quarantine/guard.cc
@@ -0,0 +1,376 @@
+#include "cactusford/quarantine/guard.h"
+
+#include "cactusford/http/probe.h"
+#include "cactusford/http/socket.h"
+#include "cactusford/process/line_log.h"
+#include "cactusford/timeline/clock.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace cactusford::quarantine {
+
+namespace {
+
+// A process that has ended refuses connections at once; one that is cut off
+// does not answer. Instances and backend servers are milliseconds apart.
+constexpr std::uint64_t probe_ms = 250;
+
+// Lives looked at at the same time. Past it more of the deployment is failing
+// than one request can bring down.
+constexpr std::size_t most_doubts = 256;
+
+// All connections to a server that ends are cut within milliseconds: its
+// requests come into one report.
+constexpr std::uint64_t gather_ms = 20;
+
+// An answer that is not urgent waits for others: nearly all requests that died
+// with a server are answered elsewhere a moment later. Below the time in which
+// a healthy request could meet two more ends.
+constexpr std::uint64_t gather_answers_ms = 5000;
+
+// Between two reports of an instance, so that a rack that ends costs the store
+// five writes a second for each instance that had work there, at most.
+constexpr std::uint64_t report_pause_ms = 200;
+
+// A report that the store did not take is sent again after this; the store's
+// own outages last seconds.
+constexpr std::uint64_t rewrite_pause_ms = 500;
+
+// Reports that wait for the store: ten seconds of them.
+constexpr std::size_t most_waiting = 50;
+
+// How long the store may hold the watch. A watch that has gone silent is
+// noticed this much later, below the three seconds in which instances must
+// hear of each other; each answer is a call that is paid for.
+constexpr std::uint64_t watch_wait_ms = 2000;
+
+constexpr std::uint64_t tick_ms = 1000;
+
+// Expired reports removed at a time, and how much later those of others are:
+// their reporters do it themselves if they live.
+constexpr std::size_t removals_at_once = 2;
+
+std::string
+key_of(const backends::life& l)
+{
+  return l.id + "@" + std::to_string(l.started_ms);
+}
+
+void
+add_once(std::vector<fingerprint>& all, const fingerprint& f)
+{
+  const bool known = std::find(all.begin(), all.end(), f) != all.end();
+  if (!known && all.size() < most_works) {
+    all.push_back(f);
+  }
+}
+
+// The first of them, as far as one line holds them.
+std::string
+listed(const std::vector<fingerprint>& all)
+{
+  constexpr std::size_t most_listed = 8;
+  std::string text;
+  for (std::size_t i = 0; i < std::min(all.size(), most_listed); ++i) {
+    text += (text.empty() ? "" : ",") + all[i];
+  }
+  return text;
+}
+
+} // namespace
+
+guard::guard(asio::io_context& io, store::client& store, guard_settings s)
+  : io_{ io }
+  , store_{ store }
+  , settings_{ std::move(s) }
+  , watcher_{ io,
+              store,
+              { std::string{ report_kind }, watch_wait_ms, 0, true },
+              { [this](std::vector<store::object>&& all) {
+                 on_list(std::move(all));
+               },
+                [this](store::change&& c) {
+                  if (c.deleted) {
+                    drop(evidence_, c.value.name);
+                  } else {
+                    take_object(c.value);
+                  }
+                },
+                [this] { log_standings(); } } }
+  , ticker_{ io }
+  , flusher_{ io }
+{
+  evidence_.limits = settings_.limits;
+}
+
+void
+guard::start()
+{
+  watcher_.start();
+  tick();
+}
+
+verdict
+guard::judge(const fingerprint& f, run_kind kind)
+{
+  return quarantine::judge(evidence_, f, kind, timeline::wall_ms());
+}
+
+// Ends of a connection are many, ends of a process few. Counted alike, resets
+// and lost answers would make suspects of requests that run well.
+void
+guard::on_cut(const backends::life& of,
+              const std::string& address,
+              const fingerprint& f)
+{
+  ++counts_.cuts;
+  const auto key = key_of(of);
+  const auto found = doubts_.find(key);
+  if (found != doubts_.end()) {
+    add_once(found->second.ran, f);
+    return;
+  }
+  if (doubts_.size() >= most_doubts) {
+    process::log_line(timeline::event{ "cut_not_looked_at" }
+                        .with("backend", of.id)
+                        .with("work", f)
+                        .with("doubts", doubts_.size()));
+    return;
+  }
+  doubts_[key] = { of, { f } };
+  http::probe(io_, address, probe_ms, [this, key](http::probe_end end) {
+    on_probed(key, end == http::probe_end::refused);
+  });
+}
+
+void
+guard::on_probed(const std::string& key, bool has_ended)
+{
+  auto d = std::move(doubts_.at(key));
+  doubts_.erase(key);
+  process::log_line(timeline::event{ has_ended ? "backend_ended" : "cut_only" }
+                      .with("backend", d.of.id)
+                      .with("started_ms", d.of.started_ms)
+                      .with("works", listed(d.ran))
+                      .with("count", d.ran.size()));
+  if (!has_ended) {
+    return;
+  }
+  ++counts_.ends;
+  auto& r = reopen_report();
+  const auto known =
+    std::find_if(r.ended.begin(), r.ended.end(), [&](const auto& l) {
+      return l.backend == d.of.id && l.started_ms == d.of.started_ms;
+    });
+  if (known != r.ended.end()) {
+    for (const auto& f : d.ran) {
+      add_once(known->ran, f);
+    }
+  } else if (r.ended.size() < most_lives) {
+    r.ended.push_back({ d.of.id, d.of.started_ms, std::move(d.ran) });
+  }
+  keep_open_report(gather_ms);
+}
+
+// One answer shows that the request does not end all that run it. Told to all
+// at once where one end more could keep it out.
+void
+guard::on_answered(const fingerprint& f)
+{
+  const auto v = judge(f, run_kind::call);
+  if (v.ends == 0) {
+    return;
+  }
+  process::log_line(
+    timeline::event{ "work_cleared" }.with("work", f).with("ends", v.ends));
+  add_once(reopen_report().answered, f);
+  const bool is_urgent = v.ends + 1 >= settings_.limits.ends;
+  keep_open_report(is_urgent ? gather_ms : gather_answers_ms);
+}
+
+// Its time is that of what was added last.
+report&
+guard::reopen_report()
+{
+  const auto now = timeline::wall_ms();
+  if (open_.name.empty()) {
+    open_ = { name_of_report(settings_.instance, now),
+              { settings_.instance, now, {}, {} } };
+  }
+  open_.value.at_ms = now;
+  return open_.value;
+}
+
+// Counts here at once, and for the others when it is written.
+void
+guard::keep_open_report(std::uint64_t wait_ms)
+{
+  take(evidence_, open_.name, open_.value);
+  log_standings();
+  const auto due =
+    std::max(http::now_ms() + wait_ms, last_flush_ms_ + report_pause_ms);
+  if (flush_due_ms_ != 0 && flush_due_ms_ <= due) {
+    return;
+  }
+  flush_due_ms_ = due;
+  flusher_.expires_after(std::chrono::milliseconds{ due - http::now_ms() });
+  flusher_.async_wait([this](asio::error_code ec) {
+    if (!ec) {
+      flush();
+    }
+  });
+}
+
+void
+guard::flush()
+{
+  flush_due_ms_ = 0;
+  last_flush_ms_ = http::now_ms();
+  auto u = std::make_shared<unsaved>(std::exchange(open_, {}));
+  if (waiting_.size() >= most_waiting) {
+    ++counts_.reports_dropped;
+    process::log_line(timeline::event{ "report_dropped" }
+                        .with("report", waiting_.front()->name)
+                        .with("waiting", waiting_.size()));
+    waiting_.pop_front();
+  }
+  waiting_.push_back(u);
+  write(u);
+}
+
+void
+guard::write(const std::shared_ptr<unsaved>& u)
+{
+  store::call c;
+  c.op = store::operation::create;
+  c.kind = report_kind;
+  c.name = u->name;
+  c.body = encode(u->value);
+  store_.perform(c, [this, u](store::reply&& r) {
+    const bool still_wanted =
+      std::find(waiting_.begin(), waiting_.end(), u) != waiting_.end();
+    // A conflict is with our own write: nobody else uses the name.
+    const bool written =
+      r.what == store::verdict::done || r.what == store::verdict::conflict;
+    process::log_line(timeline::event{ "report_written" }
+                        .with("report", u->name)
+                        .with("verdict", store::name_of(r.what))
+                        .with("ended", u->value.ended.size())
+                        .with("answered", u->value.answered.size()));
+    if (written) {
+      ++counts_.reports_written;
+      std::erase(waiting_, u);
+    } else if (still_wanted) {
+      auto t = std::make_shared<asio::steady_timer>(
+        io_, std::chrono::milliseconds{ rewrite_pause_ms });
+      t->async_wait([this, t, u](asio::error_code ec) {
+        if (!ec) {
+          write(u);
+        }
+      });
+    }
+  });
+}
+
+// What is not written yet stands beside what the store has.
+void
+guard::on_list(std::vector<store::object>&& all)
+{
+  evidence_.reports.clear();
+  evidence_.changed = true;
+  for (const auto& o : all) {
+    take_object(o);
+  }
+  for (const auto& u : waiting_) {
+    take(evidence_, u->name, u->value);
+  }
+  if (!open_.name.empty()) {
+    take(evidence_, open_.name, open_.value);
+  }
+}
+
+void
+guard::take_object(const store::object& o)
+{
+  auto r = report_from(o.spec);
+  if (r) {
+    take(evidence_, o.name, std::move(*r));
+  } else {
+    drop(evidence_, o.name);
+    store::log_unreadable(report_kind, { o.name, r.fault });
+  }
+}
+
+// Reports that count no more are removed by who wrote them, and by the relays
+// if that instance is gone: the store would keep them for ever.
+void
+guard::tick()
+{
+  const auto now = timeline::wall_ms();
+  std::size_t removed = 0;
+  for (const auto& [name, r] : evidence_.reports) {
+    const bool mine = is_reported_by(name, settings_.instance);
+    const bool old = r.at_ms + settings_.limits.remember_ms < now;
+    if (old && (mine || settings_.removes_for_others) &&
+        removed < removals_at_once) {
+      ++removed;
+      remove(name);
+    }
+  }
+  // Others' expire here without a call; the removal is seen later.
+  if (!settings_.removes_for_others) {
+    expire(evidence_, now);
+  }
+  log_standings();
+  ticker_.expires_after(std::chrono::milliseconds{ tick_ms });
+  ticker_.async_wait([this](asio::error_code ec) {
+    if (!ec) {
+      tick();
+    }
+  });
+}
+
+void
+guard::remove(const std::string& name)
+{
+  store::call c;
+  c.op = store::operation::remove;
+  c.kind = report_kind;
+  c.name = name;
+  store_.perform(c, [this, name](store::reply&& r) {
+    if (r.what == store::verdict::done || r.what == store::verdict::missing) {
+      drop(evidence_, name);
+    }
+  });
+}
+
+// One line when a request begins to be kept out, and one when it may be tried
+// again, with what it rests on.
+void
+guard::log_standings()
+{
+  const auto now = timeline::wall_ms();
+  auto refused = refused_calls(evidence_, now);
+  for (const auto& [work, v] : refused) {
+    if (!kept_out_.contains(work)) {
+      process::log_line(timeline::event{ "work_quarantined" }
+                          .with("work", work)
+                          .with("ends", v.ends)
+                          .with("until_ms", v.until_ms)
+                          .with("reports", evidence_.reports.size())
+                          .with("store_revision", watcher_.as_of()));
+    }
+  }
+  for (const auto& [work, v] : kept_out_) {
+    if (!refused.contains(work)) {
+      process::log_line(timeline::event{ "work_allowed" }
+                          .with("work", work)
+                          .with("ends", v.ends)
+                          .with("until_ms", v.until_ms));
+    }
+  }
+  kept_out_ = std::move(refused);
+}
+
+} // namespace cactusford::quarantine
--- /dev/null
+++ b/cactusford/quarantine/guard.h
@@ -0,0 +1,122 @@
+// Finds out which requests end backend servers, together with all other
+// instances, and says which may be sent. Evidence stands in the store: it
+// outlives the instances that found it, and reaches all of them.
+#pragma once
+
+#include "cactusford/backends/registry.h"
+#include "cactusford/quarantine/evidence.h"
+#include "cactusford/quarantine/report.h"
+#include "cactusford/store/watcher.h"
+
+#include <asio/io_context.hpp>
+#include <asio/steady_timer.hpp>
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+namespace cactusford::quarantine {
+
+struct guard_settings
+{
+  std::string instance;
+  // Removes what reporters have left behind that are gone.
+  bool removes_for_others = false;
+  evidence_limits limits = {};
+};
+
+struct guard_counts
+{
+  // Connections that were cut while a request ran.
+  std::uint64_t cuts = 0;
+  // Lives found to have ended under a request.
+  std::uint64_t ends = 0;
+  std::uint64_t reports_written = 0;
+  // Reports that were given up, as too many waited for the store.
+  std::uint64_t reports_dropped = 0;
+  // Requests that were not sent.
+  std::uint64_t refusals = 0;
+
+  friend bool operator==(const guard_counts&, const guard_counts&) = default;
+};
+
+class guard
+{
+public:
+  guard(asio::io_context& io, store::client& store, guard_settings s);
+
+  void start();
+
+  // What others have reported is known.
+  bool is_current() const { return watcher_.is_current(); }
+
+  // The store may have changed unseen.
+  void refresh() { watcher_.refresh(); }
+
+  // May it be sent? Asked before each attempt.
+  verdict judge(const fingerprint& f, run_kind kind);
+
+  // The same, for a request that is refused for it.
+  void note_refused() { ++counts_.refusals; }
+
+  // The connection of a run ended without a whole answer. The backend server
+  // is looked at: an end of its process counts, a reset or a lost answer not.
+  void on_cut(const backends::life& of,
+              const std::string& address,
+              const fingerprint& f);
+
+  // A backend server ran it and answered.
+  void on_answered(const fingerprint& f);
+
+  const guard_counts& counts() const { return counts_; }
+  std::size_t reports() const { return evidence_.reports.size(); }
+
+private:
+  // A life whose end is in doubt, and what ran there.
+  struct doubt
+  {
+    backends::life of;
+    std::vector<fingerprint> ran;
+  };
+
+  struct unsaved
+  {
+    std::string name;
+    report value;
+  };
+
+  void on_probed(const std::string& key, bool has_ended);
+  report& reopen_report();
+  void keep_open_report(std::uint64_t wait_ms);
+  void flush();
+  void write(const std::shared_ptr<unsaved>& u);
+  void on_list(std::vector<store::object>&& all);
+  void take_object(const store::object& o);
+  void tick();
+  void remove(const std::string& name);
+  void log_standings();
+
+  asio::io_context& io_;
+  store::client& store_;
+  guard_settings settings_;
+  store::watcher watcher_;
+  asio::steady_timer ticker_;
+  asio::steady_timer flusher_;
+  evidence evidence_;
+  std::map<std::string, doubt> doubts_;
+  // The report that gathers what is seen now; empty name: none.
+  unsaved open_;
+  // Written and not acknowledged.
+  std::deque<std::shared_ptr<unsaved>> waiting_;
+  std::uint64_t last_flush_ms_ = 0;
+  // 0: nothing is to be written.
+  std::uint64_t flush_due_ms_ = 0;
+  // Calls that are kept out, as far as logged.
+  std::map<fingerprint, verdict> kept_out_;
+  guard_counts counts_;
+};
+
+} // namespace cactusford::quarantine
--- /dev/null
+++ b/cactusford/quarantine/report.cc
@@ -0,0 +1,87 @@
+#include "cactusford/quarantine/report.h"
+
+namespace cactusford::quarantine {
+
+namespace {
+
+using nlohmann::json;
+
+// Longer than any id of a backend server: other writers' texts are not kept.
+constexpr std::size_t longest_id = 256;
+
+std::vector<fingerprint>
+works_from(const json& list)
+{
+  if (list.size() > most_works) {
+    throw store::field_error{ { "ran", "too many" } };
+  }
+  auto works = list.get<std::vector<fingerprint>>();
+  for (const auto& w : works) {
+    if (w.size() != fingerprint_digits) {
+      throw store::field_error{ { "ran", "no fingerprint" } };
+    }
+  }
+  return works;
+}
+
+ended_life
+life_from(const json& j)
+{
+  const auto& backend = store::text_field(j, "backend");
+  if (backend.size() > longest_id) {
+    throw store::field_error{ { "backend", "too long" } };
+  }
+  return { backend,
+           store::whole_field(j, "started_ms"),
+           works_from(store::list_field(j, "ran")) };
+}
+
+} // namespace
+
+json
+encode(const report& r)
+{
+  json ended = json::array();
+  for (const auto& l : r.ended) {
+    ended.push_back({ { "backend", l.backend },
+                      { "started_ms", l.started_ms },
+                      { "ran", l.ran } });
+  }
+  return { { "by", r.reporter },
+           { "at_ms", r.at_ms },
+           { "ended", ended },
+           { "answered", r.answered } };
+}
+
+store::decoded<report>
+report_from(const json& spec)
+{
+  return store::read_shape([&] {
+    report r;
+    r.reporter = store::text_field(spec, "by");
+    r.at_ms = store::whole_field(spec, "at_ms");
+    r.answered = works_from(store::list_field(spec, "answered"));
+    const auto& ended = store::list_field(spec, "ended");
+    if (ended.size() > most_lives) {
+      throw store::field_error{ { "ended", "too many" } };
+    }
+    for (const auto& l : ended) {
+      r.ended.push_back(life_from(l));
+    }
+    return r;
+  });
+}
+
+std::string
+name_of_report(const std::string& instance, std::uint64_t at_ms)
+{
+  return instance + "." + std::to_string(at_ms);
+}
+
+bool
+is_reported_by(const std::string& name, const std::string& instance)
+{
+  return name.starts_with(instance + ".");
+}
+
+} // namespace cactusford::quarantine
--- a/standins/frail_service.cc
+++ b/standins/frail_service.cc
@@ -51,7 +51,8 @@
   constexpr int slots = 8;
   store_.put("backends",
              s.id(),
-             { { "service", options_.service },
+             { { "started_ms", s.life },
+               { "service", options_.service },
                { "address", s.address() },
                { "slots", slots } });
 }
--- a/standins/object_store.cc
+++ b/standins/object_store.cc
@@ -143,13 +143,14 @@
     batches::item item;
     item.id = i.at("id").get<std::string>();
     item.path = "/run/";
-    item.body = "b";
+    item.body = i.value("body", "b");
     item.group = i.at("group").get<std::string>();
     item.length_hint = i.value("hint", std::uint64_t{ 0 });
     if (i.contains("scorer")) {
-      item.scorer = batches::scorer_call{
-        i.at("scorer").get<std::string>(), "h", "/score/", "s"
-      };
+      item.scorer = batches::scorer_call{ i.at("scorer").get<std::string>(),
+                                          "h",
+                                          "/score/",
+                                          i.value("scorer_body", "s") };
     }
     s.items.push_back(std::move(item));
   }
--- a/standins/stream_engine.cc
+++ b/standins/stream_engine.cc
@@ -58,12 +58,29 @@
   }
   const auto last = http::number(r.fields, "Last").value_or(0);
   runs.push_back({ item, last });
+  if (!fatal_body.empty() && r.body == fatal_body) {
+    auto t = std::make_shared<asio::steady_timer>(
+      io_, std::chrono::milliseconds{ gap_ms });
+    t->async_wait([this, t](asio::error_code ec) {
+      if (!ec) {
+        end();
+      }
+    });
+    return;
+  }
   ++streaming;
   c.on_gone([this] { --streaming; });
   c.begin(200, { { "Id", item }, { "Version", std::to_string(version) } });
   stream(c, item, last + 1);
 }
 
+void
+stream_engine::end()
+{
+  has_ended = true;
+  server_.close();
+}
+
 void
 stream_engine::stream(const http::call& c,
                       const std::string& item,
--- a/standins/stream_engine.h
+++ b/standins/stream_engine.h
@@ -27,6 +27,12 @@
   std::uint64_t version = 1;
   // Ends the stream in the middle of event n of an item's first run; 0: never.
   std::uint64_t cut_inside_event = 0;
+  // It ends, and all its runs with it.
+  void end();
+
+  // A run with this body ends the engine.
+  std::string fatal_body;
+  bool has_ended = false;
   // Answers refused as not run because weights are being loaded.
   bool loading = false;
 
--- a/tests/batches_world.h
+++ b/tests/batches_world.h
@@ -61,6 +61,8 @@
   http::server peer;
   http::server front;
   store::client store;
+  // Started by the tests that need it.
+  quarantine::guard guard;
   edge::forwarder forwarder;
   std::unique_ptr<batches::keeper> keeper;
   std::unique_ptr<store::watcher> watcher;
@@ -79,7 +81,8 @@
     : peer{ io, {}, [this](const http::call& c) { on_peer(c); } }
     , front{ io, {}, [this](const http::call& c) { on_caller(c); } }
     , store{ io, http, dialect.store, { store_address, {} } }
-    , forwarder{ io, http, registry, dialect, "a" }
+    , guard{ io, store, { name } }
+    , forwarder{ io, http, registry, dialect, "a", &guard }
   {
     cr_assert_not(peer.listen("127.0.0.1:0"));
     cr_assert_not(front.listen("127.0.0.1:0"));
@@ -96,7 +99,8 @@
                              "a",
                              keep_ms,
                              1,
-                             [this] { return others; } });
+                             [this] { return others; },
+                             &guard });
     watcher = std::make_unique<store::watcher>(
       io,
       store,
