--- a/cactusford/quarantine/evidence-test.cc
+++ b/cactusford/quarantine/evidence-test.cc
@@ -32,10 +32,18 @@
     take(e, r.reporter + "." + std::to_string(next++), std::move(r));
   }
 
-  // A backend server ends; an instance was running these there.
+  // A second later a backend server ends; an instance was running these there.
   void end(const std::string& backend,
            std::vector<fingerprint> ran,
            const std::string& reporter = "entry-0")
+  {
+    now += second_ms;
+    end_now(backend, std::move(ran), reporter);
+  }
+
+  void end_now(const std::string& backend,
+               std::vector<fingerprint> ran,
+               const std::string& reporter = "entry-0")
   {
     add({ reporter, now, { { backend, 1, std::move(ran) } }, {} });
   }
@@ -149,14 +157,31 @@
 Test(quarantine, a_rack_that_ends_keeps_nobody_out)
 {
   story s;
-  for (int server = 0; server < 40; ++server) {
-    std::vector<fingerprint> ran;
-    for (int i = 0; i < 2; ++i) {
-      ran.push_back("work-" + std::to_string((server * 2 + i) % 60));
+  const auto end_rack = [&s](const std::string& rack, int works) {
+    s.now += second_ms;
+    for (int server = 0; server < 40; ++server) {
+      std::vector<fingerprint> ran;
+      for (int i = 0; i < 2; ++i) {
+        ran.push_back("work-" + std::to_string((server * 2 + i) % works));
+      }
+      s.end_now(rack + std::to_string(server), ran);
     }
-    s.end("server-" + std::to_string(server), ran);
-  }
+  };
+  end_rack("a", 60);
   cr_assert(refused_calls(s.e, s.now).empty());
+  SECTION("also with few kinds of work, each on many of its servers")
+  {
+    end_rack("b", 10);
+    cr_assert(refused_calls(s.e, s.now).empty());
+  }
+  SECTION("ends of one request alone count each, however close")
+  {
+    story t;
+    for (const auto* backend : { "a", "b", "c" }) {
+      t.end_now(backend, { guilty });
+    }
+    cr_assert(t.of(guilty) == standing::refused);
+  }
 }
 
 Test(quarantine, an_item_needs_more_ends_than_a_call)
@@ -278,7 +303,7 @@
         ran.push_back(bystander);
       }
     }
-    s.end("s" + std::to_string(i), ran);
+    s.end_now("s" + std::to_string(i), ran);
     unanswered.insert(ran.begin(), ran.end());
     unanswered.erase(guilty);
     for (const auto& [f, v] : refused_calls(s.e, s.now)) {
--- a/cactusford/quarantine/evidence.cc
+++ b/cactusford/quarantine/evidence.cc
@@ -26,19 +26,35 @@
   return last;
 }
 
+// When each life ended, by the first that reported it.
+std::map<life, std::uint64_t>
+times_of_ends(const evidence& e)
+{
+  std::map<life, std::uint64_t> times;
+  for (const auto& [name, r] : e.reports) {
+    for (const auto& l : r.ended) {
+      const life ended{ l.backend, l.started_ms };
+      const auto known = times.emplace(ended, r.at_ms).first;
+      known->second = std::min(known->second, r.at_ms);
+    }
+  }
+  return times;
+}
+
 // A life that several instances report has ended once.
 ends_by_work
-ends_without_answer(const evidence& e)
+ends_without_answer(const evidence& e,
+                    const std::map<life, std::uint64_t>& times)
 {
   const auto answers = last_answers(e);
   ends_by_work ends;
   for (const auto& [name, r] : e.reports) {
     for (const auto& l : r.ended) {
+      const life ended{ l.backend, l.started_ms };
       for (const auto& f : l.ran) {
         const auto answered = answers.find(f);
         if (answered == answers.end() || r.at_ms > answered->second) {
-          auto& at = ends[f][{ l.backend, l.started_ms }];
-          at = std::max(at, r.at_ms);
+          ends[f][ended] = times.at(ended);
         }
       }
     }
@@ -46,6 +62,63 @@
   return ends;
 }
 
+struct timed_life
+{
+  std::uint64_t at_ms = 0;
+  life of;
+
+  friend auto operator<=>(const timed_life&, const timed_life&) = default;
+};
+
+std::set<timed_life>
+by_time(const std::map<life, std::uint64_t>& times)
+{
+  std::set<timed_life> sorted;
+  for (const auto& [l, at] : times) {
+    sorted.insert({ at, l });
+  }
+  return sorted;
+}
+
+// Some life ended at about that time under other requests alone.
+bool
+others_ended_too(const std::set<timed_life>& all,
+                 const std::map<life, std::uint64_t>& own,
+                 std::uint64_t at_ms,
+                 std::uint64_t moment_ms)
+{
+  const auto from = at_ms > moment_ms ? at_ms - moment_ms : 0;
+  for (auto it = all.lower_bound({ from, {} });
+       it != all.end() && it->at_ms <= at_ms + moment_ms;
+       ++it) {
+    if (!own.contains(it->of)) {
+      return true;
+    }
+  }
+  return false;
+}
+
+// A rack takes a request and its second attempt down together, and each server
+// of it would count. What ended together with servers that did not run the
+// request counts once.
+std::set<life>
+separate_ends(const std::map<life, std::uint64_t>& own,
+              const std::set<timed_life>& all,
+              std::uint64_t moment_ms)
+{
+  std::set<life> separate;
+  std::uint64_t last_ms = 0;
+  for (const auto& l : by_time(own)) {
+    const bool is_next = separate.empty() || l.at_ms > last_ms + moment_ms ||
+                         !others_ended_too(all, own, l.at_ms, moment_ms);
+    if (is_next) {
+      separate.insert(l.of);
+      last_ms = l.at_ms;
+    }
+  }
+  return separate;
+}
+
 struct candidate
 {
   fingerprint work;
@@ -127,14 +200,15 @@
 {
   e.changed = false;
   e.suspicions.clear();
-  const auto ends = ends_without_answer(e);
+  const auto times = times_of_ends(e);
+  const auto sorted = by_time(times);
+  const auto ends = ends_without_answer(e, times);
   std::vector<candidate> all;
   for (const auto& [work, lives] : ends) {
-    candidate c{ work, &lives, {}, false };
-    for (const auto& [l, at] : lives) {
-      c.own.insert(l);
-    }
-    all.push_back(std::move(c));
+    all.push_back({ work,
+                    &lives,
+                    separate_ends(lives, sorted, e.limits.moment_ms),
+                    false });
   }
   blame(all, e.limits, e.suspicions);
   for (const auto& c : all) {
--- a/cactusford/quarantine/evidence.h
+++ b/cactusford/quarantine/evidence.h
@@ -66,6 +66,10 @@
   // minutes or more; each trial before it may cost a server with all that runs
   // there.
   std::uint64_t refuse_ms = 600000;
+  // Lives that end within this time of each other, some with the request and
+  // some without, may have a cause in common, such as a rack: they count as one
+  // end. A report gathers for up to 200 ms, and clocks are near.
+  std::uint64_t moment_ms = 250;
   // Reports older than this count no more. Until then one more end is enough.
   std::uint64_t remember_ms = 3600000;
   // Reports held: a rack of forty servers that ends under eleven hundred
--- a/cactusford/quarantine/guard.cc
+++ b/cactusford/quarantine/guard.cc
@@ -24,11 +24,6 @@
 // requests come into one report.
 constexpr std::uint64_t gather_ms = 20;
 
-// An answer that is not urgent waits for others: nearly all requests that died
-// with a server are answered elsewhere a moment later. Below the time in which
-// a healthy request could meet two more ends.
-constexpr std::uint64_t gather_answers_ms = 5000;
-
 // Between two reports of an instance, so that a rack that ends costs the store
 // five writes a second for each instance that had work there, at most.
 constexpr std::uint64_t report_pause_ms = 200;
@@ -170,11 +165,11 @@
   } else if (r.ended.size() < most_lives) {
     r.ended.push_back({ d.of.id, d.of.started_ms, std::move(d.ran) });
   }
-  keep_open_report(gather_ms);
+  keep_open_report();
 }
 
-// One answer shows that the request does not end all that run it. Told to all
-// at once where one end more could keep it out.
+// One answer shows that the request does not end all that run it. Told to all:
+// the ends that it meets at other entries would add up otherwise.
 void
 guard::on_answered(const fingerprint& f)
 {
@@ -185,8 +180,7 @@
   process::log_line(
     timeline::event{ "work_cleared" }.with("work", f).with("ends", v.ends));
   add_once(reopen_report().answered, f);
-  const bool is_urgent = v.ends + 1 >= settings_.limits.ends;
-  keep_open_report(is_urgent ? gather_ms : gather_answers_ms);
+  keep_open_report();
 }
 
 // Its time is that of what was added last.
@@ -204,17 +198,17 @@
 
 // Counts here at once, and for the others when it is written.
 void
-guard::keep_open_report(std::uint64_t wait_ms)
+guard::keep_open_report()
 {
   take(evidence_, open_.name, open_.value);
   log_standings();
-  const auto due =
-    std::max(http::now_ms() + wait_ms, last_flush_ms_ + report_pause_ms);
-  if (flush_due_ms_ != 0 && flush_due_ms_ <= due) {
+  if (is_flush_due_) {
     return;
   }
-  flush_due_ms_ = due;
-  flusher_.expires_after(std::chrono::milliseconds{ due - http::now_ms() });
+  is_flush_due_ = true;
+  const auto now = http::now_ms();
+  const auto due = std::max(now + gather_ms, last_flush_ms_ + report_pause_ms);
+  flusher_.expires_after(std::chrono::milliseconds{ due - now });
   flusher_.async_wait([this](asio::error_code ec) {
     if (!ec) {
       flush();
@@ -225,7 +219,7 @@
 void
 guard::flush()
 {
-  flush_due_ms_ = 0;
+  is_flush_due_ = false;
   last_flush_ms_ = http::now_ms();
   auto u = std::make_shared<unsaved>(std::exchange(open_, {}));
   if (waiting_.size() >= most_waiting) {
--- a/cactusford/quarantine/guard.h
+++ b/cactusford/quarantine/guard.h
@@ -90,7 +90,7 @@
 
   void on_probed(const std::string& key, bool has_ended);
   report& reopen_report();
-  void keep_open_report(std::uint64_t wait_ms);
+  void keep_open_report();
   void flush();
   void write(const std::shared_ptr<unsaved>& u);
   void on_list(std::vector<store::object>&& all);
@@ -112,8 +112,7 @@
   // Written and not acknowledged.
   std::deque<std::shared_ptr<unsaved>> waiting_;
   std::uint64_t last_flush_ms_ = 0;
-  // 0: nothing is to be written.
-  std::uint64_t flush_due_ms_ = 0;
+  bool is_flush_due_ = false;
   // Calls that are kept out, as far as logged.
   std::map<fingerprint, verdict> kept_out_;
   guard_counts counts_;
