Reports are written once and removed; pages on requests that end servers

Cause: a report whose write had no answer was written again under another name, one of an earlier process with the same name stood for it, relays went on counting reports that were too old, and a look beside an end went through all reports for each of 11,000 servers. Change: names are kept until the write is known; expired reports are removed from a list of their own; three servers are looked at, whichever come first.

--- a/cactusford/quarantine/guard.cc
+++ b/cactusford/quarantine/guard.cc
@@ -47,8 +47,7 @@
 
 constexpr std::uint64_t tick_ms = 1000;
 
-// Expired reports removed at a time, and how much later those of others are:
-// their reporters do it themselves if they live.
+// Expired reports removed at a time, once a second.
 constexpr std::size_t removals_at_once = 2;
 
 std::string
@@ -234,34 +233,40 @@
   if (known == registry_.all.end()) {
     return;
   }
-  std::vector<const backends::backend*> beside;
+  std::vector<const backends::backend*> peers;
   for (const auto& [id, b] : registry_.all) {
-    const bool is_peer = b.said.service == known->second.said.service &&
-                         id != ended.id && !b.said.leaving;
-    const auto of = backends::life_of(b);
-    if (is_peer && !doubts_.contains(key_of(of)) &&
-        !is_known_to_have_ended(of)) {
-      beside.push_back(&b);
+    if (b.said.service == known->second.said.service && id != ended.id &&
+        !b.said.leaving) {
+      peers.push_back(&b);
     }
   }
-  std::shuffle(beside.begin(), beside.end(), random_);
-  beside.resize(std::min(beside.size(), looked_at_beside));
-  for (const auto* b : beside) {
-    http::probe(io_,
-                b->said.address,
-                probe_ms,
-                [this, of = backends::life_of(*b)](http::probe_end end) {
-                  if (end == http::probe_end::refused &&
-                      !is_known_to_have_ended(of)) {
-                    process::log_line(timeline::event{ "backend_ended_idle" }
-                                        .with("backend", of.id)
-                                        .with("started_ms", of.started_ms));
-                    note_end(of, {});
-                  }
-                });
+  std::shuffle(peers.begin(), peers.end(), random_);
+  std::size_t looked_at = 0;
+  for (const auto* b : peers) {
+    const auto of = backends::life_of(*b);
+    if (doubts_.contains(key_of(of)) || is_known_to_have_ended(of)) {
+      continue;
+    }
+    look_at(of, b->said.address);
+    if (++looked_at == looked_at_beside) {
+      return;
+    }
   }
 }
 
+void
+guard::look_at(const backends::life& of, const std::string& address)
+{
+  http::probe(io_, address, probe_ms, [this, of](http::probe_end end) {
+    if (end == http::probe_end::refused && !is_known_to_have_ended(of)) {
+      process::log_line(timeline::event{ "backend_ended_idle" }
+                          .with("backend", of.id)
+                          .with("started_ms", of.started_ms));
+      note_end(of, {});
+    }
+  });
+}
+
 // One answer shows that the request does not end all that run it. Told to all:
 // the ends that it meets at other entries would add up otherwise.
 void
@@ -284,7 +289,8 @@
   const auto now = timeline::wall_ms();
   if (open_.name.empty()) {
     open_ = { name_of_report(settings_.instance, now),
-              { settings_.instance, now, {}, {} } };
+              { settings_.instance, now, {}, {} },
+              false };
   }
   open_.value.at_ms = now;
   return open_.value;
@@ -338,9 +344,15 @@
   store_.perform(c, [this, u](store::reply&& r) {
     const bool still_wanted =
       std::find(waiting_.begin(), waiting_.end(), u) != waiting_.end();
-    // A conflict is with our own write: nobody else uses the name.
-    const bool written =
-      r.what == store::verdict::done || r.what == store::verdict::conflict;
+    // After a try without an answer a conflict is with our own write. Otherwise
+    // the name is that of an earlier process, whose clock was ahead.
+    u->may_stand =
+      u->may_stand || r.after_unknown || r.what == store::verdict::unknown;
+    const bool written = r.what == store::verdict::done ||
+                         (r.what == store::verdict::conflict && u->may_stand);
+    if (r.what == store::verdict::conflict && !written) {
+      rename(*u);
+    }
     process::log_line(timeline::event{ "report_written" }
                         .with("report", u->name)
                         .with("verdict", store::name_of(r.what))
@@ -361,6 +373,15 @@
   });
 }
 
+void
+guard::rename(unsaved& u)
+{
+  drop(evidence_, u.name);
+  ++u.value.at_ms;
+  u.name = name_of_report(settings_.instance, u.value.at_ms);
+  take(evidence_, u.name, u.value);
+}
+
 // What is not written yet stands beside what the store has.
 void
 guard::on_list(std::vector<store::object>&& all)
@@ -395,20 +416,15 @@
 void
 guard::tick()
 {
-  const auto now = timeline::wall_ms();
-  std::size_t removed = 0;
-  for (const auto& [name, r] : evidence_.reports) {
+  for (const auto& name : expire(evidence_, timeline::wall_ms())) {
     const bool mine = is_reported_by(name, settings_.instance);
-    const bool old = r.at_ms + settings_.limits.remember_ms < now;
-    if (old && (mine || settings_.removes_for_others) &&
-        removed < removals_at_once) {
-      ++removed;
-      remove(name);
+    if (mine || settings_.removes_for_others) {
+      to_remove_.push_back(name);
     }
   }
-  // Others' expire here without a call; the removal is seen later.
-  if (!settings_.removes_for_others) {
-    expire(evidence_, now);
+  for (std::size_t i = 0; i < removals_at_once && !to_remove_.empty(); ++i) {
+    remove(to_remove_.front());
+    to_remove_.pop_front();
   }
   log_standings();
   ticker_.expires_after(std::chrono::milliseconds{ tick_ms });
@@ -419,6 +435,7 @@
   });
 }
 
+// One that fails is found again when the kind is listed.
 void
 guard::remove(const std::string& name)
 {
@@ -426,10 +443,10 @@
   c.op = store::operation::remove;
   c.kind = report_kind;
   c.name = name;
-  store_.perform(c, [this, name](store::reply&& r) {
-    if (r.what == store::verdict::done || r.what == store::verdict::missing) {
-      drop(evidence_, name);
-    }
+  store_.perform(c, [name](store::reply&& r) {
+    process::log_line(timeline::event{ "report_removed" }
+                        .with("report", name)
+                        .with("verdict", store::name_of(r.what)));
   });
 }
 
--- a/cactusford/quarantine/guard.h
+++ b/cactusford/quarantine/guard.h
@@ -94,16 +94,20 @@
   {
     std::string name;
     report value;
+    // Some try had no answer: the object may be ours.
+    bool may_stand = false;
   };
 
   void on_probed(const std::string& key, bool has_ended);
   void look_beside(const backends::life& ended);
+  void look_at(const backends::life& of, const std::string& address);
   void note_end(const backends::life& of, const std::vector<fingerprint>& ran);
   bool is_known_to_have_ended(const backends::life& of) const;
   report& reopen_report();
   void keep_open_report();
   void flush();
   void write(const std::shared_ptr<unsaved>& u);
+  void rename(unsaved& u);
   void on_list(std::vector<store::object>&& all);
   void take_object(const store::object& o);
   void tick();
@@ -123,6 +127,8 @@
   unsaved open_;
   // Written and not acknowledged.
   std::deque<std::shared_ptr<unsaved>> waiting_;
+  // Reports that count no more and still stand in the store.
+  std::deque<std::string> to_remove_;
   std::uint64_t last_flush_ms_ = 0;
   bool is_flush_due_ = false;
   // Calls that are kept out, as far as logged.
