A suspect is tried once at each arrival, and one run at a time

Change: a call that arrives with an end against it is not repeated after a cut, and waits while the same work runs here.

--- a/cactusford/edge/forward-test.cc
+++ b/cactusford/edge/forward-test.cc
@@ -87,6 +87,21 @@
   }
 }
 
+// A request under which a server has ended comes again, and its server ends.
+// Tried once more by the same call it would end two servers at each arrival;
+// refused answers and connections that were never made say nothing against it.
+Test(forward, tries_a_suspect_once_after_a_cut)
+{
+  auto suspect = progress(true, 1, 3);
+  suspect.repeatable_after_cut = false;
+  cr_assert(after_attempt(ended(end_state::cut), suspect) ==
+            next_step::give_up_unknown);
+  cr_assert(after_attempt(ended(end_state::not_sent), suspect) ==
+            next_step::try_another);
+  cr_assert(after_attempt(refused(), suspect) == next_step::try_another);
+  cr_assert(after_attempt(answered(500), suspect) == next_step::try_another);
+}
+
 Test(forward, says_not_run_only_when_nobody_has_run_it)
 {
   call_progress none{ true, 0, 3, 6 };
--- a/cactusford/edge/forward.cc
+++ b/cactusford/edge/forward.cc
@@ -23,6 +23,10 @@
 // When a caller may come back whose request another instance is trying.
 constexpr std::uint64_t trial_look_ms = 1000;
 
+// How often a suspect looks whether the run that it waits for has ended: a
+// plain call takes some ten milliseconds.
+constexpr std::uint64_t suspect_look_ms = 20;
+
 // An answer is kept whole before it is passed on.
 constexpr std::size_t max_answer_bytes = 16U << 20;
 
@@ -72,7 +76,9 @@
     return p.runs == 0 ? next_step::give_up_not_run
                        : next_step::give_up_unknown;
   }
-  const bool may_repeat = p.repeatable && tries_left && p.runs < p.max_runs;
+  const bool is_cut = end.state == http::end_state::cut;
+  const bool repeatable = p.repeatable && (!is_cut || p.repeatable_after_cut);
+  const bool may_repeat = repeatable && tries_left && p.runs < p.max_runs;
   if (complete) {
     // A success without its signature was made by no backend server.
     const bool genuine = end.is_signed || !is_success(end.status);
@@ -106,9 +112,12 @@
   std::vector<attempt> attempts;
   std::unique_ptr<asio::steady_timer> deadline;
   std::unique_ptr<asio::steady_timer> hedge;
+  std::unique_ptr<asio::steady_timer> pause;
   std::uint32_t runs = 0;
   std::uint32_t failed_runs = 0;
   std::uint32_t refusals = 0;
+  // Backend servers had ended under it when it was sent first.
+  bool is_suspect = false;
   // The one run that shows whether the request still ends what runs it.
   bool is_trial = false;
   // What keeps it out, once it is kept out.
@@ -189,13 +198,13 @@
     if (f->hedge) {
       f->hedge->cancel();
     }
+    if (f->pause) {
+      f->pause->cancel();
+    }
     for (auto& a : f->attempts) {
       if (!a.ended) {
-        a.ended = true;
+        end_attempt(*f, a);
         a.sent.cancel();
-        if (auto* b = backends::find(registry_, a.backend)) {
-          --b->in_flight;
-        }
       }
     }
     f->done = nullptr;
@@ -251,6 +260,14 @@
   switch (v.what) {
     case quarantine::standing::clear:
     case quarantine::standing::suspected:
+      if (!quarantine::has_ends(v) || !f->attempts.empty()) {
+        return true;
+      }
+      f->is_suspect = true;
+      if (is_run_by_another(*f)) {
+        wait_and_step(f);
+        return false;
+      }
       return true;
     case quarantine::standing::on_trial:
       if (f->attempts.empty()) {
@@ -266,6 +283,43 @@
   return true;
 }
 
+// Or has just ended in a way that is still being looked at.
+bool
+forwarder::is_run_by_another(const flight& f) const
+{
+  return running_.contains(f.work) || guard_->is_looking_at(f.work);
+}
+
+// A suspect that comes several times at once would end a server each time
+// before the first end is known.
+void
+forwarder::wait_and_step(const std::shared_ptr<flight>& f)
+{
+  f->pause = std::make_unique<asio::steady_timer>(
+    io_, std::chrono::milliseconds{ suspect_look_ms });
+  f->pause->async_wait([this, f](asio::error_code ec) {
+    if (!ec && !f->finished) {
+      step(f);
+    }
+  });
+}
+
+// The backend server, if it still lives.
+backends::backend*
+forwarder::end_attempt(const flight& f, attempt& a)
+{
+  a.ended = true;
+  const auto running = running_.find(f.work);
+  if (running != running_.end() && --running->second == 0) {
+    running_.erase(running);
+  }
+  auto* b = backends::find(registry_, a.backend);
+  if (b != nullptr) {
+    --b->in_flight;
+  }
+  return b;
+}
+
 void
 forwarder::try_again(const std::shared_ptr<flight>& f)
 {
@@ -343,6 +397,7 @@
       .with("others", b.others)
       .with("left_ms", f->ask.give_up_ms > now ? f->ask.give_up_ms - now : 0));
   ++b.in_flight;
+  ++running_[f->work];
   ++f->runs;
   http::exchange_options o;
   // The flight's own timer ends it first.
@@ -374,8 +429,7 @@
   f->hedge->async_wait([this, f](asio::error_code ec) {
     // Two attempts of a suspect would end two backend servers at a time.
     if (!ec && !f->finished && f->runs < f->ask.route.max_attempts &&
-        f->tried.size() < max_tries &&
-        judge(*f).what == quarantine::standing::clear &&
+        f->tried.size() < max_tries && !quarantine::has_ends(judge(*f)) &&
         take_second_attempt(second_[f->ask.route.path_prefix])) {
       step(f);
     }
@@ -392,7 +446,7 @@
   if (a.ended) {
     return;
   }
-  a.ended = true;
+  auto* b = end_attempt(*f, a);
   const auto now = http::now_ms();
   const auto& names = dialect_.headers;
   const bool complete = end == http::end_state::complete;
@@ -402,8 +456,7 @@
   if (complete && r.status == misdirected && on_misdirected) {
     on_misdirected();
   }
-  if (auto* b = backends::find(registry_, a.backend)) {
-    --b->in_flight;
+  if (b != nullptr) {
     if (const auto text = http::find(r.fields, names.load)) {
       if (const auto load = dialect_.load_from(*text)) {
         backends::note_load(*b, *load, now);
@@ -434,6 +487,7 @@
   f->failed_runs += is_failed_run(ended) ? 1 : 0;
   call_progress progress;
   progress.repeatable = f->is_repeatable();
+  progress.repeatable_after_cut = !f->is_suspect && !f->ask.ends_with_a_cut;
   progress.runs = f->runs;
   progress.max_runs = std::max<std::uint32_t>(f->ask.route.max_attempts, 1);
   progress.tries = static_cast<std::uint32_t>(f->tried.size());
@@ -471,10 +525,9 @@
     if (a.ended) {
       continue;
     }
-    a.ended = true;
+    auto* b = end_attempt(*f, a);
     a.sent.cancel();
-    if (auto* b = backends::find(registry_, a.backend)) {
-      --b->in_flight;
+    if (b != nullptr) {
       backends::note_failure(*b, http::now_ms());
     }
   }
@@ -505,6 +558,9 @@
   if (f->hedge) {
     f->hedge->cancel();
   }
+  if (f->pause) {
+    f->pause->cancel();
+  }
   if (what == forward_end::timed_out) {
     give_up_attempts(f);
   } else if (f->has_open_attempt()) {
--- a/cactusford/edge/forward.h
+++ b/cactusford/edge/forward.h
@@ -25,6 +25,9 @@
   routes::route route;
   // Steady clock: when the answer is of no more use.
   std::uint64_t give_up_ms = 0;
+  // After an attempt whose connection was cut it is for the asker to try again,
+  // as nobody waits for the answer.
+  bool ends_with_a_cut = false;
 };
 
 enum class forward_end
@@ -85,6 +88,8 @@
   std::uint32_t runs = 0;
   std::uint32_t max_runs = 1;
   std::uint32_t tries = 0;
+  // False: not by this call, when a connection was cut.
+  bool repeatable_after_cut = true;
 };
 
 next_step
@@ -120,6 +125,9 @@
   void step(const std::shared_ptr<flight>& f);
   quarantine::verdict judge(const flight& f);
   bool may_send(const std::shared_ptr<flight>& f);
+  bool is_run_by_another(const flight& f) const;
+  void wait_and_step(const std::shared_ptr<flight>& f);
+  backends::backend* end_attempt(const flight& f, attempt& a);
   void try_again(const std::shared_ptr<flight>& f);
   void keep_out(const std::shared_ptr<flight>& f, const quarantine::verdict& v);
   void tell_guard(const flight& f, const attempt& a, const attempt_end& end);
@@ -146,6 +154,8 @@
   quarantine::guard* guard_;
   // By the path of the route: calls of one kind take about the same time.
   std::map<std::string, second_attempts> second_;
+  // Attempts under way of each work.
+  std::map<quarantine::fingerprint, std::uint32_t> running_;
   std::mt19937_64 random_{ std::random_device{}() };
 };
 
