Scorers' calls under which servers have ended go one at a time

Cause: all scorers' calls that waited went out together when their servers came back, a guilty one took those beside it down, and each round told nothing about which of them it was.

Change: a queue of its own (batches/score_queue) lets one suspect go at a time, and a cut narrows the limit as a full server does.

--- a/cactusford/batches/finish.cc
+++ b/cactusford/batches/finish.cc
@@ -23,6 +23,12 @@
 // may be made. Nothing is sent for it.
 constexpr std::uint64_t kept_out_look_ms = 1000;
 
+http::request
+request_of(const scorer_call& call)
+{
+  return { "POST", call.path, { { "Host", call.host } }, call.body };
+}
+
 } // namespace
 
 // The whole text is there; the scorer's verdict makes it a result.
@@ -44,20 +50,38 @@
 keeper::impl::want_score(const std::string& id, std::size_t at)
 {
   known(id)->items[at].score_again_ms = 0;
-  unscored.push_back({ id, at });
+  add(unscored, { id, at });
   start_scores();
 }
 
 void
 keeper::impl::start_scores()
 {
-  while (!unscored.empty() && may_start(scores)) {
-    const auto next = std::move(unscored.front());
-    unscored.pop_front();
-    score(next.batch, next.at);
+  while (may_start(scores)) {
+    const auto next = take_next(
+      unscored, [this](const unscored_text& t) { return is_suspect(t); });
+    if (!next) {
+      return;
+    }
+    score(*next);
   }
 }
 
+// Servers have ended under this text's call, and it is not kept out.
+bool
+keeper::impl::is_suspect(const unscored_text& t)
+{
+  const auto* b = known(t.batch);
+  if (p.guard == nullptr || b == nullptr || !b->owned ||
+      t.at >= b->items.size()) {
+    return false;
+  }
+  const auto work =
+    quarantine::fingerprint_of(request_of(*b->submission.items[t.at].scorer));
+  const auto v = p.guard->judge(work, quarantine::run_kind::call);
+  return quarantine::has_ends(v) && v.what != quarantine::standing::refused;
+}
+
 // The places that the servers of a route have together.
 std::size_t
 keeper::impl::places_of(const routes::route& r) const
@@ -73,11 +97,33 @@
   return places;
 }
 
+// Others may go where it stood in the way.
+void
+keeper::impl::release(const next_score& next)
+{
+  if (next.is_suspect) {
+    note_suspect_ended(unscored);
+  }
+}
+
 void
-keeper::impl::score(const std::string& id, std::size_t at)
+keeper::impl::end_score(const next_score& next,
+                        score_end end,
+                        std::size_t places)
 {
+  note_end(scores, end, places, http::now_ms());
+  release(next);
+}
+
+void
+keeper::impl::score(const next_score& next)
+{
+  const auto& [id, at] = next.text;
   auto* b = known(id);
-  if (b == nullptr || !b->owned || b->items[at].stage != item_stage::scoring) {
+  const bool is_wanted = b != nullptr && b->owned && at < b->items.size() &&
+                         b->items[at].stage == item_stage::scoring;
+  if (!is_wanted) {
+    release(next);
     return;
   }
   auto& i = b->items[at];
@@ -85,6 +131,7 @@
   const auto route = route_to(call.host, call.path);
   if (route == nullptr) {
     i.score_again_ms = http::now_ms() + scorer_pause_ms;
+    release(next);
     return;
   }
   edge::forward_request f;
@@ -92,10 +139,8 @@
   f.route = *route;
   // May be repeated, whatever the route allows to callers.
   f.route.kind = routes::call_kind::idempotent;
-  f.request.method = "POST";
-  f.request.target = call.path;
-  f.request.body = call.body;
-  f.request.fields.push_back({ "Host", call.host });
+  f.ends_with_a_cut = true;
+  f.request = request_of(call);
   f.request.fields.push_back({ p.dialect.headers.request_id, call.id });
   f.give_up_ms = http::now_ms() + route->timeout_ms;
   i.score_again_ms = 0;
@@ -103,17 +148,18 @@
   note_start(scores);
   const auto cancel = p.forwarder.start(
     std::move(f),
-    [self = shared_from_this(), id, at, places = places_of(*route)](
+    [self = shared_from_this(), next, places = places_of(*route)](
       edge::forward_outcome&& o) {
-      const auto end =
-        o.refusals > 0 ? score_end::refused : score_end::answered;
-      note_end(self->scores, end, places, http::now_ms());
-      self->on_scored(id, at, std::move(o));
+      const bool is_full =
+        o.refusals > 0 || o.what == edge::forward_end::unknown;
+      self->end_score(
+        next, is_full ? score_end::refused : score_end::answered, places);
+      self->on_scored(next.text.batch, next.text.at, std::move(o));
       self->start_scores();
     });
-  i.cancel_score = [self = shared_from_this(), cancel] {
+  i.cancel_score = [self = shared_from_this(), cancel, next] {
     cancel();
-    note_end(self->scores, score_end::cancelled, 0, http::now_ms());
+    self->end_score(next, score_end::cancelled, 0);
   };
 }
 
--- a/cactusford/batches/keeper.cc
+++ b/cactusford/batches/keeper.cc
@@ -289,6 +289,7 @@
       take_over(*b, *silent);
     }
   }
+  start_scores();
   if (waiting) {
     plan();
   }
--- a/cactusford/batches/keeper_impl.h
+++ b/cactusford/batches/keeper_impl.h
@@ -6,10 +6,9 @@
 #include "cactusford/batches/progress.h"
 #include "cactusford/batches/schedule.h"
 #include "cactusford/batches/score_limit.h"
+#include "cactusford/batches/score_queue.h"
 #include "cactusford/batches/state.h"
 
-#include <deque>
-
 namespace cactusford::batches {
 
 using detail::batch_state;
@@ -34,13 +33,6 @@
 
 namespace detail {
 
-// A text without its score: the batch, and the item's place in it.
-struct unscored_text
-{
-  std::string batch;
-  std::size_t at = 0;
-};
-
 // A batch on its way into the store.
 struct acceptance
 {
@@ -156,7 +148,10 @@
   void on_text(batch_state& b, item_state& i);
   void want_score(const std::string& id, std::size_t at);
   void start_scores();
-  void score(const std::string& id, std::size_t at);
+  bool is_suspect(const unscored_text& t);
+  void score(const next_score& next);
+  void release(const next_score& next);
+  void end_score(const next_score& next, score_end end, std::size_t places);
   std::size_t places_of(const routes::route& r) const;
   void on_scored(const std::string& id,
                  std::size_t at,
@@ -217,8 +212,7 @@
   std::uint64_t alive_wall_ms = 0;
   std::uint64_t last_expiry_look = 0;
   token_pace pace;
-  // Texts that wait for their scorer's call, in the order they came.
-  std::deque<detail::unscored_text> unscored;
+  score_queue unscored;
   score_limit scores;
   std::uint64_t next_run = 1;
   bool plan_posted = false;
--- a/cactusford/batches/score_limit.h
+++ b/cactusford/batches/score_limit.h
@@ -36,7 +36,7 @@
 enum class score_end
 {
   answered,
-  // Some server had no place for it.
+  // Some server had no place for it, or ended under it.
   refused,
   // Given up here; it says nothing of the servers.
   cancelled,
--- a/tests/quarantine-items-test.cc
+++ b/tests/quarantine-items-test.cc
@@ -170,8 +170,14 @@
   e.guard.start();
   standins::frail_options o;
   o.service = "scorers";
-  o.is_fatal = [](const http::request& r) {
-    return http::find(r.fields, "Id").value_or("") == "score-item0";
+  std::set<std::string> fatal_bodies;
+  o.is_fatal = [&](const http::request& r) {
+    const bool is_fatal =
+      http::find(r.fields, "Id").value_or("") == "score-item0";
+    if (is_fatal) {
+      fatal_bodies.insert(r.body);
+    }
+    return is_fatal;
   };
   standins::frail_service scorers{ w.io, w.store, o };
   store::watcher backend_list{
@@ -200,6 +206,8 @@
   const auto until = http::now_ms() + 3000;
   w.run_until([&] { return http::now_ms() >= until; });
   cr_assert_leq(scorers.ends(), most_ends);
+  cr_assert(fatal_bodies == std::set<std::string>{ "fatal" },
+            "each run has the bytes that were submitted");
   const auto page = w.read(e);
   cr_assert(page.has_value());
   cr_assert_eq(page->at("results").size(), 5);
