One instance reports the use of workspaces, under a lease with a fence

Change: ownership/lease says whether a holder may act, by a clock that goes on in a suspend; duties/ keeps such a lease in the store. usage/ counts at each entry the requests that began to run, by workspace and window of true time; entries tell the holder the whole counts of open windows once a second; the holder fixes a window's counts by a create-only object, sends them, notes them as done in the lease, and removes the object then. A clock that steps moves no window.

--- a/cactusford/edge/dialect.h
+++ b/cactusford/edge/dialect.h
@@ -6,6 +6,7 @@
 #include "cactusford/batches/batch.h"
 #include "cactusford/routes/table.h"
 #include "cactusford/store/store.h"
+#include "cactusford/usage/counts.h"
 
 #include <cstdint>
 #include <functional>
@@ -130,6 +131,26 @@
   invalid,
 };
 
+// The requests of each workspace in one window of time, for the platform.
+struct usage_report
+{
+  std::uint64_t window = 0;
+  usage::counts requests;
+  // Who holds the duty, and its fencing number.
+  std::string holder;
+  std::uint64_t fence = 0;
+};
+
+// What the platform says to a call of a duty.
+enum class duty_answer
+{
+  accepted,
+  // A higher fencing number was seen.
+  fenced,
+  // Not now, or it cannot be read: the same may be sent again.
+  refused,
+};
+
 struct dialect
 {
   header_names headers;
@@ -157,6 +178,8 @@
   std::function<http::request(const load_order&)> order_request;
   std::function<order_answer(const http::response&)> order_answer_from;
   std::function<nlohmann::json(bool emptied)> removal_status;
+  std::function<http::request(const usage_report&)> usage_request;
+  std::function<duty_answer(const http::response&)> duty_answer_from;
 };
 
 } // namespace cactusford::edge
--- a/cactusford/edge/edge.cc
+++ b/cactusford/edge/edge.cc
@@ -10,6 +10,7 @@
 #include "cactusford/process/metrics.h"
 #include "cactusford/store/watcher.h"
 #include "cactusford/timeline/clock.h"
+#include "cactusford/usage/meter.h"
 
 #include <algorithm>
 
@@ -126,6 +127,7 @@
   void on_broken_backend(const store::unreadable& u);
   void watch_all();
   void show_guard();
+  void show_usage();
   void keep_missing();
   void exchange_with_relays();
   nlohmann::json answer_rank(const std::string& sidecar) const;
@@ -148,6 +150,7 @@
   std::uint64_t misdirected_ms = 0;
   quarantine::guard guard;
   forwarder calls;
+  usage::meter meter;
   batches::keeper keeper;
   store::watcher configuration;
   store::watcher backend_list;
@@ -170,6 +173,16 @@
   , store{ h.io, http, d.store, { s.store, s.peers, false, true, s.peer_rank } }
   , guard{ h.io, store, registry, { s.instance, s.peer_rank.has_value() } }
   , calls{ h.io, http, registry, d, s.data_centre, &guard }
+  , meter{ h.io,
+           http,
+           store,
+           d,
+           { s.instance,
+             s.peer,
+             s.capacity,
+             started_ms,
+             s.usage_reports,
+             s.usage_window_ms } }
   , keeper{ { h.io,
               http,
               store,
@@ -236,6 +249,7 @@
                   static_cast<double>(http.opened()));
       metrics.set("batches_owned", static_cast<double>(keeper.owned()));
       show_guard();
+      show_usage();
       http::response r;
       r.status = 200;
       r.fields.push_back({ "Content-Type", "text/plain; version=0.0.4" });
@@ -285,6 +299,16 @@
   metrics.set("quarantine_refusals", static_cast<double>(c.refusals));
 }
 
+void
+edge_process::show_usage()
+{
+  const auto& t = meter.totals();
+  metrics.set("usage_requests_counted", static_cast<double>(t.requests));
+  metrics.set("usage_windows_reported", static_cast<double>(t.reported));
+  metrics.set("usage_windows_given_up", static_cast<double>(t.given_up));
+  metrics.set("usage_duty_held", meter.holds_duty() ? 1 : 0);
+}
+
 // One that leaves has no capacity to offer.
 membership::member
 edge_process::self() const
@@ -357,11 +381,13 @@
       w->refresh();
     }
     guard.refresh();
+    meter.refresh();
   };
   configuration.start();
   backend_list.start();
   batch_list.start();
   guard.start();
+  meter.start();
 }
 
 // Backend servers whose entries lapsed with the store come back.
@@ -670,6 +696,8 @@
   } else if (path.starts_with(batches::peer_passed_path)) {
     keeper.on_passed(
       c, std::string{ path.substr(batches::peer_passed_path.size()) });
+  } else if (path == usage::peer_counts_path) {
+    meter.on_peer(c);
   } else if (path == store::relay_path) {
     store.relay(c);
   } else if (path.starts_with(batches::peer_results_path)) {
@@ -699,6 +727,7 @@
   front.leave();
   store.stop_relaying();
   keeper.leave([this] { keeper_left = true; });
+  meter.leave();
   wait_for_end();
 }
 
@@ -709,7 +738,7 @@
   const bool idle =
     front.busy() == 0 && peer.busy() == 0 && stayed >= least_stay_ms;
   const auto limit = h.settings.grace_ms - kill_margin_ms;
-  if ((idle && keeper_left) || stayed >= limit) {
+  if ((idle && keeper_left && meter.has_left()) || stayed >= limit) {
     process::log_line(timeline::event{ "left" }
                         .with("busy", front.busy())
                         .with("stayed_ms", stayed));
@@ -743,6 +772,9 @@
       backend_list.refresh();
     }
   };
+  calls.on_begun = [this](const std::string& workspace, std::uint64_t at_ms) {
+    meter.note_run(workspace, at_ms);
+  };
   exchange_with_relays();
   watch_all();
   h.run([this] { leave(); });
--- a/cactusford/edge/forward.cc
+++ b/cactusford/edge/forward.cc
@@ -100,6 +100,8 @@
   std::string address;
   std::uint64_t at_ms = 0;
   bool ended = false;
+  // It surely has not run there.
+  bool not_run = false;
 };
 
 struct forwarder::flight
@@ -120,6 +122,7 @@
   bool is_suspect = false;
   // The one run that shows whether the request still ends what runs it.
   bool is_trial = false;
+  bool is_counted = false;
   // What keeps it out, once it is kept out.
   quarantine::verdict kept_out;
   bool finished = false;
@@ -207,6 +210,7 @@
       if (!a.ended) {
         end_attempt(*f, a);
         a.sent.cancel();
+        note_begun(*f);
       }
     }
     f->done = nullptr;
@@ -306,6 +310,20 @@
   });
 }
 
+// Only the first run of a request counts, wherever it goes on.
+void
+forwarder::note_begun(flight& f)
+{
+  const auto first = std::find_if(f.attempts.begin(),
+                                  f.attempts.end(),
+                                  [](const auto& a) { return !a.not_run; });
+  if (f.is_counted || !on_begun || first == f.attempts.end()) {
+    return;
+  }
+  f.is_counted = true;
+  on_begun(f.ask.workspace, first->at_ms);
+}
+
 // The backend server, if it still lives.
 backends::backend*
 forwarder::end_attempt(const flight& f, attempt& a)
@@ -480,10 +498,14 @@
     log_cut(*f, a, now);
   }
   tell_guard(*f, a, ended);
+  const bool was_run = !not_run && end != http::end_state::not_sent;
+  a.not_run = !was_run;
+  if (was_run) {
+    note_begun(*f);
+  }
   if (f->finished) {
     return;
   }
-  const bool was_run = !not_run && end != http::end_state::not_sent;
   f->runs -= was_run ? 0 : 1;
   f->refusals += not_run ? 1 : 0;
   f->failed_runs += is_failed_run(ended) ? 1 : 0;
@@ -529,6 +551,7 @@
     }
     auto* b = end_attempt(*f, a);
     a.sent.cancel();
+    note_begun(*f);
     if (b != nullptr) {
       backends::note_failure(*b, http::now_ms());
     }
--- a/cactusford/edge/forward.h
+++ b/cactusford/edge/forward.h
@@ -118,6 +118,11 @@
   // them that is known here is old.
   std::function<void()> on_misdirected;
 
+  // Called once a request, when it is known that a backend server has begun to
+  // run it, with when that was on the steady clock.
+  std::function<void(const std::string& workspace, std::uint64_t at_ms)>
+    on_begun;
+
   // Returns what cancels the call; no outcome follows then.
   std::function<void()> start(forward_request r, handler done);
 
@@ -130,6 +135,7 @@
   bool is_run_by_another(const flight& f) const;
   void wait_and_step(const std::shared_ptr<flight>& f);
   backends::backend* end_attempt(const flight& f, attempt& a);
+  void note_begun(flight& f);
   void try_again(const std::shared_ptr<flight>& f);
   void keep_out(const std::shared_ptr<flight>& f, const quarantine::verdict& v);
   void tell_guard(const flight& f, const attempt& a, const attempt_end& end);
--- a/cactusford/edge/settings.cc
+++ b/cactusford/edge/settings.cc
@@ -27,6 +27,8 @@
   "peers": {"type": "array", "maxItems": 64,
             "items": {"type": "string"}},
   "engine": {"type": "string"},
+  "usage_reports": {"type": "string"},
+  "usage_window_s": {"type": "number", "minimum": 0.1, "maximum": 86400},
   "capacity": {"type": "number", "minimum": 0.001, "maximum": 1024},
   "keep_batches_s": {"type": "number", "minimum": 1, "maximum": 86400},
   "log_lines_per_second": {"type": "integer", "minimum": 1,
@@ -77,6 +79,8 @@
   read_key(document, "store", s.store);
   read_key(document, "peers", s.peers);
   read_key(document, "engine", s.engine);
+  read_key(document, "usage_reports", s.usage_reports);
+  read_seconds(document, "usage_window_s", s.usage_window_ms);
   read_key(document, "capacity", s.capacity);
   read_seconds(document, "keep_batches_s", s.keep_batches_ms);
   read_key(document, "log_lines_per_second", s.log_lines_per_second);
--- a/cactusford/edge/settings.h
+++ b/cactusford/edge/settings.h
@@ -30,6 +30,9 @@
   double capacity = 1;
   // Where this instance stood in `peers`; it is left out there.
   std::optional<std::size_t> peer_rank;
+  // Where the platform takes reports of use; empty: it wants none.
+  std::string usage_reports;
+  std::uint64_t usage_window_ms = 5000;
   // The engine beside a sidecar.
   std::string engine;
   // How long a batch stays readable after it was accepted.
--- a/cactusford/ownership/lease-test.cc
+++ b/cactusford/ownership/lease-test.cc
@@ -75,6 +75,48 @@
   }
 }
 
+// The store answers a holder no more, and takes its lease as run out: another
+// instance takes over and acts. The holder hears nothing of that, and must have
+// stopped by then, by its own clock.
+Test(lease, a_holder_stops_before_another_can_begin)
+{
+  lease stored;
+  auto a = candidate("a", 0);
+  auto b = candidate("b", 0);
+  on_read(a, stored, 0);
+  cr_assert(begin(a, false, 0) == action::acquire);
+  cr_assert_not(may_act(a, 0));
+  write(stored, a, action::acquire, 100);
+  cr_assert(may_act(a, 100));
+  // b sees the write as soon as it can have taken effect.
+  on_read(b, stored, 1);
+  std::uint64_t stopped = 0;
+  std::uint64_t begun = 0;
+  for (std::uint64_t now = 100; begun == 0; now += 10) {
+    if (begin(a, true, now) != action::none) {
+      on_unavailable(a, now);
+    }
+    stopped = may_act(a, now) ? 0 : stopped == 0 ? now : stopped;
+    if (begin(b, true, now) == action::acquire) {
+      begun = now;
+    } else {
+      on_read(b, stored, now);
+    }
+  }
+  cr_assert_neq(stopped, 0);
+  cr_assert_lt(stopped, begun);
+  SECTION("one that hands it over stops at once")
+  {
+    auto c = candidate("c", 0);
+    on_read(c, {}, 0);
+    begin(c, false, 0);
+    lease own;
+    write(own, c, action::acquire, 0);
+    c.releasing = true;
+    cr_assert_not(may_act(c, 0));
+  }
+}
+
 // The platform is down for longer than any lease. Nobody can take over, so
 // the holder goes on; a candidate must not trust what it saw before.
 Test(lease, an_outage_changes_no_owner)
--- a/cactusford/ownership/lease.cc
+++ b/cactusford/ownership/lease.cc
@@ -11,6 +11,9 @@
 // conditional write lets one of them through.
 constexpr std::uint64_t rank_delay_ms = 500;
 
+// A call that is begun before the lease runs out arrives within this time.
+constexpr std::uint64_t act_margin_ms = 500;
+
 bool
 may_take_over(const keeper& k, bool holder_listed, std::uint64_t now_ms)
 {
@@ -27,6 +30,7 @@
 action
 begin(keeper& k, bool holder_listed, std::uint64_t now_ms)
 {
+  k.begun_ms = k.busy ? k.begun_ms : now_ms;
   const auto interval = k.duration_ms / polls_per_lease;
   if (k.busy) {
     return action::none;
@@ -56,6 +60,13 @@
   return action::none;
 }
 
+bool
+may_act(const keeper& k, std::uint64_t now_ms)
+{
+  return k.held && !k.releasing &&
+         now_ms + act_margin_ms < k.confirmed_ms + k.duration_ms;
+}
+
 void
 on_read(keeper& k, const lease& l, std::uint64_t now_ms)
 {
@@ -75,6 +86,7 @@
   k.seen.version = version;
   k.seen_ms = now_ms;
   k.renewed_ms = now_ms;
+  k.confirmed_ms = k.begun_ms;
   if (a == action::acquire) {
     k.seen.holder = k.self;
     k.seen.fence = version;
--- a/cactusford/ownership/lease.h
+++ b/cactusford/ownership/lease.h
@@ -1,5 +1,6 @@
-// Who owns a trainer: a lease object in the platform, with a fencing number.
-// Pure; times are milliseconds of a steady clock. See docs/OWNERSHIP.md.
+// Who owns a trainer, or holds a duty: a lease object in the platform, with a
+// fencing number. Pure; times are milliseconds of a steady clock. See
+// docs/OWNERSHIP.md.
 #pragma once
 
 #include <cstdint>
@@ -30,6 +31,9 @@
   // of two processes are never compared.
   std::uint64_t seen_ms = 0;
   std::uint64_t renewed_ms = 0;
+  // When the write under way began, and the last one that took effect.
+  std::uint64_t begun_ms = 0;
+  std::uint64_t confirmed_ms = 0;
   std::uint64_t polled_ms = 0;
   bool has_seen = false;
   bool held = false;
@@ -53,6 +57,12 @@
 action
 begin(keeper& k, bool holder_listed, std::uint64_t now_ms);
 
+// True while nobody else can have taken over: a candidate waits for the whole
+// duration after it has seen the last write, which is later than the moment at
+// which that write was begun here.
+bool
+may_act(const keeper& k, std::uint64_t now_ms);
+
 // The platform answered a read.
 void
 on_read(keeper& k, const lease& l, std::uint64_t now_ms);
--- /dev/null
+++ b/cactusford/usage/counts-test.cc
@@ -0,0 +1,128 @@
+#include "cactusford/usage/counts.h"
+
+#include "cactusford/testing/section.h"
+#include "cactusford/usage/true_time.h"
+
+#include <criterion/criterion.h>
+#include <rapidcheck.h>
+
+#include <algorithm>
+#include <random>
+#include <vector>
+
+using namespace cactusford::usage;
+
+namespace {
+
+told_counts
+told(const char* instance, std::uint64_t started_ms, windows open)
+{
+  return { instance, started_ms, std::move(open) };
+}
+
+} // namespace
+
+// Entries tell what they have counted so far, again and again. Messages come
+// twice and overtake each other, an entry starts anew with nothing in memory,
+// and a new holder hears it all from the start.
+Test(usage, adds_up_what_entries_tell)
+{
+  collection c;
+  take(c, told("a", 1, { { 7, { { "planning", 2 } } } }));
+  take(c, told("b", 1, { { 7, { { "planning", 1 }, { "billing", 4 } } } }));
+  cr_assert(sum(c, 7) == (counts{ { "planning", 3 }, { "billing", 4 } }));
+  cr_assert(sum(c, 8).empty());
+  SECTION("a message that comes twice or late adds nothing")
+  {
+    auto repeated = c;
+    take(repeated, told("a", 1, { { 7, { { "planning", 5 } } } }));
+    take(repeated, told("a", 1, { { 7, { { "planning", 2 } } } }));
+    cr_assert_eq(sum(repeated, 7).at("planning"), 6);
+  }
+  SECTION("what an entry counted before it started anew stays")
+  {
+    auto restarted = c;
+    take(restarted, told("a", 2, { { 7, { { "planning", 1 } } } }));
+    cr_assert_eq(sum(restarted, 7).at("planning"), 4);
+  }
+  SECTION("a closed window is forgotten")
+  {
+    close_until(c, 7);
+    cr_assert(c == collection{});
+  }
+}
+
+Test(usage, any_order_of_messages_gives_the_same_sum)
+{
+  const bool ok = rc::check([] {
+    const auto lives = *rc::gen::inRange<std::uint64_t>(1, 4);
+    std::vector<told_counts> messages;
+    counts truth;
+    for (std::uint64_t life = 0; life < lives; ++life) {
+      const auto runs = *rc::gen::inRange<std::uint64_t>(1, 20);
+      for (std::uint64_t sofar = 1; sofar <= runs; ++sofar) {
+        messages.push_back(told("a", life, { { 3, { { "w", sofar } } } }));
+      }
+      truth["w"] += runs;
+    }
+    const auto seed = *rc::gen::arbitrary<std::uint32_t>();
+    std::mt19937 random{ seed };
+    std::shuffle(messages.begin(), messages.end(), random);
+    collection c;
+    for (const auto& m : messages) {
+      take(c, m);
+      take(c, *told_counts_from(encode(m)));
+    }
+    RC_ASSERT(sum(c, 3) == truth);
+  });
+  cr_assert(ok);
+}
+
+Test(usage, keeps_a_bounded_number_of_windows)
+{
+  windows w;
+  for (std::uint64_t k = 0; k < most_windows; ++k) {
+    cr_assert_not(note(w, k, "w").has_value());
+  }
+  cr_assert_eq(*note(w, most_windows, "w"), 0);
+  cr_assert_eq(w.size(), most_windows);
+}
+
+Test(usage, leaves_out_what_is_no_count)
+{
+  using nlohmann::json;
+  cr_assert_not(counts_from(json{ { "w", -1 } }).has_value());
+  cr_assert_not(counts_from(json{ { "w", "1" } }).has_value());
+  cr_assert_not(counts_from(json::array()).has_value());
+  cr_assert_not(told_counts_from(json{ { "instance", "a" } }).has_value());
+}
+
+// A clock jumps ahead by two seconds and back after twenty. Requests of these
+// seconds belong to the windows of the clock before.
+Test(usage, a_step_of_the_clock_moves_no_window)
+{
+  constexpr std::uint64_t day = 1'700'000'000'000;
+  constexpr std::uint64_t step = 2000;
+  true_time t;
+  for (std::uint64_t boot = 0; boot < 60'000; boot += 200) {
+    const bool is_stepped = boot >= 10'000 && boot < 30'000;
+    const auto seen = look(t, day + boot + (is_stepped ? step : 0), boot);
+    cr_assert_eq(seen, day + boot);
+  }
+  SECTION("one that lasts is believed")
+  {
+    std::uint64_t seen = 0;
+    for (std::uint64_t boot = 60'000; boot < 130'000; boot += 200) {
+      seen = look(t, day + boot + step, boot) - boot;
+    }
+    cr_assert_eq(seen, day + step);
+  }
+  SECTION("a drift is followed")
+  {
+    std::uint64_t seen = 0;
+    for (std::uint64_t boot = 60'000; boot < 160'000; boot += 200) {
+      seen = look(t, day + boot + (boot - 60'000) / 1000, boot) - boot;
+    }
+    cr_assert_geq(seen, day + 99);
+  }
+}
--- /dev/null
+++ b/cactusford/usage/counts.cc
@@ -0,0 +1,136 @@
+#include "cactusford/usage/counts.h"
+
+#include <algorithm>
+
+namespace cactusford::usage {
+
+namespace {
+
+using nlohmann::json;
+
+// A larger message is another writer's mistake.
+constexpr std::size_t most_workspaces = 20000;
+
+} // namespace
+
+std::optional<std::uint64_t>
+note(windows& w, std::uint64_t number, const std::string& workspace)
+{
+  ++w[number][workspace];
+  if (w.size() <= most_windows) {
+    return std::nullopt;
+  }
+  const auto oldest = w.begin()->first;
+  w.erase(w.begin());
+  return oldest;
+}
+
+void
+close_until(windows& w, std::uint64_t number)
+{
+  w.erase(w.begin(), w.upper_bound(number));
+}
+
+json
+encode(const counts& c)
+{
+  auto j = json::object();
+  for (const auto& [workspace, requests] : c) {
+    j[workspace] = requests;
+  }
+  return j;
+}
+
+store::decoded<counts>
+counts_from(const json& j)
+{
+  return store::read_shape([&] {
+    if (!j.is_object() || j.size() > most_workspaces) {
+      throw store::field_error{ { "counts", "no counts by workspace" } };
+    }
+    counts c;
+    for (const auto& [workspace, requests] : j.items()) {
+      c[workspace] = store::whole_field(j, workspace.c_str());
+    }
+    return c;
+  });
+}
+
+json
+encode(const told_counts& t)
+{
+  auto open = json::array();
+  for (const auto& [number, c] : t.open) {
+    open.push_back({ { "window", number }, { "counts", encode(c) } });
+  }
+  return { { "instance", t.instance },
+           { "started_ms", t.started_ms },
+           { "open", std::move(open) } };
+}
+
+store::decoded<told_counts>
+told_counts_from(const json& j)
+{
+  return store::read_shape([&] {
+    told_counts t;
+    t.instance = store::text_field(j, "instance");
+    t.started_ms = store::whole_field(j, "started_ms");
+    const auto& open = store::list_field(j, "open");
+    if (open.size() > most_windows) {
+      throw store::field_error{ { "open", "too many windows" } };
+    }
+    for (const auto& w : open) {
+      auto c = counts_from(store::field(w, "counts"));
+      if (!c) {
+        throw store::field_error{ c.fault };
+      }
+      t.open[store::whole_field(w, "window")] = std::move(*c);
+    }
+    return t;
+  });
+}
+
+void
+take(collection& c, const told_counts& t)
+{
+  auto& known = c.by_instance[t.instance][t.started_ms];
+  for (const auto& [number, told] : t.open) {
+    auto& window = known[number];
+    for (const auto& [workspace, requests] : told) {
+      auto& held = window[workspace];
+      held = std::max(held, requests);
+    }
+  }
+}
+
+counts
+sum(const collection& c, std::uint64_t number)
+{
+  counts all;
+  for (const auto& [instance, lives] : c.by_instance) {
+    for (const auto& [started_ms, open] : lives) {
+      const auto found = open.find(number);
+      if (found == open.end()) {
+        continue;
+      }
+      for (const auto& [workspace, requests] : found->second) {
+        all[workspace] += requests;
+      }
+    }
+  }
+  return all;
+}
+
+void
+close_until(collection& c, std::uint64_t number)
+{
+  for (auto& [instance, lives] : c.by_instance) {
+    for (auto& [started_ms, open] : lives) {
+      close_until(open, number);
+    }
+    std::erase_if(lives, [](const auto& l) { return l.second.empty(); });
+  }
+  std::erase_if(c.by_instance, [](const auto& i) { return i.second.empty(); });
+}
+
+} // namespace cactusford::usage
--- /dev/null
+++ b/cactusford/usage/true_time.cc
@@ -0,0 +1,36 @@
+#include "cactusford/usage/true_time.h"
+
+namespace cactusford::usage {
+
+namespace {
+
+// Clocks that are set right by and by move less between two looks.
+constexpr std::uint64_t step_ms = 100;
+
+// A step that lasts so long is a correction: most faults of clocks are over.
+constexpr std::uint64_t lasting_ms = 60000;
+
+bool
+are_near(std::uint64_t a, std::uint64_t b)
+{
+  return (a > b ? a - b : b - a) < step_ms;
+}
+
+} // namespace
+
+std::uint64_t
+look(true_time& t, std::uint64_t wall_ms, std::uint64_t boot_ms)
+{
+  const auto shown = wall_ms - boot_ms;
+  if (t.boot_at_ms == 0 || are_near(shown, t.boot_at_ms)) {
+    t = { shown, 0, 0 };
+  } else if (!are_near(shown, t.stepped_to_ms)) {
+    t.stepped_to_ms = shown;
+    t.stepped_since_ms = boot_ms;
+  } else if (boot_ms - t.stepped_since_ms >= lasting_ms) {
+    t = { shown, 0, 0 };
+  }
+  return t.boot_at_ms + boot_ms;
+}
+
+} // namespace cactusford::usage
