Engines of several trainers take turns after a naming, and keep up with three models

Change: turns after a naming are spread over a time that grows while loads are slowed and shrinks while not; an engine that serves the step that begins leaves its turn to others while loads are slowed; an engine keeps up with three models of four or more, one version in four. For one or two models nothing changes but the turns.

--- a/cactusford/orders/load_plan-test.cc
+++ b/cactusford/orders/load_plan-test.cc
@@ -4,6 +4,7 @@
 
 #include <criterion/criterion.h>
 
+#include <algorithm>
 #include <set>
 #include <vector>
 
@@ -21,11 +22,10 @@
   std::size_t models;
   load_pace pace;
 
-  fleet(std::size_t engines, std::size_t models_of_it, std::uint32_t stride)
+  fleet(std::size_t engines, std::size_t models_of_it)
     : loaded(engines, std::vector<std::uint64_t>(models_of_it, 1))
     , models{ models_of_it }
   {
-    pace.stride = stride;
   }
 
   // Engines that begin a step of the version when it is named.
@@ -67,13 +67,14 @@
 {
   constexpr double loads_in_a_step = 8 / 0.9 * 4;
   for (const std::size_t models : { 2U, 4U, 8U }) {
-    fleet f{ 39, models, load_pace{}.stride };
+    fleet f{ 39, models };
+    const auto stride = stride_of(models, f.pace);
     for (std::uint64_t version = 2; version < 20; ++version) {
       std::size_t loads = 0;
       for (std::size_t m = 0; m < models; ++m) {
-        const auto kept = 39 * models_kept / models;
+        const auto kept = 39 * std::min(models, models_kept) / models;
         if (version > 4) {
-          cr_assert_geq(f.serving(m, version), kept / 3 - 1);
+          cr_assert_geq(f.serving(m, version), kept / stride - 1);
         }
         loads += f.name(m, version);
       }
@@ -87,7 +88,7 @@
 // find no engine that can begin it.
 Test(load_plan, sets_engines_apart_again_after_an_outage)
 {
-  fleet f{ 30, 2, 3 };
+  fleet f{ 30, 2 };
   cr_assert_eq(f.name(0, 5), 30, "all are behind");
   f.name(0, 6);
   f.name(0, 7);
@@ -107,20 +108,71 @@
       for (int i = 0; i < 20; ++i) {
         note_load(p, 3 * alone_ms);
       }
-      cr_assert_eq(p.stride, 4);
+      cr_assert_eq(stride_of(2, p), 4);
     }
     SECTION("and more again when they do not")
     {
       for (int i = 0; i < 20; ++i) {
         note_load(p, alone_ms);
       }
-      cr_assert_eq(p.stride, 2);
+      cr_assert_eq(stride_of(2, p), 2);
     }
     SECTION("one that met an outage changes nothing")
     {
       note_load(p, 10 * alone_ms);
       note_load(p, alone_ms);
-      cr_assert_eq(p.stride, 2);
+      cr_assert_eq(stride_of(2, p), 2);
+    }
+  }
+}
+
+// Forty-two engines load for four trainers that name their versions at the same
+// moment, and eight at a time are not slowed. Were they to begin together all
+// would be done last. The turns grow while loads are slowed, until those that
+// load together are few; a load is done soon after its turn.
+Test(load_plan, engines_take_turns_after_a_naming)
+{
+  constexpr std::uint32_t engines = 30;
+  constexpr std::uint64_t alone_ms = 900;
+  constexpr std::size_t unslowed = 8;
+  naming n;
+  note_naming(n, 1, 1000);
+  note_naming(n, 2, 1000 + step_ms);
+  load_pace pace;
+  note_load(pace, alone_ms);
+  std::size_t most_together = engines;
+  for (int step = 0; step < 8; ++step) {
+    std::vector<std::uint64_t> begins;
+    for (std::uint32_t i = 0; i < engines; ++i) {
+      begins.push_back(delay_ms(load_time::now, n, { i }, pace));
+    }
+    most_together = 0;
+    for (const auto begin : begins) {
+      const auto together = std::count_if(
+        begins.begin(), begins.end(), [begin](std::uint64_t other) {
+          return other <= begin && begin < other + alone_ms;
+        });
+      most_together =
+        std::max(most_together, static_cast<std::size_t>(together));
+    }
+    note_load(pace, alone_ms * std::max(most_together, unslowed) / unslowed);
+    cr_assert_lt(*std::max_element(begins.begin(), begins.end()), step_ms);
+  }
+  cr_assert_leq(most_together, 2 * unslowed);
+  SECTION("and begin at once again when nothing slows them")
+  {
+    for (int i = 0; i < 100; ++i) {
+      note_load(pace, alone_ms);
+    }
+    cr_assert_lt(delay_ms(load_time::now, n, { 1 }, pace), alone_ms / 4);
+  }
+  SECTION("one that serves the step that begins leaves its turn to others")
+  {
+    load_pace slowed;
+    note_load(slowed, alone_ms);
+    note_load(slowed, 3 * alone_ms);
+    for (std::uint32_t i = 0; i < engines; ++i) {
+      cr_assert(wants({ "m", 5, 4 }, 4, { i }, slowed) == load_time::never);
     }
   }
 }
--- a/cactusford/orders/load_plan.cc
+++ b/cactusford/orders/load_plan.cc
@@ -7,10 +7,9 @@
 
 namespace {
 
-// At a stride of two every engine can begin every step. Beyond four an engine
-// would be of no use to a model for half of the time and more.
-constexpr std::uint32_t least_stride = 2;
-constexpr std::uint32_t largest_stride = 4;
+// With more versions passed over an engine would be of no use to a model for
+// most of the time.
+constexpr std::uint32_t most_passed_over = 2;
 
 // A load that takes this many times the shortest was slowed by others, and one
 // that takes less than that was not. In between nothing changes: a few loads at
@@ -18,6 +17,13 @@
 constexpr double slowed_times = 1.8;
 constexpr double unslowed_times = 1.3;
 
+// The longest spread, in loads one after the other: after an outage all engines
+// of a large deployment are behind.
+constexpr std::uint64_t most_spread_loads = 10;
+
+// The last turn leaves room for the load itself before the next naming.
+constexpr double spread_of_period = 0.8;
+
 // Loads in a row before the stride changes: one alone may have met an outage.
 constexpr std::uint32_t slowed_in_a_row = 2;
 constexpr std::uint32_t unslowed_in_a_row = 8;
@@ -74,13 +80,19 @@
   const auto times =
     static_cast<double>(took_ms) /
     static_cast<double>(std::max<std::uint64_t>(p.shortest_ms, 1));
+  if (times > slowed_times) {
+    p.spread_ms = std::min(p.spread_ms + p.spread_ms / 2 + p.shortest_ms / 2,
+                           most_spread_loads * p.shortest_ms);
+  } else if (times < unslowed_times) {
+    p.spread_ms -= p.spread_ms / 16;
+  }
   p.slowed = times > slowed_times ? p.slowed + 1 : 0;
   p.unslowed = times < unslowed_times ? p.unslowed + 1 : 0;
   if (p.slowed >= slowed_in_a_row) {
-    p.stride = std::min(p.stride + 1, largest_stride);
+    p.passed_over = std::min(p.passed_over + 1, most_passed_over);
     p.slowed = 0;
   } else if (p.unslowed >= unslowed_in_a_row) {
-    p.stride = std::max(p.stride - 1, least_stride);
+    p.passed_over -= p.passed_over > 0 ? 1 : 0;
     p.unslowed = 0;
   }
 }
@@ -112,6 +124,13 @@
   return (at + models - first) % models < models_kept;
 }
 
+std::uint32_t
+stride_of(std::size_t models, const load_pace& pace)
+{
+  return static_cast<std::uint32_t>(std::min(models, models_kept)) +
+         pace.passed_over;
+}
+
 load_time
 wants(const held_model& m,
       std::size_t models,
@@ -130,14 +149,23 @@
   }
   // After an outage all engines are behind and load at once; their turns set
   // them apart again.
+  const auto stride = stride_of(models, pace);
   const auto turn = p.rank / models + small_hash(m.name);
-  const bool is_due = (m.named + turn) % pace.stride == 0;
-  return is_due || lag >= pace.stride ? load_time::now : load_time::never;
+  // One that serves the step that begins need not load while loads are slowed.
+  const bool is_worth_it = lag > accepted_lag || pace.slowed == 0;
+  const bool is_due = is_worth_it && (m.named + turn) % stride == 0;
+  return is_due || lag >= stride ? load_time::now : load_time::never;
 }
 
 std::uint64_t
-delay_ms(load_time t, const naming& n, const place& p)
+delay_ms(load_time t, const naming& n, const place& p, const load_pace& pace)
 {
+  if (t == load_time::now) {
+    const auto spread = static_cast<double>(pace.spread_ms);
+    const auto room = spread_of_period * static_cast<double>(n.period_ms);
+    return static_cast<std::uint64_t>(
+      turn_of(p) * (n.period_ms == 0 ? spread : std::min(spread, room)));
+  }
   if (t != load_time::when_idle) {
     return 0;
   }
--- a/cactusford/orders/load_plan.h
+++ b/cactusford/orders/load_plan.h
@@ -15,8 +15,15 @@
 // other. Were each engine to load every second version of two models, just that
 // many were due: loads took 3 s in place of 0.9 s, ended when the next version
 // was named, and half of a step's items waited 1 to 2.5 s for an engine. So an
-// engine loads every third version to begin with, each at its naming, and more
-// or fewer as its loads are slowed or not.
+// engine that keeps up with two models loads every third version of each to
+// begin with, one that keeps up with three every fourth, and more or fewer as
+// its loads are slowed or not.
+//
+// Four trainers name their versions at the same moment, and thirty engines
+// would load at once where eight can: all of them took 3 s, and the step began
+// without them. One after the other the first are done after 0.9 s, and the
+// last are no later. So engines take turns after a naming, over a time that
+// grows while loads are slowed and shrinks while they are not.
 #pragma once
 
 #include <cstddef>
@@ -29,9 +36,9 @@
 constexpr std::uint64_t accepted_lag = 1;
 
 // Models that an engine keeps up with. With more, loads would be due more often
-// than engines carry them out; with one, half as many engines could begin a
-// step.
-constexpr std::size_t models_kept = 2;
+// than engines carry them out; with one or two of four, a step would begin with
+// fewer engines.
+constexpr std::size_t models_kept = 3;
 
 // Where an engine stands among those of its deployment, counted by their names.
 struct place
@@ -50,8 +57,12 @@
 {
   // The shortest load seen, in milliseconds: one that no other slowed. 0: none.
   std::uint64_t shortest_ms = 0;
-  // Of each model that is kept, the engine loads one version in so many.
-  std::uint32_t stride = 3;
+  // Of each model that is kept, the engine loads one version in as many as it
+  // keeps models and this.
+  std::uint32_t passed_over = 1;
+  // Over how long the turns of all engines are spread after a naming, in
+  // milliseconds.
+  std::uint64_t spread_ms = 1500;
   // Loads in a row that were slowed, and that were not.
   std::uint32_t slowed = 0;
   std::uint32_t unslowed = 0;
@@ -101,6 +112,11 @@
   std::uint64_t loaded = 0;
 };
 
+// Of each model that is kept, an engine of `models` models loads one version in
+// so many.
+std::uint32_t
+stride_of(std::size_t models, const load_pace& pace);
+
 // When an engine of `models` models should load what is named.
 load_time
 wants(const held_model& m,
@@ -111,7 +127,10 @@
 // How long after the naming an engine starts at the earliest, in milliseconds:
 // few load at the same time, and the beginning of a step is left alone.
 std::uint64_t
-delay_ms(load_time t, const naming& n, const place& p);
+delay_ms(load_time t,
+         const naming& n,
+         const place& p,
+         const load_pace& pace = {});
 
 // True while a load that is due should wait for the runs of the engine to end.
 bool
--- a/cactusford/orders/loader.cc
+++ b/cactusford/orders/loader.cc
@@ -155,13 +155,15 @@
         note_load(pace_, took);
         ordered_model_.clear();
       }
-      process::log_line(timeline::event{ "version_loaded" }
-                          .with("model", model)
-                          .with("version", version)
-                          .with("before", before)
-                          .with("took_ms", took)
-                          .with("shortest_ms", pace_.shortest_ms)
-                          .with("stride", std::uint64_t{ pace_.stride }));
+      process::log_line(
+        timeline::event{ "version_loaded" }
+          .with("model", model)
+          .with("version", version)
+          .with("before", before)
+          .with("took_ms", took)
+          .with("shortest_ms", pace_.shortest_ms)
+          .with("passed_over", std::uint64_t{ pace_.passed_over })
+          .with("spread_ms", pace_.spread_ms));
     }
     before = version;
   }
@@ -198,7 +200,7 @@
     if (when == load_time::never) {
       continue;
     }
-    const auto due = n.since_ms + delay_ms(when, n, place_);
+    const auto due = n.since_ms + delay_ms(when, n, place_, pace_);
     if (due > now) {
       next = std::min(next, due - now);
     } else if (!is_idle && waits_for_quiet(when, n, now)) {
