Runs tell their engine how urgent they are

Cause: owners of four trainers send to the same engines at the same moment; what has no place waits there in the order it came, the longest text of a step, with half a second to spare, behind short ones.

Change: each run carries an urgency by the time that it has to spare, behind that the rank of its route.

--- a/cactusford/batches/keeper_impl.h
+++ b/cactusford/batches/keeper_impl.h
@@ -126,9 +126,12 @@
   // Runs
   void plan_soon();
   bool has_workspaces() const;
+  std::uint64_t expected_ms(const batch_state& b,
+                            const item_state& i,
+                            double usual_event_ms) const;
   double usual_event_ms(const batch_state& b) const;
   void plan();
-  bool launch(batch_state& b, item_state& i);
+  bool launch(batch_state& b, item_state& i, std::uint32_t urgency);
   bool is_kept_out(const batch_state& b, const item_state& i);
   void tell_guard(const item_state& i, http::end_state end);
   void on_run_head(const std::string& id,
--- a/cactusford/batches/runs.cc
+++ b/cactusford/batches/runs.cc
@@ -30,6 +30,14 @@
 // The longest run of one item, beyond any length that engines allow.
 constexpr std::uint64_t run_limit_ms = 60000;
 
+constexpr std::uint32_t least_urgent_run = 9;
+
+std::uint32_t
+urgency_of_rank(std::uint32_t priority)
+{
+  return 2 * std::min(priority, 2U);
+}
+
 } // namespace
 
 void
@@ -67,6 +75,17 @@
   return table != nullptr && table->workspaces.has_value();
 }
 
+// What is left of an item's run.
+std::uint64_t
+keeper::impl::expected_ms(const batch_state& b,
+                          const item_state& i,
+                          double usual_event_ms) const
+{
+  const auto hint = b.submission.items[i.index].length_hint;
+  const auto made = usual_event_ms * static_cast<double>(i.text.events);
+  return expected_run_ms(pace, hint, static_cast<std::uint64_t>(made));
+}
+
 // Gives waiting items to engines, those with the least time to spare first.
 void
 keeper::impl::plan()
@@ -82,11 +101,8 @@
     const auto usual = usual_event_ms(b);
     for (const auto& i : b.items) {
       if (i.stage == item_stage::waiting && i.not_before_ms <= now) {
-        const auto hint = b.submission.items[i.index].length_hint;
-        const auto made = static_cast<std::uint64_t>(
-          usual * static_cast<double>(i.text.events));
-        const auto expected = expected_run_ms(pace, hint, made);
-        waiting.push_back({ open.size(), i.index, b.due_ms, expected });
+        waiting.push_back(
+          { open.size(), i.index, b.due_ms, expected_ms(b, i, usual) });
       }
     }
     open.push_back(&b);
@@ -97,13 +113,14 @@
   for (const auto& w : waiting) {
     auto& b = *open[w.batch];
     if (!held[w.batch]) {
-      held[w.batch] = !launch(b, b.items[w.item]);
+      const auto urgency = urgency_of(w.due_ms, w.expected_ms, now);
+      held[w.batch] = !launch(b, b.items[w.item], urgency);
     }
   }
 }
 
 bool
-keeper::impl::launch(batch_state& b, item_state& i)
+keeper::impl::launch(batch_state& b, item_state& i, std::uint32_t urgency)
 {
   const auto route = route_to(b.stored.host, b.stored.target);
   if (route == nullptr || route->services.empty()) {
@@ -152,6 +169,9 @@
   http::set(r.fields, names.request_id, item.id);
   http::set(r.fields, names.deadline_ms, std::to_string(run_limit_ms));
   http::set(r.fields, names.expected_backend, backend->said.id);
+  const auto rank =
+    std::min(urgency + urgency_of_rank(route->priority), least_urgent_run);
+  http::set(r.fields, names.urgency, std::to_string(rank));
   if (i.text.events > 0) {
     http::set(r.fields, names.last_event, std::to_string(i.text.last_event));
   }
--- a/cactusford/batches/schedule-test.cc
+++ b/cactusford/batches/schedule-test.cc
@@ -136,3 +136,24 @@
     cr_assert_geq(silence_limit_ms(0), silence_limit_ms(1000));
   }
 }
+
+// Four owners begin their steps on the same engines. What an engine can't run
+// at once waits there, and the longest text of a step has half a second to
+// spare.
+Test(schedule, what_has_least_to_spare_is_most_urgent)
+{
+  constexpr std::uint64_t now = 10'000;
+  constexpr std::uint64_t due = now + 7500;
+  const auto longest = urgency_of(due, 7000, now);
+  const auto usual = urgency_of(due, 900, now);
+  cr_assert_lt(longest, usual);
+  cr_assert_leq(usual, 5, "never behind those that say nothing");
+  SECTION("a step that is late comes first")
+  {
+    cr_assert_eq(urgency_of(now - 2000, 900, now), longest);
+  }
+  SECTION("a short text gains urgency as its step runs out")
+  {
+    cr_assert_lt(urgency_of(due, 900, due - 2000), usual);
+  }
+}
--- a/cactusford/batches/schedule.cc
+++ b/cactusford/batches/schedule.cc
@@ -19,6 +19,14 @@
 constexpr std::uint64_t least_silence_ms = 250;
 constexpr std::uint64_t longest_silence_ms = 700;
 
+// A run with less to spare is late if anything holds it up.
+constexpr std::int64_t no_time_to_spare_ms = 1500;
+constexpr std::int64_t urgency_step_ms = 1500;
+
+// Engines put runs that say nothing at 5.
+constexpr std::uint32_t most_urgent = 1;
+constexpr std::uint32_t least_urgent = 5;
+
 std::int64_t
 latest_start(const waiting_item& i)
 {
@@ -60,6 +68,22 @@
                     longest_silence_ms);
 }
 
+std::uint32_t
+urgency_of(std::uint64_t due_ms,
+           std::uint64_t expected_ms,
+           std::uint64_t now_ms)
+{
+  const auto spare = static_cast<std::int64_t>(due_ms) -
+                     static_cast<std::int64_t>(now_ms) -
+                     static_cast<std::int64_t>(expected_ms);
+  if (spare < no_time_to_spare_ms) {
+    return most_urgent;
+  }
+  const auto steps = (spare - no_time_to_spare_ms) / urgency_step_ms;
+  return std::min(most_urgent + 1 + static_cast<std::uint32_t>(steps),
+                  least_urgent);
+}
+
 void
 sort_by_slack(std::vector<waiting_item>& items)
 {
--- a/cactusford/batches/schedule.h
+++ b/cactusford/batches/schedule.h
@@ -44,6 +44,17 @@
 std::uint64_t
 silence_limit_ms(double usual_event_ms);
 
+// How urgent a run is to an engine that has more than it can run at once, from
+// 0 to 9. `expected_ms` is what is left of it.
+//
+// Pattern: owners of several trainers begin their steps at the same moment and
+// send to the same engines. What has no place waits there; among those that
+// wait, and that give way when memory runs out, is the longest text of a step.
+std::uint32_t
+urgency_of(std::uint64_t due_ms,
+           std::uint64_t expected_ms,
+           std::uint64_t now_ms);
+
 struct waiting_item
 {
   // Which batch and which of its items.
--- a/cactusford/edge/dialect.h
+++ b/cactusford/edge/dialect.h
@@ -40,6 +40,8 @@
   std::string retry_after;
   // Tells a backend server on whose behalf it runs a request.
   std::string workspace;
+  // How urgent a run is to its engine: 0 to 9, 0 is the first.
+  std::string urgency;
 };
 
 // Names of the kinds that others write to the store.
--- a/standins/object_store.cc
+++ b/standins/object_store.cc
@@ -266,7 +266,7 @@
   d.headers = { "Id",       "Wait",         "Signature",   "Expect",
                 "Backend",  "Load",         "Not-Run",     "Last",
                 "Version",  "Only-Version", "Reader-Wait", "Retry-After",
-                "Workspace" };
+                "Workspace", "Urgency" };
   d.kinds = { "configuration", "main", "backends", "versions", "retired" };
   d.version_line = "version";
   d.store.encode = [](const store::call& c) {
