Owners tell each other what they have running at the engines

Cause: an owner knew of others' runs from the answers to its own alone, for a second; after that an engine counted as empty.

Change: owners of open batches tell each other their runs by engine, ten times a second at most (batches/engine_use); an engine's own word counts what nobody told of beside it.

--- a/cactusford/backends/registry.cc
+++ b/cactusford/backends/registry.cc
@@ -44,11 +44,18 @@
 // than that is taken all the same.
 constexpr double connect_cost_ms = 3;
 
+std::uint32_t
+told_of(const backend& b, std::uint64_t now_ms)
+{
+  return now_ms - b.told_at_ms < load_age_limit_ms ? b.told : 0;
+}
+
 double
 load_of(const backend& b, std::uint64_t now_ms)
 {
   const bool fresh = now_ms - b.others_at_ms < load_age_limit_ms;
-  const double all = b.in_flight + (fresh ? b.others : 0);
+  const double all =
+    b.in_flight + told_of(b, now_ms) + (fresh ? b.others : 0);
   return all / std::max<std::uint32_t>(b.said.slots, 1);
 }
 
@@ -246,10 +253,23 @@
 note_load(backend& b, const reported_load& l, std::uint64_t now_ms)
 {
   const auto all = l.running + l.waiting;
-  b.others = all > b.in_flight ? all - b.in_flight : 0;
+  const auto known = b.in_flight + told_of(b, now_ms);
+  b.others = all > known ? all - known : 0;
   b.others_at_ms = now_ms;
 }
 
+void
+note_told(registry& r,
+          const std::map<std::string, std::uint32_t>& runs,
+          std::uint64_t now_ms)
+{
+  for (auto& [id, b] : r.all) {
+    const auto found = runs.find(id);
+    b.told = found == runs.end() ? 0 : found->second;
+    b.told_at_ms = now_ms;
+  }
+}
+
 void
 note_pace(backend& b, double gap_ms, std::uint64_t now_ms)
 {
--- a/cactusford/backends/registry.h
+++ b/cactusford/backends/registry.h
@@ -55,7 +55,10 @@
   announcement said;
   // Requests of this instance that are running there.
   std::uint32_t in_flight = 0;
-  // Work of others there, from the last reported load.
+  // Work of others there: what they have told of, and what else the last
+  // reported load shows.
+  std::uint32_t told = 0;
+  std::uint64_t told_at_ms = 0;
   std::uint32_t others = 0;
   std::uint64_t others_at_ms = 0;
   // No new work before this time, after failures.
@@ -153,6 +156,12 @@
 void
 note_load(backend& b, const reported_load& l, std::uint64_t now_ms);
 
+// Other instances have told what they have running, by backend server.
+void
+note_told(registry& r,
+          const std::map<std::string, std::uint32_t>& runs,
+          std::uint64_t now_ms);
+
 // The pause before one event of a stream.
 void
 note_pace(backend& b, double gap_ms, std::uint64_t now_ms);
--- a/cactusford/batches/keeper.cc
+++ b/cactusford/batches/keeper.cc
@@ -298,6 +298,7 @@
   start_scores();
   if (waiting) {
     plan();
+    tell_use(now);
   }
 }
 
--- a/cactusford/batches/keeper.h
+++ b/cactusford/batches/keeper.h
@@ -33,6 +33,7 @@
 constexpr std::string_view peer_ended_path = "/ended/";
 constexpr std::string_view peer_taken_path = "/taken/";
 constexpr std::string_view peer_passed_path = "/passed/";
+constexpr std::string_view peer_use_path = "/engine-use";
 
 // What the keeper works with; all outlive it.
 struct keeper_parts
@@ -94,6 +95,9 @@
   // Another instance passes a submission on: this one is to accept and run it.
   void on_passed(const http::call& peer, const std::string& id);
 
+  // Another instance tells what it has running at the engines.
+  void on_use(const http::call& peer);
+
   // False when another instance should run what this one owns.
   bool can_own() const;
 
--- a/cactusford/batches/keeper_impl.h
+++ b/cactusford/batches/keeper_impl.h
@@ -1,6 +1,7 @@
 // The insides of the keeper, shared by its sources.
 #pragma once
 
+#include "cactusford/batches/engine_use.h"
 #include "cactusford/batches/keeper.h"
 #include "cactusford/batches/placement.h"
 #include "cactusford/batches/progress.h"
@@ -9,6 +10,8 @@
 #include "cactusford/batches/score_queue.h"
 #include "cactusford/batches/state.h"
 
+#include <set>
+
 namespace cactusford::batches {
 
 using detail::batch_state;
@@ -123,6 +126,11 @@
   void note_alive(std::uint64_t now);
   void note_store(std::uint64_t now);
 
+  // What owners tell each other
+  engine_runs own_runs() const;
+  std::set<std::string> other_owners() const;
+  void tell_use(std::uint64_t now);
+
   // Runs
   void plan_soon();
   bool has_workspaces() const;
@@ -221,6 +229,9 @@
   std::uint64_t alive_wall_ms = 0;
   std::uint64_t last_expiry_look = 0;
   token_pace pace;
+  use_of_others others;
+  engine_runs told_runs;
+  std::uint64_t told_ms = 0;
   score_queue unscored;
   score_limit scores;
   std::uint64_t next_run = 1;
--- a/cactusford/edge/edge.cc
+++ b/cactusford/edge/edge.cc
@@ -696,6 +696,8 @@
   } else if (path.starts_with(batches::peer_passed_path)) {
     keeper.on_passed(
       c, std::string{ path.substr(batches::peer_passed_path.size()) });
+  } else if (path == batches::peer_use_path) {
+    keeper.on_use(c);
   } else if (path == usage::peer_counts_path) {
     meter.on_peer(c);
   } else if (path == store::relay_path) {
