--- a/cactusford/quarantine/suspicion.cc
+++ b/cactusford/quarantine/suspicion.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <set>
+#include <string_view>
 #include <utility>
 
 namespace cactusford::quarantine {
@@ -176,7 +177,7 @@
   }
   std::set<life> separate;
   std::uint64_t last_ms = 0;
-  const std::string* last_reporter = nullptr;
+  std::string_view last_reporter;
   for (const auto& [at, l] : sorted) {
     const auto& reporter = own.at(l).reporter;
     const bool is_same_instant =
@@ -185,11 +186,11 @@
     const bool is_counted =
       is_same_instant &&
       (with == company::apart ||
-       (with == company::beside && reporter != *last_reporter));
+       (with == company::beside && reporter != last_reporter));
     if (!is_counted) {
       separate.insert(l);
       last_ms = at;
-      last_reporter = &reporter;
+      last_reporter = reporter;
     }
   }
   return separate;
@@ -207,6 +208,25 @@
   bool is_settled = false;
 };
 
+candidate
+candidate_of(const fingerprint& work,
+             const std::map<life, seen_end>& lives,
+             const ends_by_time& sorted,
+             const evidence_limits& limits)
+{
+  candidate c;
+  c.work = work;
+  c.ends = &lives;
+  c.own = separate_ends(work, lives, sorted, limits.instant_ms);
+  // When all servers of a service go down again and again, the same healthy
+  // request is there several times, and nothing is answered in between that
+  // would clear it.
+  c.beside_idle = std::erase_if(
+    c.own, [&](const life& l) { return lives.at(l).is_beside_idle; });
+  c.beside_none = c.own.size();
+  return c;
+}
+
 std::size_t
 shared_lives(const candidate& a, const candidate& b)
 {
@@ -303,17 +323,7 @@
   const auto sorted = by_time(reports);
   std::vector<candidate> all;
   for (const auto& [work, lives] : ends) {
-    candidate c;
-    c.work = work;
-    c.ends = &lives;
-    c.own = separate_ends(work, lives, sorted, limits.instant_ms);
-    // When all servers of a service go down again and again, the same healthy
-    // request is there several times, and nothing is answered in between that
-    // would clear it.
-    c.beside_idle = std::erase_if(
-      c.own, [&](const life& l) { return lives.at(l).is_beside_idle; });
-    c.beside_none = c.own.size();
-    all.push_back(std::move(c));
+    all.push_back(candidate_of(work, lives, sorted, limits));
   }
   std::map<fingerprint, suspicion> suspicions;
   blame(all, limits, suspicions);
--- a/cactusford/usage/true_time.cc
+++ b/cactusford/usage/true_time.cc
@@ -22,13 +22,14 @@
 look(true_time& t, std::uint64_t wall_ms, std::uint64_t boot_ms)
 {
   const auto shown = wall_ms - boot_ms;
-  if (t.boot_at_ms == 0 || are_near(shown, t.boot_at_ms)) {
+  const bool is_same_step = are_near(shown, t.stepped_to_ms);
+  const bool is_lasting =
+    is_same_step && boot_ms - t.stepped_since_ms >= lasting_ms;
+  if (t.boot_at_ms == 0 || are_near(shown, t.boot_at_ms) || is_lasting) {
     t = { shown, 0, 0 };
-  } else if (!are_near(shown, t.stepped_to_ms)) {
+  } else if (!is_same_step) {
     t.stepped_to_ms = shown;
     t.stepped_since_ms = boot_ms;
-  } else if (boot_ms - t.stepped_since_ms >= lasting_ms) {
-    t = { shown, 0, 0 };
   }
   return t.boot_at_ms + boot_ms;
 }
