--- a/bench/micro/decisions.cc
+++ b/bench/micro/decisions.cc
@@ -6,6 +6,7 @@
 #include "cactusford/configuration/tree.h"
 #include "cactusford/rollout/step.h"
 #include "cactusford/routing/choose.h"
+#include "cactusford/workspaces/directory.h"
 
 #include <benchmark/benchmark.h>
 
@@ -17,6 +18,8 @@
 constexpr std::int64_t aim_workers = 11000;
 constexpr std::int64_t aim_slots = 8192;
 constexpr std::int64_t aim_processes = 12100;
+constexpr std::int64_t workspaces_today = 84;
+constexpr std::int64_t many_workspaces = 10000;
 
 routing::pool_state
 pool_of(std::int64_t workers)
@@ -182,6 +185,28 @@
 }
 BENCHMARK(fetch_step)->Arg(128)->Arg(aim_slots)->Unit(benchmark::kMicrosecond);
 
+// Each call of a caller looks its key up.
+void
+find_key(benchmark::State& state)
+{
+  workspaces::directory::builder b;
+  std::vector<std::string> keys;
+  for (std::int64_t i = 0; i < state.range(0); ++i) {
+    b.workspace("workspace-" + std::to_string(i), std::nullopt);
+    for (int k = 0; k < 3; ++k) {
+      keys.push_back("key-of-twenty-chars-" + std::to_string(3 * i + k));
+      b.key(keys.back());
+    }
+  }
+  const auto d = b.build();
+  std::size_t at = 0;
+  while (state.KeepRunning()) {
+    at = (at + 7919) % keys.size();
+    benchmark::DoNotOptimize(workspaces::holder_of(d, keys[at]));
+  }
+}
+BENCHMARK(find_key)->Arg(workspaces_today)->Arg(many_workspaces);
+
 } // namespace
 
 BENCHMARK_MAIN();
--- a/cactusford/batches/score_queue.h
+++ b/cactusford/batches/score_queue.h
@@ -2,10 +2,11 @@
 //
 // Pattern: sixty texts of a step are to be scored, and one of these calls ends
 // each server that runs it. Servers come back within half a second of each
-// other; all calls that wait are sent at once, a guilty one takes those beside
-// it down each time, and nothing tells it from them. So a call under which a
-// server has ended goes alone among its like: the healthy ones are answered and
-// cleared one after the other, and the guilty one ends its server by itself.
+// other; all calls that wait are sent at once, a poisonous one takes those
+// beside it down each time, and nothing tells it from them. So a call under
+// which a server has ended goes alone among its like: the healthy ones are
+// answered and cleared one after the other, and the poisonous one ends its
+// server by itself.
 #pragma once
 
 #include <cstddef>
--- a/cactusford/quarantine/evidence-test.cc
+++ b/cactusford/quarantine/evidence-test.cc
@@ -16,7 +16,7 @@
 constexpr std::uint64_t second_ms = 1000;
 constexpr std::uint64_t minute_ms = 60000;
 
-const fingerprint guilty = "00000000000000aa";
+const fingerprint poisonous = "00000000000000aa";
 const fingerprint bystander = "00000000000000bb";
 
 // Each instance reports once a moment.
@@ -66,12 +66,12 @@
 Test(quarantine, adds_up_what_entries_have_seen_once_each)
 {
   story s;
-  cr_assert(s.of(guilty) == standing::clear);
-  s.end("a", { guilty }, "entry-0");
-  s.end("b", { guilty }, "entry-1");
-  cr_assert(s.of(guilty) == standing::suspected);
-  s.end("c", { guilty }, "entry-2");
-  cr_assert(s.of(guilty) == standing::refused);
+  cr_assert(s.of(poisonous) == standing::clear);
+  s.end("a", { poisonous }, "entry-0");
+  s.end("b", { poisonous }, "entry-1");
+  cr_assert(s.of(poisonous) == standing::suspected);
+  s.end("c", { poisonous }, "entry-2");
+  cr_assert(s.of(poisonous) == standing::refused);
   SECTION("a life that two entries saw end has ended once")
   {
     story t;
@@ -98,58 +98,58 @@
   }
 }
 
-// The guilty request and a healthy one run on the same servers, and both die
-// there, time and again. The guilty one ends one more server elsewhere: that
+// The poisonous request and a healthy one run on the same servers, and both die
+// there, time and again. The poisonous one ends one more server elsewhere: that
 // explains all ends, and nothing is left against the other.
 Test(quarantine, a_bystander_is_not_blamed)
 {
   story s;
-  s.end("a", { guilty, bystander });
-  s.end("b", { guilty });
-  s.end("c", { guilty });
-  cr_assert(s.of(guilty) == standing::refused);
+  s.end("a", { poisonous, bystander });
+  s.end("b", { poisonous });
+  s.end("c", { poisonous });
+  cr_assert(s.of(poisonous) == standing::refused);
   cr_assert(s.of(bystander) == standing::clear);
   SECTION("nor one that died once more by chance")
   {
     story t;
-    t.end("a", { guilty, bystander });
-    t.end("b", { guilty, bystander });
+    t.end("a", { poisonous, bystander });
+    t.end("b", { poisonous, bystander });
     t.end("c", { bystander });
     cr_assert(t.of(bystander) == standing::suspected);
-    t.end("d", { guilty });
-    t.end("e", { guilty });
-    cr_assert(t.of(guilty) == standing::refused);
+    t.end("d", { poisonous });
+    t.end("e", { poisonous });
+    cr_assert(t.of(poisonous) == standing::refused);
     cr_assert(t.of(bystander) == standing::suspected);
   }
   SECTION("two that always ran together: the next end tells")
   {
     story t;
     for (const auto* backend : { "a", "b", "c" }) {
-      t.end(backend, { guilty, bystander });
+      t.end(backend, { poisonous, bystander });
     }
-    cr_assert(t.of(guilty) == standing::suspected);
+    cr_assert(t.of(poisonous) == standing::suspected);
     cr_assert(t.of(bystander) == standing::suspected);
-    t.end("d", { guilty });
-    cr_assert(t.of(guilty) == standing::refused);
+    t.end("d", { poisonous });
+    cr_assert(t.of(poisonous) == standing::refused);
     cr_assert(t.of(bystander) == standing::clear);
   }
   SECTION("or shows that both are kept out, rather than neither for ever")
   {
     story t;
     for (const auto* backend : { "a", "b", "c", "d" }) {
-      t.end(backend, { guilty, bystander });
+      t.end(backend, { poisonous, bystander });
     }
-    cr_assert(t.of(guilty) == standing::refused);
+    cr_assert(t.of(poisonous) == standing::refused);
     cr_assert(t.of(bystander) == standing::refused);
   }
-  SECTION("two guilty ones are both found")
+  SECTION("two poisonous ones are both found")
   {
     story t;
     for (const auto* backend : { "a", "b", "c" }) {
-      t.end(backend, { guilty });
+      t.end(backend, { poisonous });
       t.end(std::string{ backend } + "2", { bystander });
     }
-    cr_assert(t.of(guilty) == standing::refused);
+    cr_assert(t.of(poisonous) == standing::refused);
     cr_assert(t.of(bystander) == standing::refused);
   }
 }
@@ -180,7 +180,7 @@
     }
     cr_assert(t.of(bystander) == standing::clear);
     // Another entry tells that it was not idle.
-    t.end_now("d2", { guilty }, "entry-1");
+    t.end_now("d2", { poisonous }, "entry-1");
     cr_assert(t.of(bystander) == standing::suspected);
   }
   SECTION("nor a request that ran on three of its servers, beside others")
@@ -196,36 +196,36 @@
   {
     story t;
     for (const auto* backend : { "a", "b", "c" }) {
-      t.end_now(backend, { guilty });
+      t.end_now(backend, { poisonous });
     }
-    cr_assert(t.of(guilty) == standing::refused);
+    cr_assert(t.of(poisonous) == standing::refused);
   }
 }
 
 // Three requests that each end every server are sent side by side again and
 // again: to any of them the two others explain all its ends. Their number
 // decides then, as a request that was never answered in so many tries is more
-// likely guilty than unlucky.
+// likely poisonous than unlucky.
 Test(quarantine, ends_that_others_explain_add_up)
 {
   const fingerprint third = "00000000000000cc";
   story s;
   for (const auto* backend : { "a", "b", "c", "d" }) {
-    s.end(backend, { guilty, third });
+    s.end(backend, { poisonous, third });
   }
-  cr_assert(s.of(guilty) == standing::refused);
+  cr_assert(s.of(poisonous) == standing::refused);
   SECTION("one that was beside them three times may run")
   {
     story t;
-    t.end("a", { guilty });
+    t.end("a", { poisonous });
     for (const auto* backend : { "b", "c", "d" }) {
-      t.end(backend, { guilty, bystander });
+      t.end(backend, { poisonous, bystander });
     }
     const auto v = judge(t.e, bystander, run_kind::call, t.now);
     cr_assert(v.what == standing::clear);
     cr_assert_eq(v.explained, 3);
     cr_assert(has_ends(v), "one run at a time");
-    t.end("e", { guilty, bystander });
+    t.end("e", { poisonous, bystander });
     cr_assert(t.of(bystander) == standing::refused);
   }
   SECTION("one answer clears it of all")
@@ -236,14 +236,14 @@
   }
 }
 
-// All servers go down together each second, and a guilty request ends one in
+// All servers go down together each second, and a poisonous request ends one in
 // between. Reports gather for a fifth of a second; each end keeps the time at
-// which it was seen, or half of the guilty one's would count as the rack's.
+// which it was seen, or half of the poisonous one's would count as the rack's.
 Test(quarantine, an_idle_server_explains_only_what_ended_with_it)
 {
   story s;
   const auto end_at = [&](const std::string& backend, std::uint64_t at_ms) {
-    report r{ "entry-0", s.now, { { backend, 1, { guilty }, at_ms } }, {} };
+    report r{ "entry-0", s.now, { { backend, 1, { poisonous }, at_ms } }, {} };
     s.add(r);
   };
   for (const auto* round : { "a", "b", "c" }) {
@@ -251,18 +251,18 @@
     end_at(std::string{ round } + "1", s.now - 100);
     s.end_now(std::string{ round } + "2", {}, "entry-1");
   }
-  cr_assert(s.of(guilty) == standing::refused);
+  cr_assert(s.of(poisonous) == standing::refused);
   SECTION("six that ended with it are enough too")
   {
     story t;
     for (const auto* round : { "a", "b", "c", "d", "e" }) {
-      t.end(std::string{ round } + "1", { guilty });
+      t.end(std::string{ round } + "1", { poisonous });
       t.end_now(std::string{ round } + "2", {});
     }
-    cr_assert(t.of(guilty) == standing::clear);
-    t.end("f1", { guilty });
+    cr_assert(t.of(poisonous) == standing::clear);
+    t.end("f1", { poisonous });
     t.end_now("f2", {});
-    cr_assert(t.of(guilty) == standing::refused);
+    cr_assert(t.of(poisonous) == standing::refused);
   }
 }
 
@@ -270,48 +270,48 @@
 {
   story s;
   for (const auto* backend : { "a", "b", "c", "d" }) {
-    s.end(backend, { guilty });
+    s.end(backend, { poisonous });
   }
-  cr_assert(s.of(guilty) == standing::refused);
-  cr_assert(s.of(guilty, run_kind::item) == standing::suspected);
-  s.end("e", { guilty });
-  cr_assert(s.of(guilty, run_kind::item) == standing::refused);
+  cr_assert(s.of(poisonous) == standing::refused);
+  cr_assert(s.of(poisonous, run_kind::item) == standing::suspected);
+  s.end("e", { poisonous });
+  cr_assert(s.of(poisonous, run_kind::item) == standing::refused);
 }
 
 Test(quarantine, forgets_in_steps)
 {
   story s;
   for (const auto* backend : { "a", "b", "c" }) {
-    s.end(backend, { guilty });
+    s.end(backend, { poisonous });
   }
-  const auto v = judge(s.e, guilty, run_kind::call, s.now);
+  const auto v = judge(s.e, poisonous, run_kind::call, s.now);
   cr_assert_eq(v.until_ms, s.now + 10 * minute_ms);
   SECTION("kept out for ten minutes")
   {
     s.now += 10 * minute_ms - 1;
-    cr_assert(s.of(guilty) == standing::refused);
+    cr_assert(s.of(poisonous) == standing::refused);
   }
   SECTION("then tried again, by one alone, and kept out by one end more")
   {
     s.now += 1;
-    cr_assert(s.of(guilty) == standing::on_trial);
-    s.try_again(guilty);
-    cr_assert(s.of(guilty) == standing::refused);
-    s.end("d", { guilty });
-    cr_assert_eq(judge(s.e, guilty, run_kind::call, s.now).until_ms,
+    cr_assert(s.of(poisonous) == standing::on_trial);
+    s.try_again(poisonous);
+    cr_assert(s.of(poisonous) == standing::refused);
+    s.end("d", { poisonous });
+    cr_assert_eq(judge(s.e, poisonous, run_kind::call, s.now).until_ms,
                  s.now + 10 * minute_ms);
   }
   SECTION("or cleared by an answer")
   {
     s.now += 10 * minute_ms;
-    s.answer(guilty);
-    cr_assert(s.of(guilty) == standing::clear);
+    s.answer(poisonous);
+    cr_assert(s.of(poisonous) == standing::clear);
   }
   SECTION("after an hour nothing is left of it")
   {
     s.now += 60 * minute_ms + 1;
     cr_assert_eq(expire(s.e, s.now).size(), 6);
-    cr_assert(s.of(guilty) == standing::clear);
+    cr_assert(s.of(poisonous) == standing::clear);
     cr_assert(s.e.reports.empty());
   }
 }
@@ -342,7 +342,7 @@
   constexpr double day_s = 86400;
   constexpr double budget_bytes_s = 2048;
   report r{ "entry-dc-a-0001", start_ms, { { "i-7f3a91c2de", 1, {} } }, {} };
-  r.ended[0].ran = { guilty, bystander };
+  r.ended[0].ran = { poisonous, bystander };
   const auto bytes = static_cast<double>(encode(r).dump().size());
   const auto bytes_s = bytes * entries_at_a_server * ends_a_day / day_s;
   std::printf(
@@ -356,14 +356,14 @@
 struct tally
 {
   int others_refused = 0;
-  // Servers that the guilty one ended.
+  // Servers that the poisonous one ended.
   int ends = 0;
 };
 
 // Ten minutes of a service of 300 kinds of work in which a server ends every
 // five seconds, 140 times as often as the whole fleet's do on an ordinary day:
-// most by themselves and some under the guilty request, with what else runs
-// there. One other request runs beside the guilty one each second time. What
+// most by themselves and some under the poisonous request, with what else runs
+// there. One other request runs beside the poisonous one each second time. What
 // died is asked for again, and three in five are answered each second.
 tally
 play(std::uint64_t seed, const evidence_limits& limits)
@@ -381,18 +381,18 @@
     for (auto beside = below(4); beside > 0; --beside) {
       ran.push_back(std::to_string(1'000'000'000'000'000 + below(300)));
     }
-    if (below(4) == 0 && s.of(guilty) != standing::refused) {
+    if (below(4) == 0 && s.of(poisonous) != standing::refused) {
       ++t.ends;
-      ran.push_back(guilty);
+      ran.push_back(poisonous);
       if (below(2) == 0) {
         ran.push_back(bystander);
       }
     }
     s.end_now("s" + std::to_string(i), ran);
     unanswered.insert(ran.begin(), ran.end());
-    unanswered.erase(guilty);
+    unanswered.erase(poisonous);
     for (const auto& [f, v] : refused_calls(s.e, s.now)) {
-      t.others_refused += f != guilty ? 1 : 0;
+      t.others_refused += f != poisonous ? 1 : 0;
     }
     for (int second = 0; second < seconds_between; ++second) {
       s.now += second_ms;
@@ -410,9 +410,9 @@
 
 } // namespace
 
-// Seeds 1 to 200: the guilty one is kept out after three ends, or four where
+// Seeds 1 to 200: the poisonous one is kept out after three ends, or four where
 // another always ran beside it, and nobody else ever is.
-Test(quarantine, finds_the_guilty_one_and_nobody_else)
+Test(quarantine, finds_the_poisonous_one_and_nobody_else)
 {
   tally all;
   constexpr std::uint64_t seeds = 200;
@@ -421,7 +421,7 @@
     all.others_refused += t.others_refused;
     all.ends = std::max(all.ends, t.ends);
   }
-  std::printf("    others refused %d, ends by the guilty one %d at most\n",
+  std::printf("    others refused %d, ends by the poisonous one %d at most\n",
               all.others_refused,
               all.ends);
   cr_assert_eq(all.others_refused, 0);
--- a/cactusford/quarantine/fingerprint.h
+++ b/cactusford/quarantine/fingerprint.h
@@ -33,8 +33,8 @@
 fingerprint
 fingerprint_of(const http::request& r);
 
-// The caller is this workspace, whichever of its keys was used: a changed key is
-// no way round.
+// The caller is this workspace, whichever of its keys was used: a changed key
+// is no way round.
 fingerprint
 fingerprint_of(const http::request& r, std::string_view workspace);
 
--- a/cactusford/quarantine/guard-test.cc
+++ b/cactusford/quarantine/guard-test.cc
@@ -17,7 +17,7 @@
 // Longer than any step here takes; reached only when something hangs.
 constexpr std::uint64_t hang_ms = 30000;
 
-const fingerprint guilty = "00000000000000aa";
+const fingerprint poisonous = "00000000000000aa";
 
 // An address where nothing listens, as that of a server that has ended.
 std::string
@@ -87,14 +87,14 @@
   instance b{ w.io, w.store.address(), { "b", false } };
   w.run_until([&] { return a.guard.is_current() && b.guard.is_current(); });
   const auto is_kept_out = [](instance& i) {
-    return i.guard.judge(guilty, run_kind::call).what == standing::refused;
+    return i.guard.judge(poisonous, run_kind::call).what == standing::refused;
   };
   for (int i = 0; i < 3; ++i) {
-    w.end_under(a, guilty);
+    w.end_under(a, poisonous);
   }
   cr_assert(is_kept_out(a));
   w.run_until([&] { return is_kept_out(b); });
-  a.guard.on_answered(guilty);
+  a.guard.on_answered(poisonous);
   w.run_until([&] { return !is_kept_out(a) && !is_kept_out(b); });
 }
 
@@ -105,12 +105,12 @@
   world w;
   instance a{ w.io, w.store.address(), { "a", false } };
   w.run_until([&] { return a.guard.is_current(); });
-  a.guard.on_cut({ "server", 1 }, w.store.address(), guilty);
+  a.guard.on_cut({ "server", 1 }, w.store.address(), poisonous);
   w.end_under(a, "00000000000000bb");
   w.run_until([&] { return w.reports() > 0; });
   cr_assert_eq(a.guard.counts().cuts, 2);
   cr_assert_eq(a.guard.counts().ends, 1);
-  cr_assert(a.guard.judge(guilty, run_kind::call).what == standing::clear);
+  cr_assert(a.guard.judge(poisonous, run_kind::call).what == standing::clear);
 }
 
 // The store is away for long while servers end. What is seen waits, as much as
@@ -127,7 +127,7 @@
   instance a{ w.io, w.store.address(), { "a", false } };
   w.run_until([&] { return a.guard.is_current(); });
   while (a.guard.counts().reports_dropped == 0) {
-    w.end_under(a, guilty);
+    w.end_under(a, poisonous);
     const auto until = http::now_ms() + 30;
     w.run_until([&] { return http::now_ms() >= until; });
   }
@@ -151,7 +151,7 @@
   };
   instance a{ w.io, w.store.address(), { "a", false } };
   w.run_until([&] { return a.guard.is_current(); });
-  w.end_under(a, guilty);
+  w.end_under(a, poisonous);
   w.run_until([&] { return a.guard.counts().reports_written == 1; });
   cr_assert_eq(w.reports(), 1);
 }
@@ -167,8 +167,8 @@
   w.run_until([&] { return a.guard.is_current(); });
   w.store.put(std::string{ report_kind },
               name_of_report("gone", 1),
-              encode({ "gone", 1, { { "server", 1, { guilty } } }, {} }));
-  w.end_under(a, guilty);
+              encode({ "gone", 1, { { "server", 1, { poisonous } } }, {} }));
+  w.end_under(a, poisonous);
   w.run_until([&] { return a.guard.counts().reports_written == 1; });
   cr_assert_eq(w.reports(), 2);
   w.run_until([&] { return w.reports() == 1; });
@@ -190,7 +190,7 @@
   int answered = 0;
   int mine = 0;
   for (auto* i : { &a, &b }) {
-    i->guard.claim_trial(guilty, [&](bool is_mine) {
+    i->guard.claim_trial(poisonous, [&](bool is_mine) {
       ++answered;
       mine += is_mine ? 1 : 0;
     });
--- a/cactusford/quarantine/guard.cc
+++ b/cactusford/quarantine/guard.cc
@@ -18,7 +18,7 @@
 
 // Lives looked at at the same time. Past it more of the deployment is failing
 // than one request can bring down.
-constexpr std::size_t most_doubts = 256;
+constexpr std::size_t most_unconfirmed = 256;
 
 // Other servers of the service that are looked at when one has ended: a rack or
 // a release that goes wrong takes most of a small service, and a connection to
@@ -157,19 +157,19 @@
 {
   ++counts_.cuts;
   const auto key = key_of(of);
-  const auto found = doubts_.find(key);
-  if (found != doubts_.end()) {
+  const auto found = unconfirmed_.find(key);
+  if (found != unconfirmed_.end()) {
     add_once(found->second.ran, f);
     return;
   }
-  if (doubts_.size() >= most_doubts) {
+  if (unconfirmed_.size() >= most_unconfirmed) {
     process::log_line(timeline::event{ "cut_not_looked_at" }
                         .with("backend", of.id)
                         .with("work", f)
-                        .with("doubts", doubts_.size()));
+                        .with("unconfirmed", unconfirmed_.size()));
     return;
   }
-  doubts_[key] = { of, { f } };
+  unconfirmed_[key] = { of, { f } };
   http::probe(io_, address, probe_ms, [this, key](http::probe_end end) {
     on_probed(key, end == http::probe_end::refused);
   });
@@ -178,17 +178,18 @@
 bool
 guard::is_looking_at(const fingerprint& f) const
 {
-  return std::any_of(doubts_.begin(), doubts_.end(), [&](const auto& d) {
-    const auto& ran = d.second.ran;
-    return std::find(ran.begin(), ran.end(), f) != ran.end();
-  });
+  return std::any_of(
+    unconfirmed_.begin(), unconfirmed_.end(), [&](const auto& d) {
+      const auto& ran = d.second.ran;
+      return std::find(ran.begin(), ran.end(), f) != ran.end();
+    });
 }
 
 void
 guard::on_probed(const std::string& key, bool has_ended)
 {
-  auto d = std::move(doubts_.at(key));
-  doubts_.erase(key);
+  auto d = std::move(unconfirmed_.at(key));
+  unconfirmed_.erase(key);
   process::log_line(timeline::event{ has_ended ? "backend_ended" : "cut_only" }
                       .with("backend", d.of.id)
                       .with("started_ms", d.of.started_ms)
@@ -258,7 +259,7 @@
   std::size_t looked_at = 0;
   for (const auto* b : peers) {
     const auto of = backends::life_of(*b);
-    if (doubts_.contains(key_of(of)) || is_known_to_have_ended(of)) {
+    if (unconfirmed_.contains(key_of(of)) || is_known_to_have_ended(of)) {
       continue;
     }
     look_at(of, b->said.address);
--- a/cactusford/quarantine/guard.h
+++ b/cactusford/quarantine/guard.h
@@ -86,8 +86,8 @@
   std::size_t reports() const { return evidence_.reports.size(); }
 
 private:
-  // A life whose end is in doubt, and what ran there.
-  struct doubt
+  // A life that may have ended, and what ran there.
+  struct unconfirmed_end
   {
     backends::life of;
     std::vector<fingerprint> ran;
@@ -125,7 +125,7 @@
   asio::steady_timer ticker_;
   asio::steady_timer flusher_;
   evidence evidence_;
-  std::map<std::string, doubt> doubts_;
+  std::map<std::string, unconfirmed_end> unconfirmed_;
   // The report that gathers what is seen now; empty name: none.
   unsaved open_;
   // Written and not acknowledged.
--- a/cactusford/quarantine/siege-test.cc
+++ b/cactusford/quarantine/scenarios-test.cc
@@ -23,10 +23,10 @@
 // reaches.
 constexpr std::uint64_t contact_ms = 3000;
 
-struct siege_options
+struct scenario_options
 {
-  std::size_t guilty = 1;
-  double guilty_per_s = 1;
+  std::size_t poisonous = 1;
+  double poisonous_per_s = 1;
   double others_per_s = 6;
   std::size_t servers = 4;
   // Servers are back after this, by chance up to half as long again.
@@ -38,8 +38,8 @@
 
 struct outcome
 {
-  // Runs of a guilty request later than the contact time after its third end:
-  // the most of any.
+  // Runs of a poisonous request later than the contact time after its third
+  // end: the most of any.
   std::size_t late_runs = 0;
   std::size_t ends = 0;
   // Other requests that were refused though a server was up.
@@ -61,7 +61,7 @@
   std::uint64_t ends_at_ms = 0;
   std::uint64_t hedge_at_ms = 0;
   std::uint32_t runs_left = 0;
-  bool is_guilty = false;
+  bool is_poisonous = false;
   std::uint64_t entry = 0;
   bool is_begun = false;
 };
@@ -72,14 +72,14 @@
   report value;
 };
 
-class siege
+class scenario
 {
 public:
-  siege(std::uint64_t seed, siege_options o)
+  scenario(std::uint64_t seed, scenario_options o)
     : o_{ o }
     , random_{ seed }
     , servers_(o.servers)
-    , guilty_(o.guilty)
+    , poisonous_(o.poisonous)
   {
   }
 
@@ -96,7 +96,7 @@
   }
 
 private:
-  struct guilty_state
+  struct poisonous_state
   {
     std::size_t ends = 0;
     std::uint64_t third_end_ms = 0;
@@ -114,7 +114,7 @@
     return std::uniform_int_distribution<std::uint64_t>{ a, b }(random_);
   }
 
-  static fingerprint guilty_work(std::size_t i)
+  static fingerprint poisonous_work(std::size_t i)
   {
     return "00000000000000a" + std::to_string(i);
   }
@@ -138,9 +138,9 @@
 
   void arrive()
   {
-    for (std::size_t i = 0; i < o_.guilty; ++i) {
-      if (chance(o_.guilty_per_s)) {
-        begin(guilty_work(i), true);
+    for (std::size_t i = 0; i < o_.poisonous; ++i) {
+      if (chance(o_.poisonous_per_s)) {
+        begin(poisonous_work(i), true);
       }
     }
     if (chance(o_.others_per_s)) {
@@ -150,11 +150,11 @@
     }
   }
 
-  void begin(const fingerprint& work, bool is_guilty)
+  void begin(const fingerprint& work, bool is_poisonous)
   {
     run r;
     r.work = work;
-    r.is_guilty = is_guilty;
+    r.is_poisonous = is_poisonous;
     constexpr std::uint32_t attempts = 2;
     r.runs_left = attempts;
     r.entry = between(0, entries - 1);
@@ -200,20 +200,20 @@
     const bool kept_out = v.what == standing::refused ||
                           (v.what == standing::on_trial && !claim(r.work));
     if (kept_out) {
-      outcome_.others_refused += r.is_guilty ? 0 : 1;
+      outcome_.others_refused += r.is_poisonous ? 0 : 1;
       return;
     }
     const auto at = up[between(0, up.size() - 1)];
     r.server = at + 1;
     r.life = servers_[at].life;
-    r.ends_at_ms = now_ + (r.is_guilty ? between(50, 120) : between(20, 70));
+    r.ends_at_ms = now_ + (r.is_poisonous ? between(50, 120) : between(20, 70));
     constexpr std::uint64_t hedge_ms = 60;
     const bool hedged = !is_suspect && r.runs_left > 1;
     r.hedge_at_ms = hedged ? now_ + hedge_ms : 0;
     --r.runs_left;
     runs_.push_back(r);
-    if (r.is_guilty) {
-      auto& g = guilty_.at(static_cast<std::size_t>(r.work.back() - '0'));
+    if (r.is_poisonous) {
+      auto& g = poisonous_.at(static_cast<std::size_t>(r.work.back() - '0'));
       const bool late = g.ends >= 3 && now_ > g.third_end_ms + contact_ms;
       g.late_runs += late ? 1 : 0;
       outcome_.late_runs = std::max(outcome_.late_runs, g.late_runs);
@@ -285,8 +285,8 @@
       if (!alive) {
         continue;
       }
-      if (r.ends_at_ms <= now_ && r.is_guilty) {
-        auto& g = guilty_.at(static_cast<std::size_t>(r.work.back() - '0'));
+      if (r.ends_at_ms <= now_ && r.is_poisonous) {
+        auto& g = poisonous_.at(static_cast<std::size_t>(r.work.back() - '0'));
         ++g.ends;
         ++outcome_.ends;
         g.third_end_ms = g.ends == 3 ? now_ : g.third_end_ms;
@@ -325,11 +325,11 @@
     send(again);
   }
 
-  siege_options o_;
+  scenario_options o_;
   std::mt19937_64 random_;
   std::uint64_t now_ = start_ms;
   std::vector<server> servers_;
-  std::vector<guilty_state> guilty_;
+  std::vector<poisonous_state> poisonous_;
   std::vector<run> runs_;
   std::vector<run> waiting_;
   std::vector<told> telling_;
@@ -348,11 +348,11 @@
 };
 
 sum
-play_seeds(const char* name, std::uint64_t seeds, const siege_options& o)
+play_seeds(const char* name, std::uint64_t seeds, const scenario_options& o)
 {
   sum s;
   for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
-    const auto r = siege{ seed, o }.play();
+    const auto r = scenario{ seed, o }.play();
     constexpr std::size_t allowed = 3;
     s.most_late = std::max(s.most_late, r.late_runs);
     s.seeds_over += r.late_runs > allowed ? 1 : 0;
@@ -378,16 +378,16 @@
 
 constexpr std::uint64_t seeds = 100;
 
-// No guilty request runs more often than is promised, and nobody else is
+// No poisonous request runs more often than is promised, and nobody else is
 // refused.
 void
-expect_stood(std::size_t guilty, double per_s)
+expect_stood(std::size_t poisonous, double per_s)
 {
-  siege_options o;
-  o.guilty = guilty;
-  o.guilty_per_s = per_s;
+  scenario_options o;
+  o.poisonous = poisonous;
+  o.poisonous_per_s = per_s;
   const auto name =
-    std::to_string(guilty) + " guilty, " + std::to_string(per_s) + "/s";
+    std::to_string(poisonous) + " poisonous, " + std::to_string(per_s) + "/s";
   const auto s = play_seeds(name.c_str(), seeds, o);
   cr_expect_eq(s.others_refused, 0);
   cr_expect_eq(s.seeds_over, 0);
@@ -395,36 +395,36 @@
 
 } // namespace
 
-// One, two and four guilty requests, rare and frequent, before four servers
+// One, two and four poisonous requests, rare and frequent, before four servers
 // that are back after three seconds, with six healthy calls a second of forty
 // kinds.
-Test(quarantine, stands_a_siege)
+Test(quarantine, keeps_poisonous_requests_out)
 {
   for (const double per_s : { 0.3, 1.0 }) {
-    for (const std::size_t guilty : { 1U, 2U, 4U }) {
-      expect_stood(guilty, per_s);
+    for (const std::size_t poisonous : { 1U, 2U, 4U }) {
+      expect_stood(poisonous, per_s);
     }
   }
   expect_stood(1, 4.0);
   expect_stood(2, 4.0);
 }
 
-// Four guilty requests come four times a second each. They share nearly every
-// end, so that each of them explains the others'.
-Test(quarantine, stands_a_siege_of_four_frequent_ones)
+// Four poisonous requests come four times a second each. They share nearly
+// every end, so that each of them explains the others'.
+Test(quarantine, keeps_four_frequent_ones_out)
 {
   expect_stood(4, 4.0);
 }
 
-// All servers end together every second, and one guilty request comes as well.
-// Some of its ends stand beside an idle server's and count for less.
+// All servers end together every second, and one poisonous request comes as
+// well. Some of its ends stand beside an idle server's and count for less.
 Test(quarantine, finds_it_while_servers_end_every_second)
 {
-  siege_options o;
+  scenario_options o;
   o.rack_every_ms = 1000;
   o.down_ms = 500;
   o.others_per_s = 30;
-  const auto s = play_seeds("together every 1000 ms, 1 guilty", seeds, o);
+  const auto s = play_seeds("together every 1000 ms, 1 poisonous", seeds, o);
   cr_expect_eq(s.others_refused, 0);
   cr_expect_eq(s.seeds_over, 0);
 }
@@ -432,26 +432,26 @@
 // Seeds beyond the first hundred. Two entries or more send the same request
 // before the end that decides is known, and it runs four or five times late; or
 // a healthy request dies with its servers six times in a row, and is refused.
-Test(quarantine, stands_further_sieges)
+Test(quarantine, keeps_the_promise_in_further_scenarios)
 {
   const auto play = [](std::initializer_list<std::uint64_t> all,
-                       const siege_options& o) {
+                       const scenario_options& o) {
     for (const auto seed : all) {
-      const auto r = siege{ seed, o }.play();
+      const auto r = scenario{ seed, o }.play();
       cr_expect_leq(r.late_runs, 3);
       cr_expect_eq(r.others_refused, 0);
     }
   };
-  siege_options o;
-  o.guilty_per_s = 4;
-  o.guilty = 4;
+  scenario_options o;
+  o.poisonous_per_s = 4;
+  o.poisonous = 4;
   play({ 1247, 1283, 1359, 1557, 1763, 1765, 1781 }, o);
-  o.guilty = 2;
+  o.poisonous = 2;
   play({ 1791 }, o);
-  o.guilty = 4;
-  o.guilty_per_s = 0.3;
+  o.poisonous = 4;
+  o.poisonous_per_s = 0.3;
   play({ 1177 }, o);
-  siege_options together;
+  scenario_options together;
   together.rack_every_ms = 1000;
   together.down_ms = 500;
   together.others_per_s = 30;
@@ -463,16 +463,16 @@
 Test(quarantine, servers_that_end_together_keep_nobody_out)
 {
   for (const std::uint64_t every : { 2000U, 4000U, 10000U }) {
-    siege_options o;
-    o.guilty = 0;
+    scenario_options o;
+    o.poisonous = 0;
     o.rack_every_ms = every;
     o.down_ms = every / 2;
     o.others_per_s = 30;
     const auto name = "together every " + std::to_string(every) + " ms";
     const auto s = play_seeds(name.c_str(), seeds, o);
     cr_expect_eq(s.others_refused, 0);
-    o.guilty = 1;
-    cr_expect_eq(play_seeds((name + ", 1 guilty").c_str(), seeds, o).seeds_over,
-                 0);
+    o.poisonous = 1;
+    cr_expect_eq(
+      play_seeds((name + ", 1 poisonous").c_str(), seeds, o).seeds_over, 0);
   }
 }
--- a/cactusford/quarantine/suspicion.cc
+++ b/cactusford/quarantine/suspicion.cc
@@ -273,7 +273,7 @@
 // Those with the most ends are blamed for theirs, and what is left is counted
 // against the others. Of two that mostly ran together neither is blamed before
 // one more end has come: a bystander that died once more by chance would be
-// taken for the guilty one.
+// taken for the poisonous one.
 void
 blame(std::vector<candidate>& all,
       const evidence_limits& limits,
--- a/cactusford/quarantine/suspicion.h
+++ b/cactusford/quarantine/suspicion.h
@@ -4,9 +4,9 @@
 // end for a cause of its own: one end says little of one request. Three ends
 // under the same request, without an answer in between, do: a call lasts some
 // ten milliseconds, so that ends for other causes meet the same one three times
-// in a row in practice only when it runs beside the guilty one. Then the guilty
-// one has as many ends or more, and what it explains is not counted against
-// others.
+// in a row in practice only when it runs beside the poisonous one. Then the
+// poisonous one has as many ends or more, and what it explains is not counted
+// against others.
 #pragma once
 
 #include "cactusford/quarantine/fingerprint.h"
@@ -59,7 +59,7 @@
   std::uint32_t ends_of_item = 5;
   // Ends that another request or cause explains say less, and yet not nothing:
   // a request under which so many servers have ended, without one answer, is
-  // kept out whatever else ran there. Several guilty requests that come
+  // kept out whatever else ran there. Several poisonous requests that come
   // together would otherwise explain each other's ends for ever. The promise
   // allows six; of two instances that send it at the same time both count.
   std::uint32_t ends_beside_others = 4;
@@ -98,7 +98,7 @@
   std::uint32_t explained = 0;
   std::uint32_t beside_idle = 0;
   std::uint64_t last_end_ms = 0;
-  // Another one shares most of them: either may be the guilty one.
+  // Another one shares most of them: either may be the poisonous one.
   bool contested = false;
   std::uint64_t last_trial_ms = 0;
 
