--- a/cactusford/backends/registry.cc
+++ b/cactusford/backends/registry.cc
@@ -54,8 +54,7 @@
 load_of(const backend& b, std::uint64_t now_ms)
 {
   const bool fresh = now_ms - b.others_at_ms < load_age_limit_ms;
-  const double all =
-    b.in_flight + told_of(b, now_ms) + (fresh ? b.others : 0);
+  const double all = b.in_flight + told_of(b, now_ms) + (fresh ? b.others : 0);
   return all / std::max<std::uint32_t>(b.said.slots, 1);
 }
 
--- a/cactusford/duties/duty.cc
+++ b/cactusford/duties/duty.cc
@@ -14,8 +14,8 @@
 // seconds at most.
 constexpr std::uint64_t view_age_limit_ms = 3000;
 
-// Half a second each in the order of takeovers: the largest instances first, and
-// equal ones apart by their names.
+// Half a second each in the order of takeovers: the largest instances first,
+// and equal ones apart by their names.
 std::uint32_t
 rank_of(const duty_settings& s)
 {
--- a/standins/object_store.cc
+++ b/standins/object_store.cc
@@ -263,9 +263,9 @@
 plain_dialect()
 {
   edge::dialect d;
-  d.headers = { "Id",       "Wait",         "Signature",   "Expect",
-                "Backend",  "Load",         "Not-Run",     "Last",
-                "Version",  "Only-Version", "Reader-Wait", "Retry-After",
+  d.headers = { "Id",        "Wait",         "Signature",   "Expect",
+                "Backend",   "Load",         "Not-Run",     "Last",
+                "Version",   "Only-Version", "Reader-Wait", "Retry-After",
                 "Workspace", "Urgency" };
   d.kinds = { "configuration", "main", "backends", "versions", "retired" };
   d.version_line = "version";
