The clock of connections and calls can be moved by hand in tests

How late a change is learned is a sum of waits.

http/clock has the steady clock, timers on it and manual_clock; the HTTP client, server, probe, the store's watcher and the stand-in store run on it. Nothing changes for the programs: the clock is the system's steady one unless a test holds it.

--- a/cactusford/http/client.cc
+++ b/cactusford/http/client.cc
@@ -4,7 +4,6 @@
 
 #include <asio/buffer.hpp>
 #include <asio/post.hpp>
-#include <asio/steady_timer.hpp>
 #include <asio/write.hpp>
 
 #include <algorithm>
@@ -72,7 +71,7 @@
   exchange_events events;
   exchange_options options;
   std::string bytes;
-  std::unique_ptr<asio::steady_timer> timer;
+  std::unique_ptr<http::timer> timer;
   std::weak_ptr<connection> on;
   bool sent = false;
   bool ended = false;
@@ -221,7 +220,7 @@
     });
     return;
   }
-  auto guard = std::make_shared<asio::steady_timer>(
+  auto guard = std::make_shared<http::timer>(
     pool->io, std::chrono::milliseconds{ e->options.connect_timeout_ms });
   guard->async_wait([self = shared_from_this(), e](asio::error_code ec) {
     if (!ec && !e->sent && self->current == e) {
@@ -479,7 +478,7 @@
   auto e = std::make_shared<detail::exchange>();
   e->events = std::move(events);
   e->bytes = encode(r);
-  e->timer = std::make_unique<asio::steady_timer>(
+  e->timer = std::make_unique<http::timer>(
     impl_->io, std::chrono::milliseconds{ options.timeout_ms });
   e->options = std::move(options);
   e->timer->async_wait([e](asio::error_code ec) {
--- a/cactusford/http/probe.cc
+++ b/cactusford/http/probe.cc
@@ -4,7 +4,6 @@
 
 #include <asio/ip/tcp.hpp>
 #include <asio/post.hpp>
-#include <asio/steady_timer.hpp>
 
 #include <memory>
 
@@ -22,8 +21,8 @@
     return;
   }
   auto socket = std::make_shared<asio::ip::tcp::socket>(io);
-  auto timer = std::make_shared<asio::steady_timer>(
-    io, std::chrono::milliseconds{ timeout_ms });
+  auto timer =
+    std::make_shared<http::timer>(io, std::chrono::milliseconds{ timeout_ms });
   timer->async_wait([socket](asio::error_code ec) {
     if (!ec) {
       asio::error_code ignored;
--- a/cactusford/http/server.cc
+++ b/cactusford/http/server.cc
@@ -6,7 +6,6 @@
 
 #include <asio/buffer.hpp>
 #include <asio/ip/tcp.hpp>
-#include <asio/steady_timer.hpp>
 #include <asio/write.hpp>
 
 #include <array>
@@ -57,7 +56,7 @@
   server_limits limits;
   server::handler handle;
   asio::ip::tcp::acceptor acceptor;
-  asio::steady_timer sweeper;
+  http::timer sweeper;
   std::unordered_set<server_connection*> all;
   std::size_t busy = 0;
   bool sweeping = false;
--- a/cactusford/http/socket.cc
+++ b/cactusford/http/socket.cc
@@ -6,8 +6,6 @@
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
-#include <chrono>
-
 namespace cactusford::http {
 
 namespace {
@@ -70,12 +68,4 @@
   return ec == asio::error::would_block || ec == asio::error::try_again;
 }
 
-std::uint64_t
-now_ms()
-{
-  const auto now = std::chrono::steady_clock::now().time_since_epoch();
-  return static_cast<std::uint64_t>(
-    std::chrono::duration_cast<std::chrono::milliseconds>(now).count());
-}
-
 } // namespace cactusford::http
--- a/cactusford/http/socket.h
+++ b/cactusford/http/socket.h
@@ -1,6 +1,8 @@
 // What every TCP connection of the edges has in common.
 #pragma once
 
+#include "cactusford/http/clock.h"
+
 #include <asio/io_context.hpp>
 #include <asio/ip/tcp.hpp>
 
@@ -23,8 +25,4 @@
 bool
 is_early(const asio::error_code& ec);
 
-// Milliseconds of the steady clock.
-std::uint64_t
-now_ms();
-
 } // namespace cactusford::http
--- a/cactusford/store/watcher.h
+++ b/cactusford/store/watcher.h
@@ -1,6 +1,7 @@
 // Follows all objects of a kind: lists them once, then waits for changes.
 #pragma once
 
+#include "cactusford/http/clock.h"
 #include "cactusford/store/store.h"
 
 namespace cactusford::store {
@@ -67,8 +68,10 @@
   void wait_and_watch(std::uint64_t ms);
   void on_reply(reply&& r);
   void tell_unreadable(const std::vector<unreadable>& broken);
+  void note_confirmed();
+  void note_failed(operation op, verdict v);
 
-  asio::steady_timer timer_;
+  http::timer timer_;
   client& store_;
   watch_settings settings_;
   watch_events events_;
--- a/standins/object_store.cc
+++ b/standins/object_store.cc
@@ -1,8 +1,7 @@
 #include "standins/object_store.h"
 
-#include "cactusford/http/socket.h"
+#include "cactusford/http/clock.h"
 
-#include <asio/steady_timer.hpp>
 #include <nlohmann/json.hpp>
 
 namespace cactusford::standins {
@@ -382,8 +381,8 @@
 void
 object_store::tick()
 {
-  auto t = std::make_shared<asio::steady_timer>(
-    io_, std::chrono::milliseconds{ tick_ms });
+  auto t =
+    std::make_shared<http::timer>(io_, std::chrono::milliseconds{ tick_ms });
   t->async_wait([this, t](asio::error_code ec) {
     if (!ec) {
       answer_watches();
