Lines for each failed try at the store and each view that is not confirmed

From the record of the incident nobody could tell which call through which relay had been waited for: between a table that was 4 ms old and one that was 3.0 s old an entry wrote nothing.

store_try_failed: operation, kind, path, end, verdict, how long it was waited for. upstream_failed: the same at a relay that asks another one. view_unconfirmed and view_confirmed: a kind that an instance follows, its revision and age. view_age_ms and store_tries_failed on the metrics address. One line a failure, bounded like all lines.

--- a/cactusford/edge/edge.cc
+++ b/cactusford/edge/edge.cc
@@ -126,6 +126,7 @@
   void on_backend(store::change&& c);
   void on_broken_backend(const store::unreadable& u);
   void watch_all();
+  void show_views();
   void show_guard();
   void show_usage();
   void keep_missing();
@@ -248,6 +249,7 @@
       metrics.set("backend_connections_opened",
                   static_cast<double>(http.opened()));
       metrics.set("batches_owned", static_cast<double>(keeper.owned()));
+      show_views();
       show_guard();
       show_usage();
       http::response r;
@@ -287,6 +289,19 @@
          batch_list.is_current() && guard.is_current();
 }
 
+void
+edge_process::show_views()
+{
+  const auto now = http::now_ms();
+  const auto age = [&](const store::watcher& w) {
+    return static_cast<double>(w.is_current() ? now - w.confirmed_ms() : 0);
+  };
+  metrics.set("view_age_ms", age(configuration), { { "view", "routes" } });
+  metrics.set("view_age_ms", age(backend_list), { { "view", "backends" } });
+  metrics.set("view_age_ms", age(batch_list), { { "view", "batches" } });
+  metrics.set("store_tries_failed", static_cast<double>(store.failed_tries()));
+}
+
 void
 edge_process::show_guard()
 {
--- a/cactusford/store/store.cc
+++ b/cactusford/store/store.cc
@@ -133,6 +133,28 @@
   return "unknown";
 }
 
+std::string_view
+name_of(operation op) noexcept
+{
+  switch (op) {
+    case operation::list:
+      return "list";
+    case operation::watch:
+      return "watch";
+    case operation::get:
+      return "get";
+    case operation::create:
+      return "create";
+    case operation::replace:
+      return "replace";
+    case operation::replace_status:
+      return "replace_status";
+    case operation::remove:
+      return "remove";
+  }
+  return "unknown";
+}
+
 namespace {
 
 // Spread over the relays by chance; all instances see the same list.
@@ -239,6 +261,7 @@
 client::try_path(const std::shared_ptr<attempt>& a, std::size_t path)
 {
   a->tried.push_back(path);
+  const sent_way way{ path, http::now_ms() };
   const bool is_watch = a->call.op == operation::watch;
   // Equal lists of many instances come together after a start and when the
   // store is back.
@@ -249,13 +272,13 @@
     join_watch(a->request,
                timeout_ms,
                shared_watches::origin::own,
-               [this, a, path](http::end_state end, const http::response& r) {
-                 take(a, path, end, http::response{ r });
+               [this, a, way](http::end_state end, const http::response& r) {
+                 take(a, way, end, http::response{ r });
                });
     return;
   }
-  const auto ended = [this, a, path](http::end_state end, http::response&& r) {
-    take(a, path, end, std::move(r));
+  const auto ended = [this, a, way](http::end_state end, http::response&& r) {
+    take(a, way, end, std::move(r));
   };
   http::exchange_options o;
   o.connect_timeout_ms = connect_ms;
@@ -279,13 +302,13 @@
 
 void
 client::take(const std::shared_ptr<attempt>& a,
-             std::size_t path,
+             sent_way way,
              http::end_state end,
              http::response&& r)
 {
   const auto now = http::now_ms();
   // The relays may have been exchanged since the call was sent.
-  path = path < paths_.paths.size() ? path : direct_path;
+  const auto path = way.path < paths_.paths.size() ? way.path : direct_path;
   const bool complete = end == http::end_state::complete;
   hear(r);
   reply answer;
@@ -303,6 +326,7 @@
     a->done(std::move(answer));
     return;
   }
+  log_failure(*a, way, end, answer.what);
   const bool away =
     path != direct_path && complete && http::find(r.fields, away_header);
   // The store ends waiting watches now and then; the next call tells whether
@@ -323,6 +347,32 @@
   try_next(a);
 }
 
+std::string
+client::name_of_path(std::size_t path) const
+{
+  if (path == direct_path || path > settings_.relays.size()) {
+    return "direct";
+  }
+  return settings_.relays[path - 1];
+}
+
+void
+client::log_failure(const attempt& a,
+                    sent_way way,
+                    http::end_state end,
+                    verdict v)
+{
+  ++failed_tries_;
+  process::log_line(timeline::event{ "store_try_failed" }
+                      .with("op", name_of(a.call.op))
+                      .with("kind", a.call.kind)
+                      .with("path", name_of_path(way.path))
+                      .with("end", http::name_of(end))
+                      .with("verdict", name_of(v))
+                      .with("waited_ms", http::now_ms() - way.at_ms)
+                      .with("tries", a.tried.size()));
+}
+
 // Takes in what a relay has sent along with the store's answer.
 void
 client::hear(const http::response& r) const
@@ -514,12 +564,20 @@
            piggyback.outgoing ? piggyback.outgoing() : nlohmann::json{},
            hops + 1),
       o,
-      [this, inner, timeout_ms](http::end_state end, http::response&& r) {
+      [this, inner, timeout_ms, sent_ms = http::now_ms()](http::end_state end,
+                                                          http::response&& r) {
         hear(r);
         constexpr int unavailable = 503;
-        const bool refused =
-          end == http::end_state::not_sent ||
-          (end == http::end_state::complete && r.status == unavailable);
+        const bool complete = end == http::end_state::complete;
+        const bool refused = end == http::end_state::not_sent ||
+                             (complete && r.status == unavailable);
+        if (refused || !complete) {
+          process::log_line(timeline::event{ "upstream_failed" }
+                              .with("target", inner.target)
+                              .with("path", settings_.relays.front())
+                              .with("end", http::name_of(end))
+                              .with("waited_ms", http::now_ms() - sent_ms));
+        }
         if (refused) {
           join_watch(inner,
                      timeout_ms,
@@ -530,7 +588,7 @@
                      });
           return;
         }
-        const bool news = end == http::end_state::complete && has_changes(r);
+        const bool news = complete && has_changes(r);
         upstream_.settle(inner.target, http::now_ms(), end, r, news);
       });
   };
--- a/cactusford/store/store.h
+++ b/cactusford/store/store.h
@@ -9,7 +9,6 @@
 #include "cactusford/store/shared_watches.h"
 
 #include <asio/io_context.hpp>
-#include <asio/steady_timer.hpp>
 #include <nlohmann/json.hpp>
 
 #include <cstdint>
@@ -108,6 +107,9 @@
 std::string_view
 name_of(verdict v) noexcept;
 
+std::string_view
+name_of(operation op) noexcept;
+
 struct reply
 {
   verdict what = verdict::unknown;
@@ -196,6 +198,8 @@
 
   std::uint64_t calls() const { return calls_; }
   std::uint64_t relayed() const { return relayed_; }
+  // Tries that the store or a relay did not answer, or refused.
+  std::uint64_t failed_tries() const { return failed_tries_; }
 
   // Called when the store answers again after a failure, with how long it had
   // not answered on any path, in milliseconds.
@@ -206,12 +210,23 @@
 
 private:
   struct attempt;
+  // One way that a call has been sent.
+  struct sent_way
+  {
+    std::size_t path = direct_path;
+    std::uint64_t at_ms = 0;
+  };
   void try_next(const std::shared_ptr<attempt>& a);
   void try_path(const std::shared_ptr<attempt>& a, std::size_t path);
   void take(const std::shared_ptr<attempt>& a,
-            std::size_t path,
+            sent_way way,
             http::end_state end,
             http::response&& r);
+  std::string name_of_path(std::size_t path) const;
+  void log_failure(const attempt& a,
+                   sent_way way,
+                   http::end_state end,
+                   verdict v);
   void give_up(const std::shared_ptr<attempt>& a);
   void hear(const http::response& r) const;
   void relay_watch(const http::call& caller,
@@ -239,6 +254,7 @@
   std::uint64_t last_answer_ms_ = 0;
   std::uint64_t calls_ = 0;
   std::uint64_t relayed_ = 0;
+  std::uint64_t failed_tries_ = 0;
   bool lost_ = false;
   bool relaying_ = true;
   std::size_t first_watch_path_ = direct_path;
--- a/cactusford/store/watcher.cc
+++ b/cactusford/store/watcher.cc
@@ -1,6 +1,7 @@
 #include "cactusford/store/watcher.h"
 
-#include "cactusford/http/socket.h"
+#include "cactusford/http/clock.h"
+#include "cactusford/process/line_log.h"
 
 #include <algorithm>
 #include <iterator>
@@ -73,7 +74,7 @@
       return;
     }
     if (r.what != verdict::done) {
-      ++failures_;
+      note_failed(operation::list, r.what);
       wait_and_watch(pause_after(failures_));
       return;
     }
@@ -100,11 +101,10 @@
 void
 watcher::end_list(listing&& l)
 {
-  failures_ = 0;
   listed_ = true;
   needs_list_ = false;
   as_of_ = l.first_as_of;
-  confirmed_ms_ = http::now_ms();
+  note_confirmed();
   events_.on_list(std::move(l.objects));
   tell_unreadable(l.broken);
   if (events_.on_current) {
@@ -113,6 +113,36 @@
   watch();
 }
 
+void
+watcher::note_failed(operation op, verdict v)
+{
+  ++failures_;
+  process::log_line(
+    timeline::event{ "view_unconfirmed" }
+      .with("kind", settings_.kind)
+      .with("op", name_of(op))
+      .with("verdict", name_of(v))
+      .with("as_of", as_of_)
+      .with("age_ms", listed_ ? http::now_ms() - confirmed_ms_ : 0)
+      .with("failures", failures_));
+}
+
+void
+watcher::note_confirmed()
+{
+  const auto now = http::now_ms();
+  if (failures_ > 0) {
+    process::log_line(
+      timeline::event{ "view_confirmed" }
+        .with("kind", settings_.kind)
+        .with("as_of", as_of_)
+        .with("after_ms", confirmed_ms_ == 0 ? 0 : now - confirmed_ms_)
+        .with("failures", failures_));
+  }
+  failures_ = 0;
+  confirmed_ms_ = now;
+}
+
 void
 watcher::tell_unreadable(const std::vector<unreadable>& broken)
 {
@@ -161,11 +191,10 @@
     // a moment later. The next watch would be held as if nothing had changed;
     // a list shows what stands.
     needs_list_ = true;
-    ++failures_;
+    note_failed(operation::watch, r.what);
     wait_and_watch(pause_after(failures_));
     return;
   }
-  failures_ = 0;
   // An answer without changes may have been made while the store held some
   // back: its revision is then ahead of what we were shown, and going on from
   // there would skip them for good. From the older one they still come, or
@@ -174,7 +203,7 @@
   if (has_news) {
     as_of_ = std::max(as_of_, r.as_of);
   }
-  confirmed_ms_ = http::now_ms();
+  note_confirmed();
   const auto round = round_;
   for (auto& c : r.changes) {
     events_.on_change(std::move(c));
