A relay that loses the store keeps others from changes: shown, failing

What callers saw: 404 on a route that had been confirmed 2.04 s earlier.

Three relays and two other instances follow one kind as an entry does; the first relay, which asks for all, is cut off from the store for 8 s while changes go on.

--- /dev/null
+++ b/tests/views-test.cc
@@ -0,0 +1,270 @@
+// How late a change of the store reaches the instances that follow it through
+// relays, while some of them are cut off. The clock is moved by hand.
+#include "cactusford/http/clock.h"
+#include "cactusford/store/watcher.h"
+#include "cactusford/testing/section.h"
+#include "standins/object_store.h"
+
+#include <criterion/criterion.h>
+
+#include <algorithm>
+#include <memory>
+#include <thread>
+
+using namespace cactusford;
+using standins::object_store;
+
+namespace {
+
+// A change that the store has confirmed must be in force everywhere after this.
+constexpr std::uint64_t in_force_ms = 2000;
+
+constexpr std::uint64_t step_ms = 5;
+constexpr std::uint64_t wait_ms = 1000;
+constexpr std::size_t relays = 3;
+constexpr const char* kind = "things";
+
+// Each connection has its own.
+void
+drop_framing(http::headers& fields)
+{
+  std::erase_if(fields,
+                [](const auto& f) { return http::is_hop_by_hop(f.name); });
+}
+
+// A way from one instance to another. While it is cut, requests still arrive
+// and no answer comes back.
+struct link
+{
+  http::client out;
+  http::server server;
+  std::string to;
+  bool is_cut = false;
+  std::vector<http::call> held;
+
+  link(asio::io_context& io, std::string target)
+    : out{ io }
+    , server{ io, {}, [this](const http::call& c) { pass(c); } }
+    , to{ std::move(target) }
+  {
+    cr_assert_not(server.listen("127.0.0.1:0"));
+  }
+
+  std::string address() const
+  {
+    return "127.0.0.1:" + std::to_string(server.port());
+  }
+
+  void pass(const http::call& c)
+  {
+    http::exchange_options o;
+    o.timeout_ms = 60000;
+    auto request = c.request();
+    drop_framing(request.fields);
+    auto sent = std::make_shared<http::pending>();
+    *sent = out.fetch(
+      to, request, o, [this, c](http::end_state end, http::response&& r) {
+        answer(c, end, std::move(r));
+      });
+    c.on_gone([sent] { sent->cancel(); });
+  }
+
+  void answer(const http::call& c, http::end_state end, http::response&& r)
+  {
+    if (is_cut) {
+      held.push_back(c);
+      return;
+    }
+    if (end != http::end_state::complete) {
+      c.abort();
+      return;
+    }
+    drop_framing(r.fields);
+    c.respond(std::move(r));
+  }
+};
+
+// An instance that follows one kind, and makes calls for others.
+struct instance
+{
+  http::client http;
+  edge::dialect dialect = standins::plain_dialect();
+  http::server peer;
+  std::unique_ptr<link> to_store;
+  std::vector<std::unique_ptr<link>> to_relays;
+  std::unique_ptr<store::client> store;
+  std::unique_ptr<store::watcher> watcher;
+  std::uint64_t seen = 0;
+  std::uint64_t worst_ms = 0;
+  bool is_in_touch = true;
+
+  explicit instance(asio::io_context& io)
+    : http{ io }
+    , peer{ io, {}, [this](const http::call& c) { store->relay(c); } }
+  {
+    cr_assert_not(peer.listen("127.0.0.1:0"));
+  }
+};
+
+struct world
+{
+  http::manual_clock clock;
+  asio::io_context io;
+  object_store store{ io };
+  std::vector<std::unique_ptr<instance>> all;
+  // When version k was put, at place k - 1.
+  std::vector<std::uint64_t> put_ms;
+
+  explicit world(std::uint64_t gather_ms, std::size_t leaves = 2)
+  {
+    for (std::size_t i = 0; i < relays + leaves; ++i) {
+      all.push_back(std::make_unique<instance>(io));
+    }
+    for (std::size_t i = 0; i < all.size(); ++i) {
+      start(i, gather_ms);
+    }
+    put();
+    run(1500);
+  }
+
+  void start(std::size_t i, std::uint64_t gather_ms)
+  {
+    auto& me = *all[i];
+    me.to_store = std::make_unique<link>(io, store.address());
+    store::client_settings s;
+    s.address = me.to_store->address();
+    s.share_watches = true;
+    for (std::size_t r = 0; r < relays; ++r) {
+      const auto port = std::to_string(all[r]->peer.port());
+      auto way = std::make_unique<link>(io, "127.0.0.1:" + port);
+      if (r == i) {
+        s.rank = i;
+      } else {
+        s.relays.push_back(way->address());
+      }
+      me.to_relays.push_back(std::move(way));
+    }
+    me.store =
+      std::make_unique<store::client>(io, me.http, me.dialect.store, s);
+    me.watcher = std::make_unique<store::watcher>(
+      io,
+      *me.store,
+      store::watch_settings{ kind, wait_ms, gather_ms, true },
+      store::watch_events{ [this, &me](std::vector<store::object>&& list) {
+                            for (const auto& o : list) {
+                              see(me, o);
+                            }
+                          },
+                           [this, &me](store::change&& c) { see(me, c.value); },
+                           {} });
+    me.watcher->start();
+  }
+
+  void see(instance& me, const store::object& o)
+  {
+    const auto version = o.spec.at("version").get<std::uint64_t>();
+    if (version > me.seen) {
+      note_lateness(me, version);
+      me.seen = version;
+    }
+  }
+
+  // Counted from the oldest change that the instance had not seen.
+  void note_lateness(instance& me, std::uint64_t up_to)
+  {
+    if (me.seen < up_to && me.seen < put_ms.size()) {
+      me.worst_ms = std::max(me.worst_ms, http::now_ms() - put_ms[me.seen]);
+    }
+  }
+
+  void put()
+  {
+    put_ms.push_back(http::now_ms());
+    store.put(kind, "main", { { "version", put_ms.size() } });
+  }
+
+  // Moves the clock when nothing is left to do at the present moment.
+  void run(std::uint64_t ms)
+  {
+    constexpr int quiet_looks = 2;
+    constexpr std::chrono::microseconds look_pause{ 250 };
+    for (std::uint64_t t = 0; t < ms; t += step_ms) {
+      for (int quiet = 0; quiet < quiet_looks;) {
+        quiet = io.poll() == 0 ? quiet + 1 : 0;
+        std::this_thread::sleep_for(look_pause);
+      }
+      clock.advance(std::chrono::milliseconds{ step_ms });
+    }
+  }
+
+  // Changes come one after the other for so long; the last has time to arrive.
+  void change_for(std::uint64_t ms)
+  {
+    constexpr std::uint64_t pause_ms = 715;
+    for (std::uint64_t t = 0; t < ms; t += pause_ms) {
+      put();
+      run(pause_ms);
+    }
+    run(in_force_ms);
+  }
+
+  void cut_from_store(std::size_t i)
+  {
+    all[i]->to_store->is_cut = true;
+    all[i]->is_in_touch = false;
+  }
+
+  // No answer of this relay reaches anybody, as when its process is paused.
+  void silence_relay(std::size_t r)
+  {
+    cut_from_store(r);
+    for (auto& i : all) {
+      i->to_relays[r]->is_cut = true;
+    }
+  }
+
+  std::uint64_t worst_in_touch_ms()
+  {
+    std::uint64_t worst = 0;
+    for (auto& i : all) {
+      if (i->is_in_touch) {
+        note_lateness(*i, put_ms.size());
+        worst = std::max(worst, i->worst_ms);
+      }
+    }
+    return worst;
+  }
+};
+
+// The cut comes at different moments of a watch.
+constexpr std::uint64_t phases_ms[] = { 0, 350, 700 };
+
+template<typename Cut>
+std::uint64_t
+worst_lateness(Cut cut, std::uint64_t gather_ms = 0)
+{
+  constexpr std::uint64_t cut_for_ms = 8000;
+  std::uint64_t worst = 0;
+  for (const auto phase : phases_ms) {
+    world w{ gather_ms };
+    w.run(phase);
+    cut(w);
+    w.run(step_ms);
+    w.change_for(cut_for_ms);
+    worst = std::max(worst, w.worst_in_touch_ms());
+  }
+  return worst;
+}
+
+} // namespace
+
+// Guards against a configuration that is in force late at entries whose relay
+// is cut off from the store.
+Test(views, learn_in_time_behind_a_relay_that_loses_the_store)
+{
+  SECTION("the first relay, which asks for all")
+  {
+    const auto worst = worst_lateness([](world& w) { w.cut_from_store(0); });
+    cr_assert_leq(worst, in_force_ms, "%zu ms", std::size_t{ worst });
+  }
+}
