A change reaches instances in time behind a relay that fails

What callers saw: 404 on a route 2.04 s after its confirmation, and calls sent by routes and to backend servers that had been replaced.

Cause: an instance that had waited for its silent relay (1.6 s) asked the second relay for a list, which asked the first relay in turn and waited as long; the direct path came last. A relay went on asking the first one for each watch, however often that had failed. While a relay said that the store was away it was asked again every 0.3 s, each time by a watch that hung.

Change: a list that has no answer after 250 ms is asked for on a second path too, the direct one first; both answers are true, the first counts. A call on another path than usual asks the relay for its own path (hops). A relay notes the end of what it asks of the first one, and asks the store itself while that fails. A relay that failed is avoided for 4 s while another path answers. A call that was waited for is pause enough before the next.

Why it is enough: the watch is given up 1.6 s after it was asked for, which is when the view was last confirmed; the list that follows takes 250 ms more when its relay is silent too, and the path that an instance in touch surely has is asked then.

--- a/cactusford/store/paths.cc
+++ b/cactusford/store/paths.cc
@@ -18,7 +18,7 @@
 constexpr std::uint64_t avoid_relay_ms = 4000;
 
 // A relay that does not reach the store is asked again as often as it looks
-// itself; its answer costs no call.
+// itself, if no other path answers; its answer costs no call.
 constexpr std::uint64_t avoid_away_ms = probe_ms;
 
 std::uint64_t
@@ -34,6 +34,16 @@
   return t.is_relay || !a_relay_lives ? probe_ms : avoid_direct_ms;
 }
 
+// One call at a time finds out whether a path that failed is open again.
+void
+close_while_asked(path_table& t, std::size_t path, std::uint64_t now_ms)
+{
+  auto& p = t.paths[path];
+  if (p.last != path_end::answered) {
+    p.closed_until_ms = now_ms + interval_of(t, path, p.last);
+  }
+}
+
 } // namespace
 
 path_table
@@ -61,18 +71,19 @@
   if (tried.size() >= max_tries) {
     return std::nullopt;
   }
-  for (std::size_t i = 0; i < t.paths.size(); ++i) {
-    const auto path = (first + i) % t.paths.size();
-    auto& p = t.paths[path];
-    const bool was_tried =
-      std::find(tried.begin(), tried.end(), path) != tried.end();
-    if (was_tried || p.closed_until_ms > now_ms) {
-      continue;
-    }
-    if (p.last != path_end::answered) {
-      p.closed_until_ms = now_ms + interval_of(t, path, p.last);
+  for (const bool may_be_avoided : { false, true }) {
+    for (std::size_t i = 0; i < t.paths.size(); ++i) {
+      const auto path = (first + i) % t.paths.size();
+      auto& p = t.paths[path];
+      const bool was_tried =
+        std::find(tried.begin(), tried.end(), path) != tried.end();
+      const bool is_left = !may_be_avoided && p.avoided_until_ms > now_ms;
+      if (was_tried || is_left || p.closed_until_ms > now_ms) {
+        continue;
+      }
+      close_while_asked(t, path, now_ms);
+      return path;
     }
-    return path;
   }
   return std::nullopt;
 }
@@ -85,13 +96,37 @@
   return take_path(t, tried, now_ms, t.first);
 }
 
+bool
+take_if_open(path_table& t, std::size_t path, std::uint64_t now_ms)
+{
+  const auto& p = t.paths[path];
+  if (p.closed_until_ms > now_ms || p.avoided_until_ms > now_ms) {
+    return false;
+  }
+  close_while_asked(t, path, now_ms);
+  return true;
+}
+
+std::optional<std::size_t>
+take_second_path(path_table& t,
+                 const std::vector<std::size_t>& tried,
+                 std::uint64_t now_ms)
+{
+  return take_path(t, tried, now_ms, direct_path);
+}
+
 void
 note_path(path_table& t, std::size_t path, path_end end, std::uint64_t now_ms)
 {
   auto& p = t.paths[path];
   p.last = end;
-  p.closed_until_ms =
-    end == path_end::answered ? 0 : now_ms + interval_of(t, path, end);
+  if (end == path_end::answered) {
+    p.closed_until_ms = 0;
+    p.avoided_until_ms = 0;
+    return;
+  }
+  p.closed_until_ms = now_ms + interval_of(t, path, end);
+  p.avoided_until_ms = path == direct_path ? 0 : now_ms + avoid_relay_ms;
 }
 
 std::uint64_t
--- a/cactusford/store/paths.h
+++ b/cactusford/store/paths.h
@@ -42,6 +42,8 @@
   path_end last = path_end::answered;
   // No call takes it before this time.
   std::uint64_t closed_until_ms = 0;
+  // No call takes it before this time while another path answers.
+  std::uint64_t avoided_until_ms = 0;
 
   friend bool operator==(const path_state&, const path_state&) = default;
 };
@@ -81,6 +83,17 @@
           const std::vector<std::size_t>& tried,
           std::uint64_t now_ms);
 
+// One more path for a read that waits for an answer on those in `tried`. The
+// direct path comes first: what holds up one relay may hold up others.
+std::optional<std::size_t>
+take_second_path(path_table& t,
+                 const std::vector<std::size_t>& tried,
+                 std::uint64_t now_ms);
+
+// Takes one given path; false when it is closed or avoided.
+bool
+take_if_open(path_table& t, std::size_t path, std::uint64_t now_ms);
+
 void
 note_path(path_table& t, std::size_t path, path_end end, std::uint64_t now_ms);
 
@@ -109,6 +122,11 @@
   friend bool operator==(const answer_limits&, const answer_limits&) = default;
 };
 
+// A list is also asked for on a second path when the first has not answered for
+// so long. A view that is confirmed after the longest watch, its silence and
+// this is still younger than the seconds in which a change must be in force.
+constexpr std::uint64_t second_path_after_ms = 250;
+
 // A relay adds its own wait for the store, in milliseconds.
 constexpr std::uint64_t relay_extra_ms = 300;
 
--- a/cactusford/store/store.cc
+++ b/cactusford/store/store.cc
@@ -190,6 +190,10 @@
   std::vector<std::size_t> tried;
   // Some try had no answer: it may have been done, or may be done later.
   bool unknown = false;
+  // Tries that have not ended.
+  std::size_t under_way = 0;
+  bool is_settled = false;
+  std::shared_ptr<http::timer> second_path_timer;
 };
 
 client::client(asio::io_context& io,
@@ -245,22 +249,68 @@
   try_next(a);
 }
 
+// Where a call begins when all paths are well.
+std::size_t
+client::first_path_of(const store::call& c) const
+{
+  return c.shared ? first_watch_path_ : paths_.first;
+}
+
 void
 client::try_next(const std::shared_ptr<attempt>& a)
 {
-  const auto first = a->call.shared ? first_watch_path_ : paths_.first;
-  const auto path = take_path(paths_, a->tried, http::now_ms(), first);
+  const auto path =
+    take_path(paths_, a->tried, http::now_ms(), first_path_of(a->call));
   if (path) {
     try_path(a, *path);
-  } else {
+  } else if (a->under_way == 0) {
     give_up(a);
   }
 }
 
+// A list may be asked for twice: both answers are true, and the first counts.
+void
+client::try_second_path_later(const std::shared_ptr<attempt>& a)
+{
+  a->second_path_timer = std::make_shared<http::timer>(
+    io_, std::chrono::milliseconds{ second_path_after_ms });
+  a->second_path_timer->async_wait([this, a](asio::error_code ec) {
+    if (ec || a->is_settled) {
+      return;
+    }
+    if (const auto path = take_second_path(paths_, a->tried, http::now_ms())) {
+      try_path(a, *path);
+    }
+  });
+}
+
+// A call that goes another way than usual asks the relay for its own path: the
+// one that all usually go through may be what fails.
+std::uint64_t
+client::hops_to(const store::call& c, std::size_t path) const
+{
+  return path == first_path_of(c) ? 1 : most_hops;
+}
+
+void
+client::settle(const std::shared_ptr<attempt>& a, reply&& r)
+{
+  a->is_settled = true;
+  if (a->second_path_timer) {
+    a->second_path_timer->cancel();
+  }
+  r.after_unknown = a->unknown;
+  a->done(std::move(r));
+}
+
 void
 client::try_path(const std::shared_ptr<attempt>& a, std::size_t path)
 {
   a->tried.push_back(path);
+  ++a->under_way;
+  if (a->call.op == operation::list) {
+    try_second_path_later(a);
+  }
   const sent_way way{ path, http::now_ms() };
   const bool is_watch = a->call.op == operation::watch;
   // Equal lists of many instances come together after a start and when the
@@ -295,7 +345,8 @@
                    timeout_ms,
                    is_joined,
                    is_joined && piggyback.outgoing ? piggyback.outgoing()
-                                                   : nlohmann::json{}),
+                                                   : nlohmann::json{},
+                   hops_to(a->call, path)),
               o,
               ended);
 }
@@ -310,6 +361,7 @@
   // The relays may have been exchanged since the call was sent.
   const auto path = way.path < paths_.paths.size() ? way.path : direct_path;
   const bool complete = end == http::end_state::complete;
+  --a->under_way;
   hear(r);
   reply answer;
   answer.what =
@@ -317,13 +369,14 @@
   if (complete) {
     answer = dialect_.decode(a->call, r);
   }
-  const bool settled =
+  const bool is_answer =
     answer.what != verdict::refused && answer.what != verdict::unknown;
-  if (settled) {
+  if (is_answer) {
     note_path(paths_, path, path_end::answered, now);
     note_answer();
-    answer.after_unknown = a->unknown;
-    a->done(std::move(answer));
+    if (!a->is_settled) {
+      settle(a, std::move(answer));
+    }
     return;
   }
   log_failure(*a, way, end, answer.what);
@@ -335,10 +388,13 @@
     if (path != direct_path && !away) {
       note_path(paths_, path, path_end::failed, now);
     }
-    a->done(std::move(answer));
+    settle(a, std::move(answer));
     return;
   }
   note_path(paths_, path, away ? path_end::store_away : path_end::failed, now);
+  if (a->is_settled) {
+    return;
+  }
   // A relay that leaves refuses all calls; the store is as well as before.
   if (path == direct_path) {
     note_failure(http::name_of(end));
@@ -388,9 +444,8 @@
 {
   reply answer;
   answer.what = a->unknown ? verdict::unknown : verdict::refused;
-  answer.after_unknown = a->unknown;
   note_failure("no_path");
-  a->done(std::move(answer));
+  settle(a, std::move(answer));
 }
 
 void
@@ -501,14 +556,23 @@
                                    const http::response& r) {
     respond_relayed(caller, end, r, told);
   };
-  const bool is_later = settings_.rank && *settings_.rank > 0;
-  if (is_later && hops < most_hops && first_watch_path_ != direct_path) {
+  if (asks_upstream(hops)) {
     join_upstream(inner, timeout_ms, hops, done);
   } else {
     join_watch(inner, timeout_ms, shared_watches::origin::relayed, done);
   }
 }
 
+// A relay behind the first one joins its watches there, as long as that
+// answers.
+bool
+client::asks_upstream(std::uint64_t hops)
+{
+  const bool is_later = settings_.rank && *settings_.rank > 0;
+  return is_later && hops < most_hops && first_watch_path_ != direct_path &&
+         take_if_open(paths_, first_watch_path_, http::now_ms());
+}
+
 bool
 client::has_changes(const http::response& r) const
 {
@@ -572,6 +636,10 @@
         const bool refused = end == http::end_state::not_sent ||
                              (complete && r.status == unavailable);
         if (refused || !complete) {
+          note_path(paths_,
+                    first_watch_path_,
+                    refused ? path_end::store_away : path_end::failed,
+                    http::now_ms());
           process::log_line(timeline::event{ "upstream_failed" }
                               .with("target", inner.target)
                               .with("path", settings_.relays.front())
--- a/cactusford/store/store.h
+++ b/cactusford/store/store.h
@@ -172,7 +172,7 @@
          const dialect& d,
          client_settings s);
 
-  // Tries up to three paths.
+  // Tries up to three paths; a list on two at a time if the first is slow.
   void perform(const call& c, handler done);
 
   // Other instances that make calls for this one from now on, and where this
@@ -217,7 +217,11 @@
     std::uint64_t at_ms = 0;
   };
   void try_next(const std::shared_ptr<attempt>& a);
+  void try_second_path_later(const std::shared_ptr<attempt>& a);
   void try_path(const std::shared_ptr<attempt>& a, std::size_t path);
+  std::size_t first_path_of(const store::call& c) const;
+  std::uint64_t hops_to(const store::call& c, std::size_t path) const;
+  void settle(const std::shared_ptr<attempt>& a, reply&& r);
   void take(const std::shared_ptr<attempt>& a,
             sent_way way,
             http::end_state end,
@@ -242,6 +246,7 @@
                      std::uint64_t timeout_ms,
                      std::uint64_t hops,
                      shared_watches::handler done);
+  bool asks_upstream(std::uint64_t hops);
   bool has_changes(const http::response& r) const;
   void note_answer();
   void note_failure(std::string_view why);
--- a/cactusford/store/watcher.cc
+++ b/cactusford/store/watcher.cc
@@ -10,8 +10,9 @@
 
 namespace {
 
-// Pause after a failed call, in milliseconds. A store that is back should be
-// found well within a second; how often it is asked is for the paths to say.
+// Between the beginnings of a failed call and the next, in milliseconds. A
+// store that is back should be found well within a second; how often it is
+// asked is for the paths to say.
 constexpr std::uint64_t first_pause_ms = 50;
 constexpr std::uint64_t longest_pause_ms = 400;
 
@@ -61,6 +62,22 @@
   }
 }
 
+void
+watcher::ask(const call& c, client::handler done)
+{
+  asked_ms_ = http::now_ms();
+  store_.perform(c, std::move(done));
+}
+
+// A call that was waited for has been pause enough.
+std::uint64_t
+watcher::pause_left() const
+{
+  const auto waited = http::now_ms() - asked_ms_;
+  const auto pause = pause_after(failures_);
+  return waited < pause ? pause - waited : 0;
+}
+
 void
 watcher::list(listing sofar)
 {
@@ -69,13 +86,13 @@
   c.kind = settings_.kind;
   c.after = sofar.after;
   c.shared = settings_.shared;
-  store_.perform(c, [this, sofar, round = round_](reply&& r) mutable {
+  ask(c, [this, sofar, round = round_](reply&& r) mutable {
     if (round != round_) {
       return;
     }
     if (r.what != verdict::done) {
       note_failed(operation::list, r.what);
-      wait_and_watch(pause_after(failures_));
+      wait_and_watch(pause_left());
       return;
     }
     // Pages are read one after the other; changes since the first of them
@@ -171,7 +188,7 @@
   c.since = as_of_;
   c.wait_ms = settings_.wait_ms;
   c.shared = settings_.shared;
-  store_.perform(c, [this, round = round_](reply&& r) {
+  ask(c, [this, round = round_](reply&& r) {
     if (round == round_) {
       on_reply(std::move(r));
     }
@@ -192,7 +209,7 @@
     // a list shows what stands.
     needs_list_ = true;
     note_failed(operation::watch, r.what);
-    wait_and_watch(pause_after(failures_));
+    wait_and_watch(pause_left());
     return;
   }
   // An answer without changes may have been made while the store held some
--- a/cactusford/store/watcher.h
+++ b/cactusford/store/watcher.h
@@ -66,6 +66,8 @@
   void end_list(listing&& l);
   void watch();
   void wait_and_watch(std::uint64_t ms);
+  void ask(const call& c, client::handler done);
+  std::uint64_t pause_left() const;
   void on_reply(reply&& r);
   void tell_unreadable(const std::vector<unreadable>& broken);
   void note_confirmed();
@@ -77,6 +79,8 @@
   watch_events events_;
   std::uint64_t as_of_ = 0;
   std::uint64_t confirmed_ms_ = 0;
+  // When the last call was made.
+  std::uint64_t asked_ms_ = 0;
   // Answers of an older round are dropped.
   std::uint64_t round_ = 0;
   std::uint32_t failures_ = 0;
