No list that is older than what a watch has shown

What callers saw: nothing yet; found by the search for the same cause in each way that a view arrives. A list that is joined with the call of another instance, or comes by the slower of two paths, stands for an earlier moment. It replaced what a watch had shown since: a backend server that had left was back, until the next watch.

Change: such a list is dropped, logged (list_too_old) and asked for again. Routes were safe already: a table is never replaced by an older one.

watcher/takes_no_list_that_is_older_than_what_it_has_shown failed before.

--- a/cactusford/store/watcher.cc
+++ b/cactusford/store/watcher.cc
@@ -125,9 +125,26 @@
   });
 }
 
+// A list that was joined with one of another instance may be older than what
+// came with a watch since.
+bool
+watcher::is_older_than_shown(const listing& l) const
+{
+  return l.first_as_of < as_of_;
+}
+
 void
 watcher::end_list(listing&& l)
 {
+  if (is_older_than_shown(l)) {
+    process::log_line(timeline::event{ "list_too_old" }
+                        .with("kind", settings_.kind)
+                        .with("as_of", l.first_as_of)
+                        .with("shown", as_of_));
+    ++failures_;
+    wait_and_watch(pause_left());
+    return;
+  }
   listed_ = true;
   needs_list_ = false;
   as_of_ = l.first_as_of;
--- a/cactusford/store/watcher.h
+++ b/cactusford/store/watcher.h
@@ -66,6 +66,7 @@
   };
 
   void list(listing sofar);
+  bool is_older_than_shown(const listing& l) const;
   void end_list(listing&& l);
   void watch();
   void wait_and_watch(std::uint64_t ms);
--- /dev/null
+++ b/tests/watcher-test.cc
@@ -0,0 +1,141 @@
+// A watcher and a store whose answers come when the test says so. The clock is
+// moved by hand.
+#include "cactusford/http/clock.h"
+#include "cactusford/store/watcher.h"
+#include "cactusford/testing/section.h"
+#include "standins/object_store.h"
+
+#include <criterion/criterion.h>
+#include <nlohmann/json.hpp>
+
+#include <chrono>
+#include <set>
+#include <string>
+#include <thread>
+#include <vector>
+
+using namespace cactusford;
+using nlohmann::json;
+
+namespace {
+
+constexpr std::uint64_t wait_ms = 1000;
+constexpr std::uint64_t step_ms = 10;
+
+json
+object(const std::string& name, std::uint64_t revision)
+{
+  return { { "name", name },
+           { "revision", revision },
+           { "spec", json::object() },
+           { "status", json::object() } };
+}
+
+struct scripted
+{
+  http::manual_clock clock;
+  asio::io_context io;
+  // Calls without an answer, oldest first.
+  std::vector<http::call> asked;
+  http::server server{ io, {}, [this](const http::call& c) {
+                        asked.push_back(c);
+                      } };
+  http::client http{ io };
+  edge::dialect dialect = standins::plain_dialect();
+  std::unique_ptr<store::client> store;
+  std::unique_ptr<store::watcher> watcher;
+  std::set<std::string> shown;
+
+  scripted()
+  {
+    cr_assert_not(server.listen("127.0.0.1:0"));
+    store::client_settings s;
+    s.address = "127.0.0.1:" + std::to_string(server.port());
+    store = std::make_unique<store::client>(io, http, dialect.store, s);
+    watcher = std::make_unique<store::watcher>(
+      io,
+      *store,
+      store::watch_settings{ "things", wait_ms },
+      store::watch_events{
+        [this](std::vector<store::object>&& all) {
+          shown.clear();
+          for (const auto& o : all) {
+            shown.insert(o.name);
+          }
+        },
+        [this](store::change&& c) { shown.insert(c.value.name); },
+        {} });
+    watcher->start();
+    run(step_ms);
+  }
+
+  void run(std::uint64_t ms)
+  {
+    constexpr int quiet_looks = 3;
+    constexpr std::chrono::microseconds look_pause{ 250 };
+    for (std::uint64_t t = 0; t < ms; t += step_ms) {
+      for (int quiet = 0; quiet < quiet_looks;) {
+        quiet = io.poll() == 0 ? quiet + 1 : 0;
+        std::this_thread::sleep_for(look_pause);
+      }
+      clock.advance(std::chrono::milliseconds{ step_ms });
+    }
+  }
+
+  void answer(std::size_t which,
+              std::uint64_t as_of,
+              const json& items,
+              const json& changes)
+  {
+    cr_assert_lt(which, asked.size());
+    const auto call = asked[which];
+    asked.erase(asked.begin() + static_cast<std::ptrdiff_t>(which));
+    const json body{ { "what", static_cast<int>(store::verdict::done) },
+                     { "more", false },
+                     { "as_of", as_of },
+                     { "items", items },
+                     { "changes", changes } };
+    call.respond({ 200, {}, body.dump() });
+    run(step_ms);
+  }
+
+  void answer_list(std::uint64_t as_of, const json& items)
+  {
+    answer(0, as_of, items, json::array());
+  }
+
+  void refuse()
+  {
+    constexpr std::uint64_t longest_pause_ms = 800;
+    asked.front().respond({ 503, {}, "" });
+    asked.erase(asked.begin());
+    run(longest_pause_ms);
+  }
+};
+
+} // namespace
+
+// Guards against a backend server that is used again after it has left: a list
+// that was made for another instance some time ago replaced what changes since
+// then had shown.
+Test(watcher, takes_no_list_that_is_older_than_what_it_has_shown)
+{
+  scripted w;
+  w.answer_list(10, json::array({ object("a", 5) }));
+  const json change{ { "object", object("b", 12) }, { "deleted", false } };
+  w.answer(0, 12, json::array(), json::array({ change }));
+  w.refuse();
+  const std::set<std::string> both{ "a", "b" };
+  cr_assert(w.shown == both);
+  SECTION("the older list")
+  {
+    w.answer_list(11, json::array({ object("a", 5) }));
+    cr_assert(w.shown == both);
+  }
+  SECTION("is asked for again")
+  {
+    w.run(wait_ms);
+    w.answer_list(13, json::array({ object("b", 12) }));
+    cr_assert(w.shown == std::set<std::string>{ "b" });
+  }
+}
