Answers to earlier questions count

What callers saw: nothing yet; found by the search for the same cause under a slow store. Each call that finds another server than it was sent to asks for the list of backend servers again, ten times a second at most, and each question threw away the answer to the one before. With a store that takes longer than 0.1 s nothing was learned for as long as such calls went on.

Change: an answer to an earlier question is taken in; only the newest goes on asking.

watcher/takes_the_answer_to_an_earlier_question failed before.

--- a/cactusford/store/watcher.cc
+++ b/cactusford/store/watcher.cc
@@ -96,7 +96,8 @@
   c.after = sofar.after;
   c.shared = settings_.shared;
   ask(c, [this, sofar, round = round_](reply&& r) mutable {
-    if (round != round_) {
+    const bool is_useful = r.what == verdict::done && !r.more;
+    if (!running_ || (round != round_ && !is_useful)) {
       return;
     }
     if (r.what != verdict::done) {
@@ -121,7 +122,7 @@
       list(std::move(sofar));
       return;
     }
-    end_list(std::move(sofar));
+    end_list(std::move(sofar), round);
   });
 }
 
@@ -134,9 +135,12 @@
 }
 
 void
-watcher::end_list(listing&& l)
+watcher::end_list(listing&& l, std::uint64_t round)
 {
   if (is_older_than_shown(l)) {
+    if (round != round_) {
+      return;
+    }
     process::log_line(timeline::event{ "list_too_old" }
                         .with("kind", settings_.kind)
                         .with("as_of", l.first_as_of)
@@ -154,7 +158,9 @@
   if (events_.on_current) {
     events_.on_current();
   }
-  watch();
+  if (round == round_) {
+    watch();
+  }
 }
 
 void
@@ -217,14 +223,15 @@
   has_gathered_ = false;
   c.shared = settings_.shared;
   ask(c, [this, round = round_](reply&& r) {
-    if (round == round_) {
-      on_reply(std::move(r));
+    const bool is_useful = r.what == verdict::done;
+    if (running_ && (round == round_ || is_useful)) {
+      on_reply(std::move(r), round);
     }
   });
 }
 
 void
-watcher::on_reply(reply&& r)
+watcher::on_reply(reply&& r, std::uint64_t round)
 {
   if (r.what == verdict::history_gone || r.what == verdict::missing) {
     needs_list_ = true;
@@ -249,7 +256,6 @@
     as_of_ = std::max(as_of_, r.as_of);
   }
   note_confirmed(r.confirmed_ms);
-  const auto round = round_;
   for (auto& c : r.changes) {
     events_.on_change(std::move(c));
   }
--- a/cactusford/store/watcher.h
+++ b/cactusford/store/watcher.h
@@ -67,13 +67,13 @@
 
   void list(listing sofar);
   bool is_older_than_shown(const listing& l) const;
-  void end_list(listing&& l);
+  void end_list(listing&& l, std::uint64_t round);
   void watch();
   void wait_and_watch(std::uint64_t ms);
   void ask(const call& c, client::handler done);
   std::uint64_t pause_left() const;
   std::uint64_t hold_ms() const;
-  void on_reply(reply&& r);
+  void on_reply(reply&& r, std::uint64_t round);
   void tell_unreadable(const std::vector<unreadable>& broken);
   void note_confirmed(std::uint64_t at_ms);
   void note_failed(operation op, verdict v);
@@ -88,7 +88,8 @@
   std::uint64_t asked_ms_ = 0;
   // Changes have gathered since the last answer.
   bool has_gathered_ = false;
-  // Answers of an older round are dropped.
+  // Grows when the view is asked for again at once. Answers of an older round
+  // are true as well, but only the newest goes on asking.
   std::uint64_t round_ = 0;
   std::uint32_t failures_ = 0;
   bool listed_ = false;
--- a/tests/watcher-test.cc
+++ b/tests/watcher-test.cc
@@ -139,3 +139,19 @@
     cr_assert(w.shown == std::set<std::string>{ "b" });
   }
 }
+
+// Guards against backend servers that are never learned of: while the store is
+// slow, each call that finds another server there asks for the list again, and
+// the answers to the questions before were thrown away.
+Test(watcher, takes_the_answer_to_an_earlier_question)
+{
+  scripted w;
+  for (int i = 0; i < 3; ++i) {
+    w.watcher->refresh();
+    w.run(step_ms);
+  }
+  cr_assert_not(w.watcher->is_current());
+  w.answer_list(10, json::array({ object("a", 5) }));
+  cr_assert(w.watcher->is_current());
+  cr_assert(w.shown == std::set<std::string>{ "a" });
+}
