The soak changes the configuration and asks each entry for it

Cause: the soak never changed the configuration, so it could not see a change that was late or went back.

Change: a version every 3.1 s, each with a route of its own; each entry is asked for the newest route and the one before. Always checked: no process goes back.

--- a/soak/main.cc
+++ b/soak/main.cc
@@ -18,6 +18,8 @@
   int seconds = 20;
   int entries = 4;
   int engines = 3;
+  int in_force_ms = 0;
+  int only_ways = 0;
   std::string folder = "soak-logs";
   std::string wrong;
 };
@@ -45,6 +47,20 @@
       "S" },
     { "entries", 0, POPT_ARG_INT, &c.entries, 0, "entry processes", "N" },
     { "engines", 0, POPT_ARG_INT, &c.engines, 0, "stand-ins of engines", "N" },
+    { "in-force-ms",
+      0,
+      POPT_ARG_INT,
+      &c.in_force_ms,
+      0,
+      "how late a change may be in force; 0: not checked",
+      "MS" },
+    { "only-ways",
+      0,
+      POPT_ARG_NONE,
+      &c.only_ways,
+      0,
+      "only pauses of entries and harm on their ways to the store",
+      nullptr },
     { "folder", 0, POPT_ARG_STRING, &folder, 0, "where the logs go", "PATH" },
     POPT_AUTOHELP POPT_TABLEEND
   };
@@ -64,8 +80,10 @@
     c.folder = folder;
     std::free(folder);
   }
-  if (c.seeds < 1 || c.seconds < 1 || c.entries < 2 || c.engines < 1) {
-    c.wrong = "--seeds, --seconds and --engines take 1 or more, --entries 2";
+  if (c.seeds < 1 || c.seconds < 1 || c.entries < 2 || c.engines < 1 ||
+      c.in_force_ms < 0) {
+    c.wrong = "--seeds, --seconds and --engines take 1 or more, --entries 2, "
+              "--in-force-ms 0";
   }
   return c;
 }
@@ -81,20 +99,28 @@
   o.plan.length_ms = static_cast<std::uint64_t>(c.seconds) * ms_per_second;
   o.plan.entries = static_cast<std::size_t>(c.entries);
   o.plan.engines = static_cast<std::size_t>(c.engines);
+  o.in_force_ms = static_cast<std::uint64_t>(c.in_force_ms);
+  o.plan.only_ways = c.only_ways != 0;
   o.program = program;
   o.folder = c.folder + "/seed-" + std::to_string(seed);
   world w{ o };
   w.play();
-  for (const auto& v : w.seen().violations()) {
+  auto broken = w.seen().violations();
+  const auto& late = w.changes().violations();
+  broken.insert(broken.end(), late.begin(), late.end());
+  for (const auto& v : broken) {
     std::printf("soak: seed=%d broken=\"%s\"\n", seed, v.c_str());
   }
-  const bool kept = w.seen().violations().empty();
-  std::printf("soak: seed=%d verdict=%s faults=%zu results=%zu calls=%zu\n",
+  const bool kept = broken.empty();
+  std::printf("soak: seed=%d verdict=%s faults=%zu results=%zu calls=%zu "
+              "probes=%zu undisturbed=%zu\n",
               seed,
               kept ? "kept" : "broken",
               w.faults(),
               w.seen().results(),
-              w.seen().calls_answered());
+              w.seen().calls_answered(),
+              w.changes().probes(),
+              w.changes().undisturbed());
   std::fflush(stdout);
   return kept;
 }
--- a/soak/plan.cc
+++ b/soak/plan.cc
@@ -12,6 +12,7 @@
 // of them last longer than that: two or three are there at the same time.
 constexpr std::uint64_t calm_ms = 1500;
 constexpr std::uint64_t mean_gap_ms = 700;
+constexpr std::uint64_t mean_gap_of_ways_ms = 2500;
 constexpr std::uint64_t shortest_ms = 200;
 constexpr std::uint64_t longest_ms = 4000;
 
@@ -20,6 +21,12 @@
 constexpr double series_share = 0.25;
 constexpr std::uint64_t series_gap_ms = 400;
 
+constexpr std::array ways{ fault_kind::pause_entry,
+                           fault_kind::delay_store,
+                           fault_kind::reset_store,
+                           fault_kind::cut_store_one_way,
+                           fault_kind::silence_store };
+
 } // namespace
 
 std::string_view
@@ -43,11 +50,13 @@
     constexpr double parts = 1000;
     return static_cast<double>(below(1000)) / parts;
   };
+  const auto mean_gap = o.only_ways ? mean_gap_of_ways_ms : mean_gap_ms;
   std::vector<fault> all;
   auto at = calm_ms;
   while (at < o.length_ms) {
     fault f;
-    f.kind = static_cast<fault_kind>(below(fault_kinds));
+    f.kind = o.only_ways ? ways.at(below(ways.size()))
+                         : static_cast<fault_kind>(below(fault_kinds));
     const bool of_engine = f.kind >= fault_kind::delay_engine &&
                            f.kind <= fault_kind::silence_engine;
     const auto targets = of_engine ? o.engines : o.entries;
@@ -60,7 +69,7 @@
       all.push_back(f);
       at += n + 1 < times ? series_gap_ms : 0;
     }
-    at += below(2 * mean_gap_ms);
+    at += below(2 * mean_gap);
   }
   return all;
 }
--- a/soak/world.cc
+++ b/soak/world.cc
@@ -31,6 +31,17 @@
 constexpr std::uint64_t send_pause_ms = 150;
 constexpr std::uint64_t answer_limit_ms = 3000;
 
+// The configuration changes this often; each entry is asked for the routes of
+// the newest version and of the one before.
+constexpr std::uint64_t change_pause_ms = 3100;
+constexpr std::uint64_t probe_pause_ms = 250;
+
+// Probes may run more than once, other calls may not.
+constexpr std::string_view probe_prefix = "probe-";
+
+// An entry that was disturbed may be late for so long.
+constexpr std::uint64_t contact_ms = 3000;
+
 // After the last fault: the longest time in which everything must be whole.
 constexpr std::uint64_t wind_up_ms = 25000;
 
@@ -98,6 +109,10 @@
   // It is to be started again when it has ended.
   bool wanted = true;
   std::uint64_t start_at_ms = 0;
+  std::uint64_t life = 0;
+  // Faults under way, and when the last one began or ended, or it started.
+  int faults = 0;
+  std::uint64_t calm_since_ms = 0;
 };
 
 struct world::engine
@@ -129,6 +144,7 @@
 world::world(soak_options o)
   : options_{ std::move(o) }
   , random_{ options_.plan.seed }
+  , changes_{ { options_.in_force_ms } }
   , store_{ io_ }
   , service_{ io_,
               {},
@@ -136,12 +152,15 @@
                 const auto& fields = c.request().fields;
                 const auto id =
                   std::string{ http::find(fields, "Id").value_or("") };
-                judge_.on_call_run(id);
+                if (!id.starts_with(probe_prefix)) {
+                  judge_.on_call_run(id);
+                }
                 c.respond({ 200,
                             { { "Id", id }, { "Signature", "sig-" + id } },
                             "answer-" + id });
               } }
   , callers_{ io_ }
+  , probers_{ io_ }
 {
   std::filesystem::create_directories(options_.folder);
   service_.listen("127.0.0.1:0");
@@ -173,25 +192,7 @@
   for (std::size_t i = 0; i < options_.trainers; ++i) {
     trainers_.push_back(std::make_unique<trainer>());
   }
-  const auto route = [](const char* name, const char* service, int kind) {
-    return json{
-      { "name", name },       { "prefix", std::string{ "/" } + name + "/" },
-      { "service", service }, { "kind", kind },
-      { "attempts", 3 },      { "timeout_ms", 2000 },
-      { "due_ms", 3000 },     { "give_up_ms", 600000 }
-    };
-  };
-  using routes::call_kind;
-  store_.put(
-    "configuration",
-    "main",
-    { { "version", 1 },
-      { "routes",
-        { route("b", "engines", static_cast<int>(call_kind::rollout)),
-          route("score", "scorers", static_cast<int>(call_kind::idempotent)),
-          route("call",
-                "calls",
-                static_cast<int>(call_kind::non_idempotent)) } } });
+  change_configuration();
   const auto announce = [&](const std::string& id,
                             const char* service,
                             const std::string& address) {
@@ -222,6 +223,125 @@
   }
 }
 
+namespace {
+
+json
+route(const std::string& name, const char* service, routes::call_kind kind)
+{
+  return { { "name", name },       { "prefix", "/" + name + "/" },
+           { "service", service }, { "kind", static_cast<int>(kind) },
+           { "attempts", 3 },      { "timeout_ms", 2000 },
+           { "due_ms", 3000 },     { "give_up_ms", 600000 } };
+}
+
+std::string
+name_of_version(std::uint64_t version)
+{
+  return "version-" + std::to_string(version);
+}
+
+} // namespace
+
+// Each version adds a route of its own and takes that of the last one away.
+void
+world::change_configuration()
+{
+  using routes::call_kind;
+  ++version_;
+  store_.put(
+    "configuration",
+    "main",
+    { { "version", version_ },
+      { "routes",
+        { route("b", "engines", call_kind::rollout),
+          route("score", "scorers", call_kind::idempotent),
+          route("call", "calls", call_kind::non_idempotent),
+          route(
+            name_of_version(version_), "calls", call_kind::idempotent) } } });
+  changes_.on_confirmed(version_, http::now_ms());
+}
+
+bool
+world::is_undisturbed(const entry& e) const
+{
+  const auto now = http::now_ms();
+  return e.pid != 0 && e.faults == 0 && store_faults_ == 0 &&
+         now - e.calm_since_ms >= contact_ms &&
+         now - store_calm_since_ms_ >= contact_ms;
+}
+
+void
+world::probe_entry(std::size_t i, std::uint64_t version)
+{
+  auto& e = *entries_[i];
+  const auto id = std::string{ probe_prefix } + std::to_string(next_id_++);
+  const http::request r{ "GET",
+                         "/" + name_of_version(version) + "/x",
+                         { { "Host", "h" }, { "Id", id } },
+                         "" };
+  http::exchange_options o;
+  o.timeout_ms = answer_limit_ms;
+  const bool was_undisturbed = is_undisturbed(e);
+  probe p{ e.name, e.life, version, http::now_ms(), 0, false, false };
+  probers_.fetch(e.callers,
+                 r,
+                 o,
+                 [this, &e, p, was_undisturbed](http::end_state end,
+                                                http::response&& a) mutable {
+                   constexpr int ok = 200;
+                   constexpr int missing = 404;
+                   if (end != http::end_state::complete || e.life != p.life ||
+                       (a.status != ok && a.status != missing)) {
+                     return;
+                   }
+                   p.answered_ms = http::now_ms();
+                   p.is_served = a.status == ok;
+                   p.was_undisturbed = was_undisturbed && is_undisturbed(e);
+                   changes_.on_answer(p);
+                 });
+}
+
+void
+world::probe_entries()
+{
+  if (winding_up_) {
+    return;
+  }
+  for (std::size_t i = 0; i < entries_.size(); ++i) {
+    if (entries_[i]->pid == 0) {
+      continue;
+    }
+    probe_entry(i, version_);
+    if (version_ > 1) {
+      probe_entry(i, version_ - 1);
+    }
+  }
+  after(probe_pause_ms, [this] { probe_entries(); });
+}
+
+void
+world::note_disturbance(const fault& f, int begins)
+{
+  const auto now = http::now_ms();
+  const bool of_store = f.kind >= fault_kind::refuse_store;
+  const bool of_engine =
+    f.kind >= fault_kind::delay_engine && f.kind <= fault_kind::silence_engine;
+  if (of_store) {
+    store_faults_ += begins;
+    store_calm_since_ms_ = now;
+  }
+  if (of_store || of_engine) {
+    return;
+  }
+  for (std::size_t i = 0; i < entries_.size(); ++i) {
+    const bool is_target = i == f.target % entries_.size();
+    if (is_target || f.kind == fault_kind::kill_all) {
+      entries_[i]->faults += begins;
+      entries_[i]->calm_since_ms = now;
+    }
+  }
+}
+
 void
 world::write_settings(entry& e)
 {
@@ -246,6 +366,8 @@
 world::start(entry& e)
 {
   write_settings(e);
+  ++e.life;
+  e.calm_since_ms = http::now_ms();
   e.pid =
     standins::spawn_program({ options_.program, "--settings", e.settings },
                             options_.folder + "/" + e.name + ".log");
@@ -287,6 +409,7 @@
 world::apply(const fault& f)
 {
   ++faults_;
+  note_disturbance(f, 1);
   std::printf("soak: at_ms=%lu for_ms=%lu fault=%s target=%zu\n",
               static_cast<unsigned long>(f.at_ms),
               static_cast<unsigned long>(f.for_ms),
@@ -357,6 +480,7 @@
 void
 world::heal(const fault& f)
 {
+  note_disturbance(f, -1);
   auto& e = *entries_[f.target % entries_.size()];
   switch (f.kind) {
     case fault_kind::pause_entry:
@@ -595,6 +719,11 @@
     submit(*t);
   }
   call_plain();
+  probe_entries();
+  for (auto at = change_pause_ms; at < options_.plan.length_ms;
+       at += change_pause_ms) {
+    after(at, [this] { change_configuration(); });
+  }
   std::uint64_t last = options_.plan.length_ms;
   for (const auto& f : make_plan(options_.plan)) {
     after(f.at_ms, [this, f] { apply(f); });
--- a/soak/world.h
+++ b/soak/world.h
@@ -4,6 +4,7 @@
 
 #include "cactusford/http/client.h"
 #include "cactusford/http/server.h"
+#include "soak/changes.h"
 #include "soak/judge.h"
 #include "soak/plan.h"
 #include "soak/proxy.h"
@@ -26,6 +27,8 @@
   std::string program;
   std::string folder;
   std::size_t trainers = 3;
+  // For how late a change may be; 0: only that none goes back is checked.
+  std::uint64_t in_force_ms = 0;
 };
 
 class world
@@ -40,6 +43,7 @@
   void play();
 
   const judge& seen() const { return judge_; }
+  const change_judge& changes() const { return changes_; }
   std::size_t faults() const { return faults_; }
 
 private:
@@ -61,18 +65,29 @@
   void read(trainer& t);
   void end_batch(trainer& t);
   void call_plain();
+  void change_configuration();
+  void probe_entries();
+  void probe_entry(std::size_t i, std::uint64_t version);
+  void note_disturbance(const fault& f, int begins);
+  bool is_undisturbed(const entry& e) const;
   entry& any_entry();
 
   soak_options options_;
   asio::io_context io_;
   std::mt19937_64 random_;
   judge judge_;
+  change_judge changes_;
   standins::object_store store_;
   std::vector<std::unique_ptr<engine>> engines_;
   http::server service_;
   http::client callers_;
   std::vector<std::unique_ptr<entry>> entries_;
   std::vector<std::unique_ptr<trainer>> trainers_;
+  http::client probers_;
+  std::uint64_t version_ = 0;
+  // Faults of the store under way, and when the last one began or ended.
+  int store_faults_ = 0;
+  std::uint64_t store_calm_since_ms_ = 0;
   bool refusing_ = false;
   bool losing_ = false;
   bool winding_up_ = false;
