--- a/soak/plan.cc
+++ b/soak/plan.cc
@@ -60,7 +60,9 @@
     const bool of_engine = f.kind >= fault_kind::delay_engine &&
                            f.kind <= fault_kind::silence_engine;
     const auto targets = of_engine ? o.engines : o.entries;
-    f.target = below(targets);
+    // Half of the harm to ways meets the first relay, which asks for all.
+    const bool of_first = o.only_ways && below(2) == 0;
+    f.target = of_first ? 0 : below(targets);
     f.for_ms = shortest_ms + below(longest_ms - shortest_ms);
     const auto times = chance() < series_share ? 2 + below(3) : 1;
     for (std::uint64_t n = 0; n < times && at < o.length_ms; ++n) {
--- a/soak/world.cc
+++ b/soak/world.cc
@@ -34,6 +34,7 @@
 // The configuration changes this often; each entry is asked for the routes of
 // the newest version and of the one before.
 constexpr std::uint64_t change_pause_ms = 3100;
+constexpr std::uint64_t change_after_fault_ms = 50;
 constexpr std::uint64_t probe_pause_ms = 250;
 
 // Probes may run more than once, other calls may not.
@@ -709,6 +710,26 @@
     trainers_.begin(), trainers_.end(), [](const auto& t) { return t->idle; });
 }
 
+// Regularly, or just after a way to the store was harmed: that is when a change
+// may be learned late.
+void
+world::plan_changes()
+{
+  const auto change_at = [this](std::uint64_t at_ms) {
+    after(at_ms, [this] { change_configuration(); });
+  };
+  if (options_.plan.only_ways) {
+    for (const auto& f : make_plan(options_.plan)) {
+      change_at(f.at_ms + change_after_fault_ms);
+    }
+    return;
+  }
+  for (auto at = change_pause_ms; at < options_.plan.length_ms;
+       at += change_pause_ms) {
+    change_at(at);
+  }
+}
+
 void
 world::play()
 {
@@ -720,10 +741,7 @@
   }
   call_plain();
   probe_entries();
-  for (auto at = change_pause_ms; at < options_.plan.length_ms;
-       at += change_pause_ms) {
-    after(at, [this] { change_configuration(); });
-  }
+  plan_changes();
   std::uint64_t last = options_.plan.length_ms;
   for (const auto& f : make_plan(options_.plan)) {
     after(f.at_ms, [this, f] { apply(f); });
--- a/soak/world.h
+++ b/soak/world.h
@@ -65,6 +65,7 @@
   void read(trainer& t);
   void end_batch(trainer& t);
   void call_plain();
+  void plan_changes();
   void change_configuration();
   void probe_entries();
   void probe_entry(std::size_t i, std::uint64_t version);
