What relays say to each other, and what they do for others, in files of their own

store.cc had grown to 735 lines. relay_wire has the messages between instances as types, encoded and decoded in one place, with tests; relaying.cc has the calls made for others; store.cc the calls of this instance (415 lines). A number in an answer that no clock can give is cut to an hour, so that adding it cannot overflow.

--- /dev/null
+++ b/cactusford/store/relay_wire-test.cc
@@ -0,0 +1,88 @@
+#include "cactusford/store/relay_wire.h"
+
+#include "cactusford/testing/section.h"
+
+#include <criterion/criterion.h>
+
+using namespace cactusford;
+using namespace cactusford::store;
+
+namespace {
+
+constexpr auto complete = http::end_state::complete;
+
+http::response
+answer_of_relay(std::uint64_t asked_ms, std::uint64_t confirmed_ms)
+{
+  const relay_notes notes{ asked_ms, confirmed_ms, {} };
+  return relayed_answer(complete, { 200, {}, "b" }, notes);
+}
+
+} // namespace
+
+Test(relay_wire, brings_a_call_over_whole)
+{
+  relayed_call c;
+  c.inner = { { "GET", "/things", {}, "b" }, 1300, 1000 };
+  c.shared = true;
+  c.hops = 2;
+  c.message = { { "x", 1 } };
+  const auto r = encode(c);
+  cr_assert_eq(r.target, relay_path);
+  const auto read = relayed_call_from(r.body);
+  cr_assert(read.has_value());
+  cr_assert(*read == c);
+  SECTION("one that is malformed names its field")
+  {
+    const auto broken = relayed_call_from(R"({"method": "GET"})");
+    cr_assert_not(broken.has_value());
+    cr_assert_eq(broken.fault.field, "target");
+  }
+}
+
+// Guards against a view that counts as newer than it is, as the clocks of two
+// instances differ or the way between them is slow.
+Test(relay_wire, tells_the_age_of_an_answer_without_comparing_clocks)
+{
+  SECTION("held for a second, on the clock of a relay that is far ahead")
+  {
+    const auto r = answer_of_relay(900000, 901000);
+    cr_assert_eq(confirmed_by_relay(r, 50, 5000), 1050);
+  }
+  SECTION("made before the relay was asked")
+  {
+    const auto r = answer_of_relay(900000, 899800);
+    cr_assert_eq(confirmed_by_relay(r, 500, 510), 300);
+  }
+  SECTION("never later than now, nor before the clock began")
+  {
+    cr_assert_eq(confirmed_by_relay(answer_of_relay(0, 1000), 50, 60), 60);
+    cr_assert_eq(confirmed_by_relay(answer_of_relay(1000, 0), 50, 60), 0);
+  }
+  SECTION("a number that cannot be counts as none that is newer")
+  {
+    const http::response r{ 200,
+                            { { "Confirmed-After-Ms", "9223372036854775807" } },
+                            "" };
+    cr_assert_eq(confirmed_by_relay(r, 50, 60), 60);
+  }
+}
+
+Test(relay_wire, takes_a_watch_without_changes_for_held_to_its_end)
+{
+  cr_assert_eq(confirmed_by_store(100, 1000, false, 5000), 1100);
+  cr_assert_eq(confirmed_by_store(100, 1000, true, 5000), 100);
+  cr_assert_eq(confirmed_by_store(100, 1000, false, 300), 300);
+}
+
+Test(relay_wire, says_when_the_store_is_away)
+{
+  using http::end_state;
+  cr_assert(says_away(away_answer()));
+  const auto not_sent = relayed_answer(end_state::not_sent, {}, {});
+  cr_assert_eq(not_sent.status, 503, "nothing was done");
+  const auto cut = relayed_answer(end_state::cut, {}, {});
+  cr_assert_eq(cut.status, 504, "it may have been done");
+  cr_assert(says_away(cut));
+  cr_assert_not(says_away(relayed_answer(complete, { 200, {}, "" }, {})));
+}
--- /dev/null
+++ b/cactusford/store/relay_wire.cc
@@ -0,0 +1,135 @@
+#include "cactusford/store/relay_wire.h"
+
+#include <algorithm>
+#include <charconv>
+#include <string>
+
+namespace cactusford::store {
+
+namespace {
+
+constexpr std::string_view away_header = "Store-Away";
+
+constexpr std::string_view message_header = "Piggyback";
+
+// When the store stood as a relay's answer says, in milliseconds after the
+// relay was asked; negative for an answer that was there before.
+constexpr std::string_view confirmed_header = "Confirmed-After-Ms";
+
+// Far beyond any wait; a larger number is a malformed one.
+constexpr std::int64_t longest_ms = 3600000;
+
+constexpr int unavailable = 503;
+constexpr int no_answer = 504;
+
+http::header
+confirmed_after(const relay_notes& notes)
+{
+  const auto after = static_cast<std::int64_t>(notes.confirmed_ms) -
+                     static_cast<std::int64_t>(notes.asked_ms);
+  return { std::string{ confirmed_header }, std::to_string(after) };
+}
+
+} // namespace
+
+http::request
+encode(const relayed_call& c)
+{
+  const auto& inner = c.inner.request;
+  const nlohmann::json body{ { "method", inner.method },
+                             { "target", inner.target },
+                             { "body", inner.body },
+                             { "timeout_ms", c.inner.timeout_ms },
+                             { "held_ms", c.inner.held_ms },
+                             { "shared", c.shared },
+                             { "hops", c.hops },
+                             { "sent_along", c.message } };
+  http::request r;
+  r.method = "POST";
+  r.target = std::string{ relay_path };
+  r.body = body.dump();
+  return r;
+}
+
+decoded<relayed_call>
+relayed_call_from(std::string_view body)
+{
+  const auto j = parse_message(body);
+  return read_shape([&] {
+    relayed_call c;
+    c.inner.request.method = text_field(j, "method");
+    c.inner.request.target = text_field(j, "target");
+    c.inner.request.body = text_field(j, "body");
+    c.inner.timeout_ms = whole_field(j, "timeout_ms");
+    c.inner.held_ms = whole_field_or(j, "held_ms", 0);
+    c.shared = flag_field(j, "shared");
+    c.hops = whole_field(j, "hops");
+    c.message = j.value("sent_along", nlohmann::json{});
+    return c;
+  });
+}
+
+http::response
+away_answer()
+{
+  return { unavailable, { { std::string{ away_header }, "1" } }, "" };
+}
+
+http::response
+relayed_answer(http::end_state end,
+               const http::response& r,
+               const relay_notes& notes)
+{
+  if (end != http::end_state::complete) {
+    // 503 says that nothing was done; 504 leaves it open.
+    auto a = away_answer();
+    a.status = end == http::end_state::not_sent ? unavailable : no_answer;
+    return a;
+  }
+  http::headers fields{ confirmed_after(notes) };
+  if (!notes.message.is_null()) {
+    fields.push_back({ std::string{ message_header }, notes.message.dump() });
+  }
+  if (const auto away = http::find(r.fields, away_header)) {
+    fields.push_back({ std::string{ away_header }, std::string{ *away } });
+  }
+  return { r.status, std::move(fields), r.body };
+}
+
+bool
+says_away(const http::response& r)
+{
+  return http::find(r.fields, away_header).has_value();
+}
+
+nlohmann::json
+message_of(const http::response& r)
+{
+  const auto text = http::find(r.fields, message_header);
+  return text ? parse_message(*text) : nlohmann::json{};
+}
+
+std::uint64_t
+confirmed_by_relay(const http::response& r,
+                   std::uint64_t asked_ms,
+                   std::uint64_t now_ms)
+{
+  const auto text = http::find(r.fields, confirmed_header).value_or("0");
+  std::int64_t after = 0;
+  std::from_chars(text.data(), text.data() + text.size(), after);
+  after = std::clamp(after, -longest_ms, longest_ms);
+  const auto at = static_cast<std::int64_t>(asked_ms) + after;
+  const auto now = static_cast<std::int64_t>(now_ms);
+  return static_cast<std::uint64_t>(std::clamp<std::int64_t>(at, 0, now));
+}
+
+std::uint64_t
+confirmed_by_store(std::uint64_t asked_ms,
+                   std::uint64_t held_ms,
+                   bool has_news,
+                   std::uint64_t now_ms)
+{
+  return has_news ? asked_ms : std::min(asked_ms + held_ms, now_ms);
+}
+
+} // namespace cactusford::store
--- /dev/null
+++ b/cactusford/store/relaying.cc
@@ -0,0 +1,205 @@
+// The calls that an instance makes to the store for others.
+#include "cactusford/http/clock.h"
+#include "cactusford/process/line_log.h"
+#include "cactusford/store/store.h"
+
+#include <asio/post.hpp>
+
+namespace cactusford::store {
+
+// A relayed watch may be held for seconds, and the next one follows at once: an
+// instance that leaves would never be idle.
+void
+client::stop_relaying()
+{
+  relaying_ = false;
+  for (auto* shared : { &direct_, &upstream_ }) {
+    for (const auto& done : shared->take_relayed()) {
+      // Nothing was done, and the store is as well as before.
+      done(http::end_state::complete, { 503, {}, "" }, 0);
+    }
+  }
+}
+
+void
+client::relay(const http::call& caller)
+{
+  if (!relaying_) {
+    caller.respond({ 503, {}, "" });
+    return;
+  }
+  // This instance asks the store itself when that is due: the calls of all
+  // others would find the same.
+  if (is_direct_closed(paths_, http::now_ms())) {
+    caller.respond(away_answer());
+    return;
+  }
+  const auto asked = relayed_call_from(caller.request().body);
+  if (!asked) {
+    process::log_line(timeline::event{ "relayed_call_unreadable" }
+                        .with("field", asked.fault.field)
+                        .with("why", asked.fault.what));
+    caller.respond({ 400, {}, "" });
+    return;
+  }
+  auto call = *asked;
+  auto& request = call.inner.request;
+  if (!request.body.empty()) {
+    request.fields.push_back({ "Content-Type", "application/json" });
+  }
+  request.fields.push_back({ "Host", settings_.address });
+  if (call.shared) {
+    relay_watch(caller, call);
+    return;
+  }
+  http::exchange_options o;
+  o.timeout_ms = call.inner.timeout_ms;
+  ++calls_;
+  const auto asked_ms = http::boot_ms();
+  const relay_notes notes{ asked_ms, asked_ms, {} };
+  auto sent = std::make_shared<http::pending>();
+  *sent = http_.fetch(settings_.address,
+                      request,
+                      o,
+                      [caller, notes](http::end_state end, http::response&& r) {
+                        caller.respond(relayed_answer(end, r, notes));
+                      });
+  caller.on_gone([sent] { sent->cancel(); });
+}
+
+// Instances that follow the same kind from the same revision share one call,
+// and relays share theirs through the first of them.
+void
+client::relay_watch(const http::call& caller, const relayed_call& asked)
+{
+  const bool answers = !asked.message.is_null() && piggyback.answer;
+  relay_notes notes;
+  notes.asked_ms = http::boot_ms();
+  notes.message = answers ? piggyback.answer(asked.message) : nlohmann::json{};
+  const auto done = [caller, notes](http::end_state end,
+                                    const http::response& r,
+                                    std::uint64_t confirmed_ms) {
+    auto n = notes;
+    n.confirmed_ms = confirmed_ms;
+    caller.respond(relayed_answer(end, r, n));
+  };
+  if (asks_upstream(asked.hops)) {
+    join_upstream(asked.inner, asked.hops, done);
+  } else {
+    join_watch(asked.inner, shared_watches::origin::relayed, done);
+  }
+}
+
+// A relay behind the first one joins its watches there, as long as that
+// answers.
+bool
+client::asks_upstream(std::uint64_t hops)
+{
+  const bool is_later = settings_.rank && *settings_.rank > 0;
+  return is_later && hops < most_hops && first_watch_path_ != direct_path &&
+         take_if_open(paths_, first_watch_path_, http::now_ms());
+}
+
+bool
+client::has_changes(const http::response& r) const
+{
+  store::call watch;
+  watch.op = operation::watch;
+  const auto answer = dialect_.decode(watch, r);
+  return !answer.changes.empty() || !answer.broken.empty() ||
+         !answer.items.empty();
+}
+
+void
+client::join_watch(const held_call& inner,
+                   shared_watches::origin from,
+                   shared_watches::handler done)
+{
+  const auto make = [this, inner] {
+    http::exchange_options o;
+    o.timeout_ms = inner.timeout_ms;
+    o.connect_timeout_ms = connect_ms;
+    ++calls_;
+    const auto ended = [this,
+                        target = inner.request.target,
+                        held_ms = inner.held_ms,
+                        asked_ms = http::boot_ms()](http::end_state end,
+                                                    http::response&& r) {
+      const bool news = end == http::end_state::complete && has_changes(r);
+      const auto confirmed_ms =
+        confirmed_by_store(asked_ms, held_ms, news, http::boot_ms());
+      direct_.settle(target, http::now_ms(), end, r, confirmed_ms, news);
+    };
+    http_.fetch(settings_.address, inner.request, o, ended);
+  };
+  // An answer that is there already must not come before the call returns.
+  asio::post(io_, [this, target = inner.request.target, from, make, done] {
+    direct_.ask(target, http::now_ms(), from, make, done);
+  });
+}
+
+void
+client::join_upstream(const held_call& inner,
+                      std::uint64_t hops,
+                      shared_watches::handler done)
+{
+  const auto make = [this, inner, hops] {
+    http::exchange_options o;
+    o.timeout_ms = inner.timeout_ms + relay_extra_ms;
+    o.connect_timeout_ms = connect_ms;
+    ++relayed_;
+    const relayed_call relayed{ inner, true, hops + 1, next_message() };
+    http_.fetch(settings_.relays.front(),
+                encode(relayed),
+                o,
+                [this, inner, asked_ms = http::boot_ms()](http::end_state end,
+                                                          http::response&& r) {
+                  take_upstream(inner, asked_ms, end, r);
+                });
+  };
+  asio::post(io_, [this, target = inner.request.target, make, done] {
+    upstream_.ask(
+      target, http::now_ms(), shared_watches::origin::relayed, make, done);
+  });
+}
+
+void
+client::take_upstream(const held_call& inner,
+                      std::uint64_t asked_ms,
+                      http::end_state end,
+                      const http::response& r)
+{
+  hear(r);
+  constexpr int unavailable = 503;
+  const auto target = inner.request.target;
+  const bool complete = end == http::end_state::complete;
+  const bool refused =
+    end == http::end_state::not_sent || (complete && r.status == unavailable);
+  if (refused || !complete) {
+    note_path(paths_,
+              first_watch_path_,
+              refused ? path_end::store_away : path_end::failed,
+              http::now_ms());
+    process::log_line(timeline::event{ "upstream_failed" }
+                        .with("target", target)
+                        .with("path", settings_.relays.front())
+                        .with("end", http::name_of(end))
+                        .with("waited_ms", http::boot_ms() - asked_ms));
+  }
+  if (refused) {
+    join_watch(inner,
+               shared_watches::origin::relayed,
+               [this, target](http::end_state e,
+                              const http::response& a,
+                              std::uint64_t confirmed_ms) {
+                 upstream_.settle(
+                   target, http::now_ms(), e, a, confirmed_ms, false);
+               });
+    return;
+  }
+  const bool news = complete && has_changes(r);
+  const auto confirmed_ms = confirmed_by_relay(r, asked_ms, http::boot_ms());
+  upstream_.settle(target, http::now_ms(), end, r, confirmed_ms, news);
+}
+
+} // namespace cactusford::store
--- a/cactusford/store/store.cc
+++ b/cactusford/store/store.cc
@@ -6,7 +6,6 @@
 #include <asio/post.hpp>
 
 #include <algorithm>
-#include <charconv>
 #include <random>
 #include <utility>
 
@@ -14,20 +13,6 @@
 
 namespace {
 
-// Instances and the store are near; a connection that takes longer is not to
-// be had.
-constexpr std::uint64_t connect_ms = 250;
-
-// A relay that lives and doesn't reach the store says so.
-constexpr std::string_view away_header = "Store-Away";
-
-// What a relay answers to a message that came with a watch.
-constexpr std::string_view piggyback_header = "Piggyback";
-
-// When the store stood as a relay's answer says, in milliseconds after the
-// relay was asked; negative for one that was there before.
-constexpr std::string_view confirmed_header = "Confirmed-After-Ms";
-
 // Relays that are kept in mind, those of the settings included. A partition
 // that cuts off all of them cuts off most instances.
 constexpr std::size_t most_relays = 8;
@@ -35,67 +20,6 @@
 // A little more than a shared watch takes to be found silent.
 constexpr std::uint64_t cut_off_ms = 2500;
 
-// Relays between an instance and the store, for a watch. Lists of relays may
-// differ, and two that each take the other for the first would go on for ever.
-constexpr std::uint64_t most_hops = 2;
-
-// What a relay adds to the store's answer.
-struct relay_notes
-{
-  // When it was asked, and when the store stood as the answer says.
-  std::uint64_t asked_ms = 0;
-  std::uint64_t confirmed_ms = 0;
-  // Its message; null: none.
-  nlohmann::json told;
-};
-
-void
-respond_relayed(const http::call& caller,
-                http::end_state end,
-                const http::response& r,
-                const relay_notes& notes)
-{
-  if (end == http::end_state::complete) {
-    const auto after = static_cast<std::int64_t>(notes.confirmed_ms) -
-                       static_cast<std::int64_t>(notes.asked_ms);
-    http::headers fields{ { std::string{ confirmed_header },
-                            std::to_string(after) } };
-    if (!notes.told.is_null()) {
-      fields.push_back({ std::string{ piggyback_header }, notes.told.dump() });
-    }
-    if (const auto away = http::find(r.fields, away_header)) {
-      fields.push_back({ std::string{ away_header }, std::string{ *away } });
-    }
-    caller.respond({ r.status, std::move(fields), r.body });
-    return;
-  }
-  // 503 says that nothing was done; 504 leaves it open.
-  const bool nothing = end == http::end_state::not_sent;
-  caller.respond(
-    { nothing ? 503 : 504, { { std::string{ away_header }, "1" } }, "" });
-}
-
-// When the store stood as a relay's answer says, by our own clock. It was made
-// after the relay was asked, so a slow way makes it look older, never newer.
-std::uint64_t
-confirmed_by_relay(const http::response& r, std::uint64_t asked_ms)
-{
-  const auto text = http::find(r.fields, confirmed_header).value_or("0");
-  std::int64_t after = 0;
-  std::from_chars(text.data(), text.data() + text.size(), after);
-  const auto at = static_cast<std::int64_t>(asked_ms) + after;
-  const auto now = static_cast<std::int64_t>(http::boot_ms());
-  return static_cast<std::uint64_t>(std::clamp<std::int64_t>(at, 0, now));
-}
-
-// The same for an answer of the store itself. A watch that ends without changes
-// was held to its end.
-std::uint64_t
-confirmed_by_store(std::uint64_t asked_ms, std::uint64_t held_ms, bool has_news)
-{
-  return has_news ? asked_ms : std::min(asked_ms + held_ms, http::boot_ms());
-}
-
 asked
 asked_by(operation op)
 {
@@ -109,27 +33,6 @@
   }
 }
 
-http::request
-wrap(const http::request& inner,
-     std::uint64_t timeout_ms,
-     std::uint64_t held_ms,
-     bool shared,
-     const nlohmann::json& sent_along,
-     std::uint64_t hops)
-{
-  const nlohmann::json body{
-    { "method", inner.method }, { "target", inner.target },
-    { "body", inner.body },     { "timeout_ms", timeout_ms },
-    { "held_ms", held_ms },     { "shared", shared },
-    { "hops", hops },           { "sent_along", sent_along }
-  };
-  http::request r;
-  r.method = "POST";
-  r.target = std::string{ relay_path };
-  r.body = body.dump();
-  return r;
-}
-
 } // namespace
 
 void
@@ -211,18 +114,6 @@
 
 } // namespace
 
-// A call that another instance asks this one to make.
-struct client::relayed_call
-{
-  held_call inner;
-  bool shared = false;
-  std::uint64_t hops = 0;
-  // The message that came along; null: none.
-  nlohmann::json sent_along;
-  // When it came, on `boot_ms`.
-  std::uint64_t asked_ms = 0;
-};
-
 struct client::attempt
 {
   store::call call;
@@ -371,7 +262,9 @@
   }
   const auto ended = [this, a, way](http::end_state end, http::response&& r) {
     const auto confirmed_ms =
-      way.path == direct_path ? way.at_ms : confirmed_by_relay(r, way.at_ms);
+      way.path == direct_path
+        ? way.at_ms
+        : confirmed_by_relay(r, way.at_ms, http::boot_ms());
     take(a, way, end, std::move(r), confirmed_ms);
   };
   http::exchange_options o;
@@ -384,16 +277,12 @@
   }
   ++relayed_;
   o.timeout_ms = timeout_ms + relay_extra_ms;
-  http_.fetch(settings_.relays[path - 1],
-              wrap(a->request,
-                   timeout_ms,
-                   a->call.wait_ms,
-                   is_joined,
-                   is_joined && piggyback.outgoing ? piggyback.outgoing()
-                                                   : nlohmann::json{},
-                   hops_to(a->call, path)),
-              o,
-              ended);
+  relayed_call relayed;
+  relayed.inner = { a->request, timeout_ms, a->call.wait_ms };
+  relayed.shared = is_joined;
+  relayed.hops = hops_to(a->call, path);
+  relayed.message = is_joined ? next_message() : nlohmann::json{};
+  http_.fetch(settings_.relays[path - 1], encode(relayed), o, ended);
 }
 
 void
@@ -427,8 +316,7 @@
     return;
   }
   log_failure(*a, way, end, answer.what);
-  const bool away =
-    path != direct_path && complete && http::find(r.fields, away_header);
+  const bool away = path != direct_path && complete && says_away(r);
   // The store ends waiting watches now and then; the next call tells whether
   // it is reached. A relay that has gone silent is left.
   if (a->call.op == operation::watch && answer.what == verdict::unknown) {
@@ -480,12 +368,19 @@
 void
 client::hear(const http::response& r) const
 {
-  const auto told = http::find(r.fields, piggyback_header);
-  if (told && piggyback.incoming) {
-    piggyback.incoming(parse_message(*told));
+  const auto message = message_of(r);
+  if (!message.is_null() && piggyback.incoming) {
+    piggyback.incoming(message);
   }
 }
 
+// What this instance sends along with a watch; null: nothing for now.
+nlohmann::json
+client::next_message() const
+{
+  return piggyback.outgoing ? piggyback.outgoing() : nlohmann::json{};
+}
+
 void
 client::give_up(const std::shared_ptr<attempt>& a)
 {
@@ -519,217 +414,4 @@
   }
 }
 
-// A relayed watch may be held for seconds, and the next one follows at once: an
-// instance that leaves would never be idle.
-void
-client::stop_relaying()
-{
-  relaying_ = false;
-  for (auto* shared : { &direct_, &upstream_ }) {
-    for (const auto& done : shared->take_relayed()) {
-      // Nothing was done, and the store is as well as before.
-      done(http::end_state::complete, { 503, {}, "" }, 0);
-    }
-  }
-}
-
-void
-client::relay(const http::call& caller)
-{
-  if (!relaying_) {
-    caller.respond({ 503, {}, "" });
-    return;
-  }
-  // This instance asks the store itself when that is due: the calls of all
-  // others would find the same.
-  if (is_direct_closed(paths_, http::now_ms())) {
-    caller.respond({ 503, { { std::string{ away_header }, "1" } }, "" });
-    return;
-  }
-  const auto body = parse_message(caller.request().body);
-  const auto asked = read_shape([&] {
-    relayed_call r;
-    auto& request = r.inner.request;
-    request.method = text_field(body, "method");
-    request.target = text_field(body, "target");
-    request.body = text_field(body, "body");
-    r.inner.timeout_ms = whole_field(body, "timeout_ms");
-    r.inner.held_ms = whole_field_or(body, "held_ms", 0);
-    r.shared = flag_field(body, "shared");
-    r.hops = whole_field(body, "hops");
-    r.sent_along = body.value("sent_along", nlohmann::json{});
-    r.asked_ms = http::boot_ms();
-    return r;
-  });
-  if (!asked) {
-    process::log_line(timeline::event{ "relayed_call_unreadable" }
-                        .with("field", asked.fault.field)
-                        .with("why", asked.fault.what));
-    caller.respond({ 400, {}, "" });
-    return;
-  }
-  auto call = *asked;
-  auto& request = call.inner.request;
-  if (!request.body.empty()) {
-    request.fields.push_back({ "Content-Type", "application/json" });
-  }
-  request.fields.push_back({ "Host", settings_.address });
-  if (call.shared) {
-    relay_watch(caller, call);
-    return;
-  }
-  http::exchange_options o;
-  o.timeout_ms = call.inner.timeout_ms;
-  ++calls_;
-  const relay_notes notes{ call.asked_ms, call.asked_ms, {} };
-  auto sent = std::make_shared<http::pending>();
-  *sent = http_.fetch(settings_.address,
-                      request,
-                      o,
-                      [caller, notes](http::end_state end, http::response&& r) {
-                        respond_relayed(caller, end, r, notes);
-                      });
-  caller.on_gone([sent] { sent->cancel(); });
-}
-
-// Instances that follow the same kind from the same revision share one call,
-// and relays share theirs through the first of them.
-void
-client::relay_watch(const http::call& caller, const relayed_call& asked)
-{
-  const bool answers = !asked.sent_along.is_null() && piggyback.answer;
-  relay_notes notes;
-  notes.asked_ms = asked.asked_ms;
-  notes.told = answers ? piggyback.answer(asked.sent_along) : nlohmann::json{};
-  const auto done = [caller, notes](http::end_state end,
-                                    const http::response& r,
-                                    std::uint64_t confirmed_ms) {
-    auto n = notes;
-    n.confirmed_ms = confirmed_ms;
-    respond_relayed(caller, end, r, n);
-  };
-  if (asks_upstream(asked.hops)) {
-    join_upstream(asked.inner, asked.hops, done);
-  } else {
-    join_watch(asked.inner, shared_watches::origin::relayed, done);
-  }
-}
-
-// A relay behind the first one joins its watches there, as long as that
-// answers.
-bool
-client::asks_upstream(std::uint64_t hops)
-{
-  const bool is_later = settings_.rank && *settings_.rank > 0;
-  return is_later && hops < most_hops && first_watch_path_ != direct_path &&
-         take_if_open(paths_, first_watch_path_, http::now_ms());
-}
-
-bool
-client::has_changes(const http::response& r) const
-{
-  store::call watch;
-  watch.op = operation::watch;
-  const auto answer = dialect_.decode(watch, r);
-  return !answer.changes.empty() || !answer.broken.empty() ||
-         !answer.items.empty();
-}
-
-void
-client::join_watch(const held_call& inner,
-                   shared_watches::origin from,
-                   shared_watches::handler done)
-{
-  const auto make = [this, inner] {
-    http::exchange_options o;
-    o.timeout_ms = inner.timeout_ms;
-    o.connect_timeout_ms = connect_ms;
-    ++calls_;
-    const auto ended = [this,
-                        target = inner.request.target,
-                        held_ms = inner.held_ms,
-                        asked_ms = http::boot_ms()](http::end_state end,
-                                                    http::response&& r) {
-      const bool news = end == http::end_state::complete && has_changes(r);
-      const auto confirmed_ms = confirmed_by_store(asked_ms, held_ms, news);
-      direct_.settle(target, http::now_ms(), end, r, confirmed_ms, news);
-    };
-    http_.fetch(settings_.address, inner.request, o, ended);
-  };
-  // An answer that is there already must not come before the call returns.
-  asio::post(io_, [this, target = inner.request.target, from, make, done] {
-    direct_.ask(target, http::now_ms(), from, make, done);
-  });
-}
-
-void
-client::join_upstream(const held_call& inner,
-                      std::uint64_t hops,
-                      shared_watches::handler done)
-{
-  const auto make = [this, inner, hops] {
-    http::exchange_options o;
-    o.timeout_ms = inner.timeout_ms + relay_extra_ms;
-    o.connect_timeout_ms = connect_ms;
-    ++relayed_;
-    const auto sent_along =
-      piggyback.outgoing ? piggyback.outgoing() : nlohmann::json{};
-    http_.fetch(settings_.relays.front(),
-                wrap(inner.request,
-                     inner.timeout_ms,
-                     inner.held_ms,
-                     true,
-                     sent_along,
-                     hops + 1),
-                o,
-                [this, inner, asked_ms = http::boot_ms()](http::end_state end,
-                                                          http::response&& r) {
-                  take_upstream(inner, asked_ms, end, r);
-                });
-  };
-  asio::post(io_, [this, target = inner.request.target, make, done] {
-    upstream_.ask(
-      target, http::now_ms(), shared_watches::origin::relayed, make, done);
-  });
-}
-
-void
-client::take_upstream(const held_call& inner,
-                      std::uint64_t asked_ms,
-                      http::end_state end,
-                      const http::response& r)
-{
-  hear(r);
-  constexpr int unavailable = 503;
-  const auto target = inner.request.target;
-  const bool complete = end == http::end_state::complete;
-  const bool refused =
-    end == http::end_state::not_sent || (complete && r.status == unavailable);
-  if (refused || !complete) {
-    note_path(paths_,
-              first_watch_path_,
-              refused ? path_end::store_away : path_end::failed,
-              http::now_ms());
-    process::log_line(timeline::event{ "upstream_failed" }
-                        .with("target", target)
-                        .with("path", settings_.relays.front())
-                        .with("end", http::name_of(end))
-                        .with("waited_ms", http::boot_ms() - asked_ms));
-  }
-  if (refused) {
-    join_watch(inner,
-               shared_watches::origin::relayed,
-               [this, target](http::end_state e,
-                              const http::response& a,
-                              std::uint64_t confirmed_ms) {
-                 upstream_.settle(
-                   target, http::now_ms(), e, a, confirmed_ms, false);
-               });
-    return;
-  }
-  const bool news = complete && has_changes(r);
-  const auto confirmed_ms = confirmed_by_relay(r, asked_ms);
-  upstream_.settle(target, http::now_ms(), end, r, confirmed_ms, news);
-}
-
 } // namespace cactusford::store
--- a/cactusford/store/store.h
+++ b/cactusford/store/store.h
@@ -6,6 +6,7 @@
 #include "cactusford/http/server.h"
 #include "cactusford/store/fields.h"
 #include "cactusford/store/paths.h"
+#include "cactusford/store/relay_wire.h"
 #include "cactusford/store/shared_watches.h"
 
 #include <asio/io_context.hpp>
@@ -165,6 +166,14 @@
   std::function<void(const nlohmann::json&)> incoming;
 };
 
+// Relays between an instance and the store, for a watch. Lists of relays may
+// differ, and two that each take the other for the first would go on for ever.
+constexpr std::uint64_t most_hops = 2;
+
+// Instances and the store are near; a connection that takes longer is not to
+// be had.
+constexpr std::uint64_t connect_ms = 250;
+
 class client
 {
 public:
@@ -213,14 +222,6 @@
 
 private:
   struct attempt;
-  struct relayed_call;
-  // A call that may be joined, and how long it is waited for and held.
-  struct held_call
-  {
-    http::request request;
-    std::uint64_t timeout_ms = 0;
-    std::uint64_t held_ms = 0;
-  };
   // One way that a call has been sent, and when, on `boot_ms`.
   struct sent_way
   {
@@ -245,6 +246,7 @@
                    verdict v);
   void give_up(const std::shared_ptr<attempt>& a);
   void hear(const http::response& r) const;
+  nlohmann::json next_message() const;
   void relay_watch(const http::call& caller, const relayed_call& asked);
   void join_watch(const held_call& inner,
                   shared_watches::origin from,
@@ -279,7 +281,4 @@
   shared_watches upstream_;
 };
 
-// Path of the relay on the port that instances use among themselves.
-constexpr std::string_view relay_path = "/store";
-
 } // namespace cactusford::store
