A view behind an answer that was held up is confirmed at once

Cause: the first relay stood still for 1.2 s and was cut off from the store as it woke. The answer with one change came 1.2 s after it had been made; the watch behind it went to the same relay and was waited for 1.6 s, while the next change had been confirmed. Each wait fits into the time in which a change must be in force, both do not.

Change: routes and backend servers are urgent: an answer that leaves their view older than 150 ms is followed by a watch that the store does not hold, on a second path after 250 ms like a list; one such check behind each long watch, so that a slow store is not asked for ever.

--- a/cactusford/edge/edge.cc
+++ b/cactusford/edge/edge.cc
@@ -200,7 +200,7 @@
               &guard } }
   , configuration{ h.io,
                    store,
-                   { d.kinds.configuration, shared_wait_ms, 0, true },
+                   { d.kinds.configuration, shared_wait_ms, 0, true, true },
                    { [this](std::vector<store::object>&& all) {
                       for (const auto& o : all) {
                         on_configuration(o);
@@ -214,7 +214,11 @@
                      {} } }
   , backend_list{ h.io,
                   store,
-                  { d.kinds.backends, shared_wait_ms, backend_gather_ms, true },
+                  { d.kinds.backends,
+                    shared_wait_ms,
+                    backend_gather_ms,
+                    true,
+                    true },
                   { [this](std::vector<store::object>&& all) {
                      on_backend_list(std::move(all));
                    },
--- a/cactusford/store/paths-test.cc
+++ b/cactusford/store/paths-test.cc
@@ -154,3 +154,52 @@
                  in_force_ms);
   }
 }
+
+// Guards against watches that hang one after the other at a relay that has lost
+// the store, while another relay answers.
+Test(paths, avoid_a_relay_that_lost_the_store)
+{
+  constexpr std::uint64_t avoided_ms = 4000;
+  auto t = make_paths(2, 1);
+  note_path(t, 1, path_end::store_away, 0);
+  cr_assert_eq(*take_path(t, {}, 1), 2);
+  cr_assert_eq(*take_path(t, {}, avoided_ms - 1), 2);
+  SECTION("it is asked again after some seconds")
+  {
+    cr_assert_eq(*take_path(t, {}, avoided_ms), 1);
+  }
+  SECTION("or when nothing else is left")
+  {
+    note_path(t, 2, path_end::failed, 0);
+    note_path(t, direct_path, path_end::failed, 0);
+    cr_assert_eq(*take_path(t, {}, 300), 1);
+  }
+}
+
+// Guards against a relay that asks the first one for each watch, however often
+// that has failed.
+Test(paths, close_one_that_failed_to_all_but_one_call)
+{
+  auto t = make_paths(2, 1);
+  cr_assert(take_if_open(t, 1, 0));
+  cr_assert(take_if_open(t, 1, 0), "one that answers takes all");
+  note_path(t, 1, path_end::failed, 0);
+  cr_assert_not(take_if_open(t, 1, 3999));
+  cr_assert(take_if_open(t, 1, 4000));
+  cr_assert_not(take_if_open(t, 1, 4001), "until that call has ended");
+  note_path(t, 1, path_end::answered, 4100);
+  cr_assert(take_if_open(t, 1, 4100));
+}
+
+// Guards against a second try that is held up by what holds up the first:
+// relays may all be behind the same partition.
+Test(paths, try_the_direct_one_second)
+{
+  auto t = make_paths(3, 2);
+  cr_assert_eq(*take_second_path(t, { 2 }, 0), direct_path);
+  SECTION("another relay if it is closed")
+  {
+    note_path(t, direct_path, path_end::failed, 0);
+    cr_assert_eq(*take_second_path(t, { 2 }, 10), 1);
+  }
+}
--- a/cactusford/store/store.cc
+++ b/cactusford/store/store.cc
@@ -33,6 +33,14 @@
   }
 }
 
+// A read whose silence tells soon that the path fails.
+bool
+is_answered_at_once(const call& c)
+{
+  return c.op == operation::list ||
+         (c.op == operation::watch && c.wait_ms <= least_hold_ms);
+}
+
 } // namespace
 
 void
@@ -200,7 +208,8 @@
   }
 }
 
-// A list may be asked for twice: both answers are true, and the first counts.
+// A list, or a watch that is not held, may be asked for twice: both answers are
+// true, and the first counts.
 void
 client::try_second_path_later(const std::shared_ptr<attempt>& a)
 {
@@ -216,8 +225,8 @@
   });
 }
 
-// A call that goes another way than usual asks the relay for its own path: the
-// one that all usually go through may be what fails.
+// A call on another path than usual asks the relay to make it itself: the relay
+// that all usually go through may be what fails.
 std::uint64_t
 client::hops_to(const store::call& c, std::size_t path) const
 {
@@ -240,10 +249,10 @@
 {
   a->tried.push_back(path);
   ++a->under_way;
-  if (a->call.op == operation::list) {
+  if (is_answered_at_once(a->call)) {
     try_second_path_later(a);
   }
-  const sent_way way{ path, http::boot_ms() };
+  const path_try sent{ path, http::boot_ms() };
   const bool is_watch = a->call.op == operation::watch;
   // Equal lists of many instances come together after a start and when the
   // store is back.
@@ -253,19 +262,19 @@
   if (path == direct_path && is_joined) {
     join_watch({ a->request, timeout_ms, a->call.wait_ms },
                shared_watches::origin::own,
-               [this, a, way](http::end_state end,
-                              const http::response& r,
-                              std::uint64_t confirmed_ms) {
-                 take(a, way, end, http::response{ r }, confirmed_ms);
+               [this, a, sent](http::end_state end,
+                               const http::response& r,
+                               std::uint64_t confirmed_ms) {
+                 take(a, sent, end, http::response{ r }, confirmed_ms);
                });
     return;
   }
-  const auto ended = [this, a, way](http::end_state end, http::response&& r) {
+  const auto ended = [this, a, sent](http::end_state end, http::response&& r) {
     const auto confirmed_ms =
-      way.path == direct_path
-        ? way.at_ms
-        : confirmed_by_relay(r, way.at_ms, http::boot_ms());
-    take(a, way, end, std::move(r), confirmed_ms);
+      sent.path == direct_path
+        ? sent.at_ms
+        : confirmed_by_relay(r, sent.at_ms, http::boot_ms());
+    take(a, sent, end, std::move(r), confirmed_ms);
   };
   http::exchange_options o;
   o.connect_timeout_ms = connect_ms;
@@ -287,14 +296,14 @@
 
 void
 client::take(const std::shared_ptr<attempt>& a,
-             sent_way way,
+             path_try sent,
              http::end_state end,
              http::response&& r,
              std::uint64_t confirmed_ms)
 {
   const auto now = http::now_ms();
   // The relays may have been exchanged since the call was sent.
-  const auto path = way.path < paths_.paths.size() ? way.path : direct_path;
+  const auto path = sent.path < paths_.paths.size() ? sent.path : direct_path;
   const bool complete = end == http::end_state::complete;
   --a->under_way;
   hear(r);
@@ -315,7 +324,7 @@
     }
     return;
   }
-  log_failure(*a, way, end, answer.what);
+  log_failure(*a, sent, end, answer.what);
   const bool away = path != direct_path && complete && says_away(r);
   // The store ends waiting watches now and then; the next call tells whether
   // it is reached. A relay that has gone silent is left.
@@ -349,7 +358,7 @@
 
 void
 client::log_failure(const attempt& a,
-                    sent_way way,
+                    path_try sent,
                     http::end_state end,
                     verdict v)
 {
@@ -357,10 +366,10 @@
   process::log_line(timeline::event{ "store_try_failed" }
                       .with("op", name_of(a.call.op))
                       .with("kind", a.call.kind)
-                      .with("path", name_of_path(way.path))
+                      .with("path", name_of_path(sent.path))
                       .with("end", http::name_of(end))
                       .with("verdict", name_of(v))
-                      .with("waited_ms", http::boot_ms() - way.at_ms)
+                      .with("waited_ms", http::boot_ms() - sent.at_ms)
                       .with("tries", a.tried.size()));
 }
 
--- a/cactusford/store/store.h
+++ b/cactusford/store/store.h
@@ -69,6 +69,9 @@
   remove,
 };
 
+// The shortest wait of a watch: it only asks whether there are changes.
+constexpr std::uint64_t least_hold_ms = 1;
+
 struct call
 {
   operation op = operation::get;
@@ -222,8 +225,8 @@
 
 private:
   struct attempt;
-  // One way that a call has been sent, and when, on `boot_ms`.
-  struct sent_way
+  // One path on which a call has been sent, and when, on `boot_ms`.
+  struct path_try
   {
     std::size_t path = direct_path;
     std::uint64_t at_ms = 0;
@@ -235,13 +238,13 @@
   std::uint64_t hops_to(const store::call& c, std::size_t path) const;
   void settle(const std::shared_ptr<attempt>& a, reply&& r);
   void take(const std::shared_ptr<attempt>& a,
-            sent_way way,
+            path_try sent,
             http::end_state end,
             http::response&& r,
             std::uint64_t confirmed_ms);
   std::string name_of_path(std::size_t path) const;
   void log_failure(const attempt& a,
-                   sent_way way,
+                   path_try sent,
                    http::end_state end,
                    verdict v);
   void give_up(const std::shared_ptr<attempt>& a);
--- a/cactusford/store/watcher.cc
+++ b/cactusford/store/watcher.cc
@@ -16,6 +16,12 @@
 constexpr std::uint64_t first_pause_ms = 50;
 constexpr std::uint64_t longest_pause_ms = 400;
 
+// An answer with changes may have been held up by a relay that stood still, and
+// the relay may be silent next: the wait for the answer and the whole of the
+// next watch would be longer than a change may take. A view that is older than
+// this is confirmed by a watch that the store does not hold.
+constexpr std::uint64_t old_ms = 150;
+
 std::uint64_t
 pause_after(std::uint32_t failures)
 {
@@ -78,11 +84,22 @@
   return waited < pause ? pause - waited : 0;
 }
 
+// One check behind each long watch: a slow store would be asked for ever.
+void
+watcher::decide_check()
+{
+  const auto age = http::boot_ms() - confirmed_ms_;
+  is_check_ = settings_.is_urgent && !is_check_ && age > old_ms;
+}
+
 // A relay that falls silent while changes gather is found silent no later than
 // another. Equal for all that follow a kind, so that their watches are joined.
 std::uint64_t
 watcher::hold_ms() const
 {
+  if (is_check_) {
+    return least_hold_ms;
+  }
   const auto gathered = has_gathered_ ? settings_.gather_ms : 0;
   return settings_.wait_ms - std::min(gathered, settings_.wait_ms);
 }
@@ -256,6 +273,7 @@
     as_of_ = std::max(as_of_, r.as_of);
   }
   note_confirmed(r.confirmed_ms);
+  decide_check();
   for (auto& c : r.changes) {
     events_.on_change(std::move(c));
   }
--- a/cactusford/store/watcher.h
+++ b/cactusford/store/watcher.h
@@ -29,6 +29,9 @@
   // The watch may be joined with those of other instances. It is then as
   // fresh as the relay that makes it, or found to be silent after `wait_ms`.
   bool shared = false;
+  // Changes must be known within the time that the deployment promises. A view
+  // that an answer leaves old is confirmed at once, before the next long watch.
+  bool is_urgent = false;
 };
 
 class watcher
@@ -73,6 +76,7 @@
   void ask(const call& c, client::handler done);
   std::uint64_t pause_left() const;
   std::uint64_t hold_ms() const;
+  void decide_check();
   void on_reply(reply&& r, std::uint64_t round);
   void tell_unreadable(const std::vector<unreadable>& broken);
   void note_confirmed(std::uint64_t at_ms);
@@ -86,6 +90,8 @@
   std::uint64_t confirmed_ms_ = 0;
   // When the last call was made.
   std::uint64_t asked_ms_ = 0;
+  // The next watch only asks whether the last answer still holds.
+  bool is_check_ = false;
   // Changes have gathered since the last answer.
   bool has_gathered_ = false;
   // Grows when the view is asked for again at once. Answers of an older round
--- a/soak/main.cc
+++ b/soak/main.cc
@@ -19,7 +19,7 @@
   int entries = 4;
   int engines = 3;
   int in_force_ms = 0;
-  int only_ways = 0;
+  int only_store_paths = 0;
   std::string folder = "soak-logs";
   std::string wrong;
 };
@@ -54,12 +54,12 @@
       0,
       "how late a change may be in force; 0: not checked",
       "MS" },
-    { "only-ways",
+    { "only-store-paths",
       0,
       POPT_ARG_NONE,
-      &c.only_ways,
+      &c.only_store_paths,
       0,
-      "only pauses of entries and harm on their ways to the store",
+      "only pauses of entries and harm on their paths to the store",
       nullptr },
     { "folder", 0, POPT_ARG_STRING, &folder, 0, "where the logs go", "PATH" },
     POPT_AUTOHELP POPT_TABLEEND
@@ -100,7 +100,7 @@
   o.plan.entries = static_cast<std::size_t>(c.entries);
   o.plan.engines = static_cast<std::size_t>(c.engines);
   o.in_force_ms = static_cast<std::uint64_t>(c.in_force_ms);
-  o.plan.only_ways = c.only_ways != 0;
+  o.plan.only_store_paths = c.only_store_paths != 0;
   o.program = program;
   o.folder = c.folder + "/seed-" + std::to_string(seed);
   world w{ o };
--- a/soak/plan.cc
+++ b/soak/plan.cc
@@ -12,7 +12,7 @@
 // of them last longer than that: two or three are there at the same time.
 constexpr std::uint64_t calm_ms = 1500;
 constexpr std::uint64_t mean_gap_ms = 700;
-constexpr std::uint64_t mean_gap_of_ways_ms = 2500;
+constexpr std::uint64_t mean_gap_of_paths_ms = 2500;
 constexpr std::uint64_t shortest_ms = 200;
 constexpr std::uint64_t longest_ms = 4000;
 
@@ -21,11 +21,11 @@
 constexpr double series_share = 0.25;
 constexpr std::uint64_t series_gap_ms = 400;
 
-constexpr std::array ways{ fault_kind::pause_entry,
-                           fault_kind::delay_store,
-                           fault_kind::reset_store,
-                           fault_kind::cut_store_one_way,
-                           fault_kind::silence_store };
+constexpr std::array path_faults{ fault_kind::pause_entry,
+                                  fault_kind::delay_store,
+                                  fault_kind::reset_store,
+                                  fault_kind::cut_store_one_way,
+                                  fault_kind::silence_store };
 
 } // namespace
 
@@ -50,18 +50,18 @@
     constexpr double parts = 1000;
     return static_cast<double>(below(1000)) / parts;
   };
-  const auto mean_gap = o.only_ways ? mean_gap_of_ways_ms : mean_gap_ms;
+  const auto mean_gap = o.only_store_paths ? mean_gap_of_paths_ms : mean_gap_ms;
   std::vector<fault> all;
   auto at = calm_ms;
   while (at < o.length_ms) {
     fault f;
-    f.kind = o.only_ways ? ways.at(below(ways.size()))
-                         : static_cast<fault_kind>(below(fault_kinds));
+    f.kind = o.only_store_paths ? path_faults.at(below(path_faults.size()))
+                                : static_cast<fault_kind>(below(fault_kinds));
     const bool of_engine = f.kind >= fault_kind::delay_engine &&
                            f.kind <= fault_kind::silence_engine;
     const auto targets = of_engine ? o.engines : o.entries;
-    // Half of the harm to ways meets the first relay, which asks for all.
-    const bool of_first = o.only_ways && below(2) == 0;
+    // Half of the harm to paths meets the first relay, which asks for all.
+    const bool of_first = o.only_store_paths && below(2) == 0;
     f.target = of_first ? 0 : below(targets);
     f.for_ms = shortest_ms + below(longest_ms - shortest_ms);
     const auto times = chance() < series_share ? 2 + below(3) : 1;
--- a/soak/plan.h
+++ b/soak/plan.h
@@ -56,9 +56,9 @@
   std::uint64_t length_ms = 20000;
   std::size_t entries = 4;
   std::size_t engines = 3;
-  // Only pauses of entries and harm on their ways to the store, and fewer: the
+  // Only pauses of entries and harm on their paths to the store, and fewer: the
   // others are calm meanwhile, and must learn changes in time.
-  bool only_ways = false;
+  bool only_store_paths = false;
 };
 
 // In the order of their beginning. They come in series and overlap.
--- a/soak/world.cc
+++ b/soak/world.cc
@@ -710,15 +710,15 @@
     trainers_.begin(), trainers_.end(), [](const auto& t) { return t->idle; });
 }
 
-// Regularly, or just after a way to the store was harmed: that is when a change
-// may be learned late.
+// Regularly, or just after a path to the store was harmed: that is when a
+// change may be learned late.
 void
 world::plan_changes()
 {
   const auto change_at = [this](std::uint64_t at_ms) {
     after(at_ms, [this] { change_configuration(); });
   };
-  if (options_.plan.only_ways) {
+  if (options_.plan.only_store_paths) {
     for (const auto& f : make_plan(options_.plan)) {
       change_at(f.at_ms + change_after_fault_ms);
     }
--- a/tests/views-test.cc
+++ b/tests/views-test.cc
@@ -43,6 +43,8 @@
   bool is_cut = false;
   // Answers take so much longer.
   std::uint64_t delay_ms = 0;
+  // From now on requests are kept back; answers under way still come.
+  bool keeps_requests = false;
   std::vector<http::call> held;
 
   link(asio::io_context& io, std::string target)
@@ -61,6 +63,10 @@
 
   void pass(const http::call& c)
   {
+    if (keeps_requests) {
+      held.push_back(c);
+      return;
+    }
     http::exchange_options o;
     o.timeout_ms = 60000;
     auto request = c.request();
@@ -167,7 +173,7 @@
     me.watcher = std::make_unique<store::watcher>(
       io,
       *me.store,
-      store::watch_settings{ kind, wait_ms, gather_ms, true },
+      store::watch_settings{ kind, wait_ms, gather_ms, true, true },
       store::watch_events{ [this, &me](std::vector<store::object>&& list) {
                             for (const auto& o : list) {
                               see(me, o);
@@ -342,6 +348,29 @@
   cr_assert_leq(worst, in_force_ms, "%zu ms", std::size_t{ worst });
 }
 
+// Guards against a change that waits for a second silence: the answer with the
+// change before it was held up by a relay that stood still, and the watch
+// behind that answer is lost with the relay.
+Test(views, learn_in_time_behind_an_answer_that_was_held_up)
+{
+  constexpr std::uint64_t held_up_ms = 900;
+  constexpr std::uint64_t later_ms = 20;
+  world w{ 0 };
+  w.all[0]->is_in_touch = false;
+  for (auto& i : w.all) {
+    i->to_relays[0]->delay_ms = held_up_ms;
+  }
+  w.put();
+  w.run(later_ms);
+  for (auto& i : w.all) {
+    i->to_relays[0]->keeps_requests = true;
+  }
+  w.put();
+  w.run(2 * in_force_ms);
+  const auto worst = w.worst_in_touch_ms();
+  cr_assert_leq(worst, in_force_ms, "%zu ms", std::size_t{ worst });
+}
+
 // Guards against 404 for a route that is in force: an answer that was long on
 // its way makes an old view look confirmed just now.
 Test(views, are_as_old_as_the_answer_that_confirmed_them)
