Run a call with unsettled crashes once at a time in the whole deployment

What callers saw: a request that crashes backend servers ran four or five times later than three seconds after its third crash, where three are promised; and healthy calls were refused for ten minutes after three crashes in a row.

Cause: an entry sent a suspect before it knew of the crash that the same request was causing at another entry, and three crashes quarantined a call even if something else explained each of them.

Change: from the third observed crash on, a call that is not quarantined is run under a claim in the store (create-only, named after the evidence); the other entries wait for the outcome. How many claimed runs settle it depends on what else explains most of its crashes: none if it was alone on its server, one beside other requests, two if servers without the request crashed at the same time. After three claimed runs without an answer it is quarantined in any case, which bounds the late runs whatever the entries know. A claim names the last crash and the number of claims before, no longer a time slot: two entries on the same evidence cannot both get it.

Tests of the evidence that expected `suspected` or `clear` after three crashes expect `on_trial` now: the request may still run, but one at a time. Bounds on crashes are unchanged.

--- a/cactusford/edge/forward.cc
+++ b/cactusford/edge/forward.cc
@@ -126,9 +126,9 @@
   // Backend servers had crashed while running this request before its first
   // attempt.
   bool is_suspect = false;
-  // This call is the single trial run that shows whether the request still
-  // crashes backend servers.
-  bool is_trial = false;
+  // The next run of this call is the single trial run that shows whether the
+  // request crashes backend servers.
+  bool holds_trial = false;
   bool is_start_reported = false;
   // The quarantine decision because of which the call was refused.
   quarantine::decision refusal_decision;
@@ -278,31 +278,37 @@
 bool
 forwarder::may_send(const std::shared_ptr<call_state>& call)
 {
-  if (call->is_trial && call->attempts.empty()) {
+  if (call->holds_trial) {
     return true;
   }
   const auto v = check_quarantine(*call);
+  if (v.status == quarantine::request_status::quarantined) {
+    refuse_quarantined(call, v);
+    return false;
+  }
+  if (quarantine::has_crashes(v) && call->attempts.empty()) {
+    call->is_suspect = true;
+    if (has_unresolved_run(*call)) {
+      wait_for_unresolved_run(call);
+      return false;
+    }
+  }
   switch (v.status) {
     case quarantine::request_status::clear:
     case quarantine::request_status::suspected:
-      if (!quarantine::has_crashes(v) || !call->attempts.empty()) {
-        return true;
-      }
-      call->is_suspect = true;
-      if (has_unresolved_run(*call)) {
-        wait_for_unresolved_run(call);
-        return false;
-      }
       return true;
     case quarantine::request_status::on_trial:
-      if (call->attempts.empty()) {
-        start_trial(call);
-      } else {
-        refuse_quarantined(call, v);
+      // Without a backend server the call ends now. A claimed trial would hold
+      // up the same request at all instances.
+      if (choose_backend(*call) == nullptr) {
+        return true;
       }
+      start_trial(call);
+      return false;
+    case quarantine::request_status::awaiting_trial:
+      wait_for_unresolved_run(call);
       return false;
     case quarantine::request_status::quarantined:
-      refuse_quarantined(call, v);
       return false;
   }
   return true;
@@ -370,29 +376,38 @@
     if (call->finished) {
       return;
     }
-    call->is_trial = is_granted;
-    if (is_granted) {
+    const auto v = check_quarantine(*call);
+    call->holds_trial = is_granted;
+    call->is_suspect = call->is_suspect || is_granted;
+    if (is_granted || v.status == quarantine::request_status::awaiting_trial) {
       send_next_attempt(call);
     } else {
-      refuse_quarantined(call, check_quarantine(*call));
+      refuse_quarantined(call, v);
     }
   });
 }
 
-void
-forwarder::send_next_attempt(const std::shared_ptr<call_state>& call)
+// Returns null if no backend server is left for the call.
+backends::backend*
+forwarder::choose_backend(const call_state& call)
 {
-  if (!may_send(call)) {
-    return;
-  }
   const auto random = std::uniform_real_distribution<>{ 0, 1 }(random_);
-  const backends::call_needs needs{ call->service,
+  const backends::call_needs needs{ call.service,
                                     data_centre_,
-                                    call->contacted,
+                                    call.contacted,
                                     [this](const std::string& address) {
                                       return http_.has_idle(address);
                                     } };
-  auto* b = backends::choose_for_call(registry_, needs, http::now_ms(), random);
+  return backends::choose_for_call(registry_, needs, http::now_ms(), random);
+}
+
+void
+forwarder::send_next_attempt(const std::shared_ptr<call_state>& call)
+{
+  if (!may_send(call)) {
+    return;
+  }
+  auto* b = choose_backend(*call);
   if (b != nullptr) {
     send(call, *b);
   } else if (!call->has_open_attempt()) {
@@ -533,6 +548,7 @@
   const bool was_run = !not_run && end != http::exchange_outcome::not_sent;
   a.not_run = !was_run;
   if (was_run) {
+    call->holds_trial = false;
     report_run_started(*call);
   }
   if (call->finished) {
--- a/cactusford/edge/forward.h
+++ b/cactusford/edge/forward.h
@@ -135,6 +135,7 @@
   quarantine::decision check_quarantine(const call_state& call);
   bool may_send(const std::shared_ptr<call_state>& call);
   bool has_unresolved_run(const call_state& call) const;
+  backends::backend* choose_backend(const call_state& call);
   void wait_for_unresolved_run(const std::shared_ptr<call_state>& call);
   backends::backend* close_attempt(const call_state& call, attempt& a);
   void report_run_started(call_state& call);
--- a/cactusford/quarantine/evidence-test.cc
+++ b/cactusford/quarantine/evidence-test.cc
@@ -116,11 +116,11 @@
     t.crash_later("a", { poison, healthy });
     t.crash_later("b", { poison, healthy });
     t.crash_later("c", { healthy });
-    cr_assert(t.status_of(healthy) == request_status::suspected);
+    cr_assert(t.status_of(healthy) == request_status::on_trial);
     t.crash_later("d", { poison });
     t.crash_later("e", { poison });
     cr_assert(t.status_of(poison) == request_status::quarantined);
-    cr_assert(t.status_of(healthy) == request_status::suspected);
+    cr_assert(t.status_of(healthy) == request_status::on_trial);
   }
   SECTION("if two always ran together, the next crash tells them apart")
   {
@@ -128,18 +128,23 @@
     for (const auto* backend : { "a", "b", "c" }) {
       t.crash_later(backend, { poison, healthy });
     }
-    cr_assert(t.status_of(poison) == request_status::suspected);
-    cr_assert(t.status_of(healthy) == request_status::suspected);
+    cr_assert(t.status_of(poison) == request_status::on_trial);
+    cr_assert(t.status_of(healthy) == request_status::on_trial);
+    t.start_trial(poison);
     t.crash_later("d", { poison });
     cr_assert(t.status_of(poison) == request_status::quarantined);
-    cr_assert(t.status_of(healthy) == request_status::clear);
+    cr_assert(t.status_of(healthy) == request_status::on_trial);
+    cr_assert_eq(evaluate(t.e, healthy, run_kind::call, t.now).crashes, 0);
   }
   SECTION("if they still ran together, both are quarantined")
   {
     history t;
-    for (const auto* backend : { "a", "b", "c", "d" }) {
+    for (const auto* backend : { "a", "b", "c" }) {
       t.crash_later(backend, { poison, healthy });
     }
+    t.start_trial(poison);
+    t.start_trial(healthy);
+    t.crash_later("d", { poison, healthy });
     cr_assert(t.status_of(poison) == request_status::quarantined);
     cr_assert(t.status_of(healthy) == request_status::quarantined);
   }
@@ -183,7 +188,7 @@
     cr_assert(t.status_of(healthy) == request_status::clear);
     // Another entry reports that the server was not idle.
     t.crash_now("d2", { poison }, "entry-1");
-    cr_assert(t.status_of(healthy) == request_status::suspected);
+    cr_assert(t.status_of(healthy) == request_status::on_trial);
   }
   SECTION("a request on three servers of the rack, next to others, counts once")
   {
@@ -211,9 +216,12 @@
 {
   const fingerprint third_poison = "00000000000000cc";
   history s;
-  for (const auto* backend : { "a", "b", "c", "d" }) {
+  for (const auto* backend : { "a", "b", "c" }) {
     s.crash_later(backend, { poison, third_poison });
   }
+  cr_assert(s.status_of(poison) == request_status::on_trial);
+  s.start_trial(poison);
+  s.crash_later("d", { poison, third_poison });
   cr_assert(s.status_of(poison) == request_status::quarantined);
   SECTION("a request with three explained crashes may still run")
   {
@@ -223,9 +231,10 @@
       t.crash_later(backend, { poison, healthy });
     }
     const auto v = evaluate(t.e, healthy, run_kind::call, t.now);
-    cr_assert(v.status == request_status::clear);
+    cr_assert(v.status == request_status::on_trial);
     cr_assert_eq(v.explained, 3);
     cr_assert(has_crashes(v), "it must be limited to one run at a time");
+    t.start_trial(healthy);
     t.crash_later("e", { poison, healthy });
     cr_assert(t.status_of(healthy) == request_status::quarantined);
   }
@@ -389,7 +398,11 @@
     for (auto companions = below(4); companions > 0; --companions) {
       running.push_back(std::to_string(1'000'000'000'000'000 + below(300)));
     }
-    if (below(4) == 0 && s.status_of(poison) != request_status::quarantined) {
+    const auto status = s.status_of(poison);
+    if (below(4) == 0 && status != request_status::quarantined) {
+      if (status == request_status::on_trial) {
+        s.start_trial(poison);
+      }
       ++t.crashes;
       running.push_back(poison);
       if (below(2) == 0) {
--- a/cactusford/quarantine/evidence.cc
+++ b/cactusford/quarantine/evidence.cc
@@ -21,6 +21,14 @@
   return s.crashes + s.explained + s.with_idle_peer;
 }
 
+// Returns false if an idle server crashed together with each of the request's
+// servers: whatever took them down, it was no request.
+bool
+has_own_cause(const suspicion& s)
+{
+  return s.crashes + s.explained > 0;
+}
+
 // Returns true if the request has enough crashes to be quarantined.
 bool
 reaches_limit(const evidence_limits& l, const suspicion& s, run_kind kind)
@@ -36,6 +44,40 @@
          total_crashes(s) >= l.total_crashes;
 }
 
+bool
+has_used_trials(const evidence_limits& l, const suspicion& s, run_kind kind)
+{
+  return kind == run_kind::call && has_own_cause(s) && s.trials >= l.max_trials;
+}
+
+// Returns true if the request may have crashed as many servers as it is allowed
+// to, but it is not settled that it did. Runs of its own settle it, and only
+// one instance at a time makes such a run: instances that each sent the request
+// before they knew of the other's crash took down more servers than allowed.
+bool
+needs_trial(const evidence_limits& l, const suspicion& s, run_kind kind)
+{
+  if (kind == run_kind::item || s.observed < l.crashes || !has_own_cause(s) ||
+      has_used_trials(l, s, kind)) {
+    return false;
+  }
+  // A rack that failed during the last run has settled nothing.
+  const bool is_last_valid =
+    !s.is_last_with_idle_peer || total_crashes(s) >= l.total_crashes;
+  const bool is_settled =
+    is_last_valid && s.trials >= static_cast<std::uint32_t>(s.cause);
+  return !is_settled || !reaches_limit(l, s, kind);
+}
+
+bool
+is_trial_running(const evidence_limits& l,
+                 const suspicion& s,
+                 std::uint64_t now_ms)
+{
+  return s.last_trial_ms > s.last_crash_ms &&
+         now_ms < s.last_trial_ms + l.trial_ms;
+}
+
 } // namespace
 
 void
@@ -88,22 +130,30 @@
     return {};
   }
   const auto& s = found->second;
-  const auto explained = s.explained + s.with_idle_peer;
-  if (!reaches_limit(e.limits, s, kind)) {
-    const auto status =
+  decision d;
+  d.crashes = s.crashes;
+  d.explained = s.explained + s.with_idle_peer;
+  d.last_crash_ms = s.last_crash_ms;
+  d.trials = s.trials;
+  const bool is_running = is_trial_running(e.limits, s, now_ms);
+  if (needs_trial(e.limits, s, kind)) {
+    d.status =
+      is_running ? request_status::awaiting_trial : request_status::on_trial;
+    return d;
+  }
+  if (!reaches_limit(e.limits, s, kind) &&
+      !has_used_trials(e.limits, s, kind)) {
+    d.status =
       s.crashes > 0 ? request_status::suspected : request_status::clear;
-    return { status, s.crashes, explained, 0 };
+    return d;
   }
   const auto until = s.last_crash_ms + e.limits.quarantine_ms;
-  const bool tried = s.last_trial_ms > s.last_crash_ms;
-  const auto trial_until = tried ? s.last_trial_ms + e.limits.trial_ms : 0;
-  if (now_ms < std::max(until, trial_until)) {
-    return { request_status::quarantined,
-             s.crashes,
-             explained,
-             std::max(until, trial_until) };
-  }
-  return { request_status::on_trial, s.crashes, explained, 0 };
+  const auto trial_until = is_running ? s.last_trial_ms + e.limits.trial_ms : 0;
+  const auto until_ms = std::max(until, trial_until);
+  const bool is_over = now_ms >= until_ms;
+  d.status = is_over ? request_status::on_trial : request_status::quarantined;
+  d.until_ms = is_over ? 0 : until_ms;
+  return d;
 }
 
 std::map<fingerprint, decision>
--- a/cactusford/quarantine/evidence.h
+++ b/cactusford/quarantine/evidence.h
@@ -43,9 +43,11 @@
   clear,
   // Crashes are attributed to the request, but too few to quarantine it.
   suspected,
-  // The quarantine has expired: one run at a time in the whole deployment may
-  // show whether the request still crashes servers.
+  // One run at a time in the whole deployment shows whether the request crashes
+  // servers: its crashes may have another cause, or its quarantine has expired.
   on_trial,
+  // Such a run is under way, and its outcome decides.
+  awaiting_trial,
   // The request is not sent to any backend server.
   quarantined,
 };
@@ -58,6 +60,10 @@
   std::uint32_t explained = 0;
   // For `quarantined`: when the request may be tried again.
   std::uint64_t until_ms = 0;
+  // The evidence that a trial would add to. Instances that decide on the same
+  // evidence compete for the same trial.
+  std::uint64_t last_crash_ms = 0;
+  std::uint32_t trials = 0;
 
   friend bool operator==(const decision&, const decision&) = default;
 };
--- a/cactusford/quarantine/manager-test.cc
+++ b/cactusford/quarantine/manager-test.cc
@@ -8,6 +8,8 @@
 #include <asio/ip/tcp.hpp>
 #include <criterion/criterion.h>
 
+#include <optional>
+
 using namespace cactusford;
 using namespace cactusford::quarantine;
 using standins::object_store;
@@ -200,7 +202,49 @@
     });
   }
   f.run_until([&] { return answered == 2; });
-  // The two claims may fall into different time slots, so both may succeed.
-  cr_assert_geq(mine, 1);
-  cr_assert_eq(static_cast<std::size_t>(mine), f.reports());
+  cr_assert_eq(mine, 1);
+  cr_assert_eq(f.reports(), 1);
+}
+
+// Two poison requests run next to each other and crash three servers. Each
+// could be the cause, so neither is refused, but sent by both instances at once
+// one of them would crash two more servers. One instance sends it and the other
+// waits for the outcome, also before it has seen the first one's claim.
+Test(quarantine_manager, waits_for_the_trial_of_another_instance)
+{
+  const fingerprint companion = "00000000000000bb";
+  fixture f;
+  instance a{ f.io, f.store.address(), { "a", false } };
+  instance b{ f.io, f.store.address(), { "b", false } };
+  f.run_until([&] { return a.manager.is_current() && b.manager.is_current(); });
+  for (const auto* backend : { "x", "y", "z" }) {
+    const backends::incarnation of{ backend, 1 };
+    const auto before = a.manager.counts().crashes;
+    a.manager.on_connection_lost(of, f.closed, poison);
+    a.manager.on_connection_lost(of, f.closed, companion);
+    f.run_until([&] { return a.manager.counts().crashes > before; });
+    const auto until = http::now_ms() + 50;
+    f.run_until([&] { return http::now_ms() >= until; });
+  }
+  const auto status_at = [](instance& i) {
+    return i.manager.evaluate(poison, run_kind::call).status;
+  };
+  f.run_until([&] { return status_at(b) == request_status::on_trial; });
+  cr_assert(status_at(a) == request_status::on_trial);
+  std::optional<bool> first;
+  std::optional<bool> second;
+  a.manager.claim_trial(poison, [&](bool is_mine) { first = is_mine; });
+  f.run_until([&] { return first.has_value(); });
+  b.manager.claim_trial(poison, [&](bool is_mine) { second = is_mine; });
+  f.run_until([&] { return second.has_value(); });
+  cr_assert(*first);
+  cr_assert_not(*second);
+  cr_assert(status_at(a) == request_status::awaiting_trial);
+  cr_assert(status_at(b) == request_status::awaiting_trial);
+  SECTION("an answer ends the wait")
+  {
+    a.manager.on_answered(poison);
+    f.run_until([&] { return status_at(b) == request_status::clear; });
+    cr_assert(status_at(a) == request_status::clear);
+  }
 }
--- a/cactusford/quarantine/manager.cc
+++ b/cactusford/quarantine/manager.cc
@@ -133,15 +133,18 @@
   store::call c;
   c.op = store::operation::create;
   c.kind = report_kind;
-  c.name = trial_name(f, now / settings_.limits.trial_ms);
+  c.name = trial_name(f, evaluate(f, run_kind::call));
   c.body = encode(trial);
   store_.perform(c, [this, f, name = c.name, trial, done](store::reply&& r) {
     const bool is_mine = r.result == store::call_result::done;
+    const bool is_other = r.result == store::call_result::conflict;
     process::log_line(timeline::event{ "trial_claimed" }
                         .with("work", f)
                         .with("verdict", store::name_of(r.result))
                         .with("mine", is_mine ? 1U : 0U));
-    if (is_mine) {
+    // The other instance's trial takes a moment to arrive. Without this report
+    // the claim would be repeated, and fail, until then.
+    if (is_mine || is_other) {
       add_report(evidence_, name, trial);
     }
     done(is_mine);
--- a/cactusford/quarantine/manager.h
+++ b/cactusford/quarantine/manager.h
@@ -65,7 +65,8 @@
   decision evaluate(const fingerprint& f, run_kind kind);
 
   // For a request on trial: calls `done` with true if this instance may run the
-  // trial. The call is always asynchronous.
+  // trial. The call is always asynchronous. If another instance runs it, the
+  // request is `awaiting_trial` from then on.
   void claim_trial(const fingerprint& f, std::function<void(bool)> done);
 
   // Records that a request was not sent.
--- a/cactusford/quarantine/report.cc
+++ b/cactusford/quarantine/report.cc
@@ -87,9 +87,10 @@
 }
 
 std::string
-trial_name(const fingerprint& f, std::uint64_t slot)
+trial_name(const fingerprint& f, const decision& d)
 {
-  return "trial." + f + "." + std::to_string(slot);
+  return "trial." + f + "." + std::to_string(d.last_crash_ms) + "." +
+         std::to_string(d.trials);
 }
 
 std::string
--- a/cactusford/quarantine/report.h
+++ b/cactusford/quarantine/report.h
@@ -27,10 +27,10 @@
 std::string
 report_name(const std::string& instance, std::uint64_t at_ms);
 
-// All instances that want to try this request in the same time slot get the
-// same name, so that the store lets only one of them create the object.
+// All instances that want to try this request on the same evidence get the same
+// name, so that the store lets only one of them create the object.
 std::string
-trial_name(const fingerprint& f, std::uint64_t slot);
+trial_name(const fingerprint& f, const decision& d);
 
 bool
 is_reported_by(const std::string& name, const std::string& instance);
--- a/cactusford/quarantine/suspicion.cc
+++ b/cactusford/quarantine/suspicion.cc
@@ -214,9 +214,46 @@
   std::size_t without_idle_peer = 0;
   std::size_t with_idle_peer = 0;
   std::set<incarnation> own;
+  other_cause cause = other_cause::none;
   bool is_decided = false;
 };
 
+other_cause
+cause_of(simultaneous_crashes crashes)
+{
+  switch (crashes) {
+    case simultaneous_crashes::only_this_request:
+      return other_cause::none;
+    case simultaneous_crashes::with_others:
+      return other_cause::other_request;
+    case simultaneous_crashes::without_request:
+      return other_cause::other_server;
+  }
+  return other_cause::none;
+}
+
+// The median over the crashes: a single one that seems to leave no doubt is
+// common when a rack fails after a poison request has taken down most of it.
+other_cause
+cause_of(const candidate& c,
+         const crashes_by_time& all,
+         std::uint64_t window_ms)
+{
+  std::vector<other_cause> causes;
+  for (const auto& i : c.own) {
+    const auto at = c.crashes->at(i).at_ms;
+    causes.push_back(
+      cause_of(classify_simultaneous(all, c.request, at, window_ms)));
+  }
+  if (causes.empty()) {
+    return other_cause::none;
+  }
+  const auto middle =
+    causes.begin() + static_cast<long>((causes.size() - 1) / 2);
+  std::nth_element(causes.begin(), middle, causes.end());
+  return *middle;
+}
+
 candidate
 candidate_of(const fingerprint& request,
              const std::map<incarnation, observed_crash>& crashes,
@@ -235,6 +272,7 @@
     return crashes.at(i).is_with_idle_peer;
   });
   c.without_idle_peer = c.own.size();
+  c.cause = cause_of(c, sorted, limits.same_cause_window_ms);
   return c;
 }
 
@@ -265,8 +303,13 @@
   s.crashes = static_cast<std::uint32_t>(c.own.size());
   s.explained = static_cast<std::uint32_t>(c.without_idle_peer - c.own.size());
   s.with_idle_peer = static_cast<std::uint32_t>(c.with_idle_peer);
+  s.observed = static_cast<std::uint32_t>(c.crashes->size());
+  s.cause = c.cause;
   for (const auto& [of, observed] : *c.crashes) {
-    s.last_crash_ms = std::max(s.last_crash_ms, observed.at_ms);
+    if (observed.at_ms >= s.last_crash_ms) {
+      s.last_crash_ms = observed.at_ms;
+      s.is_last_with_idle_peer = observed.is_with_idle_peer;
+    }
   }
   return s;
 }
@@ -317,11 +360,16 @@
 record_trials(const reports_by_name& reports,
               std::map<fingerprint, suspicion>& suspicions)
 {
+  const auto answers = last_answers(reports);
   for (const auto& [name, r] : reports) {
     const auto found = suspicions.find(r.trial);
-    if (found != suspicions.end()) {
-      auto& last = found->second.last_trial_ms;
-      last = std::max(last, r.at_ms);
+    const auto answered = answers.find(r.trial);
+    const bool is_answered =
+      answered != answers.end() && r.at_ms <= answered->second;
+    if (found != suspicions.end() && !is_answered) {
+      auto& s = found->second;
+      ++s.trials;
+      s.last_trial_ms = std::max(s.last_trial_ms, r.at_ms);
     }
   }
 }
--- a/cactusford/quarantine/suspicion.h
+++ b/cactusford/quarantine/suspicion.h
@@ -44,7 +44,7 @@
   // Requests that a backend server had answered by `at_ms`, which clears them
   // of earlier crashes.
   std::vector<fingerprint> answered;
-  // The quarantined request that the reporter is trying again, or empty.
+  // The request of which the reporter runs a trial, or empty.
   fingerprint trial = {};
 
   friend bool operator==(const report&, const report&) = default;
@@ -88,6 +88,9 @@
   std::uint64_t retention_ms = 3600000;
   // A trial run has ended within this time or is abandoned.
   std::uint64_t trial_ms = 10000;
+  // Trials without a response after which a call is quarantined whatever else
+  // was running. The promise allows three runs after the third crash.
+  std::uint32_t max_trials = 3;
   // Maximum number of reports held, of some 300 bytes each. The crash of a rack
   // of forty servers under 1,100 entries causes about this many.
   std::size_t max_reports = 2000;
@@ -96,6 +99,18 @@
                          const evidence_limits&) = default;
 };
 
+// What else may have caused most crashes of a request. The value is the number
+// of trials that settle it.
+enum class other_cause : std::uint32_t
+{
+  // Nothing else ran on the server.
+  none = 0,
+  // Other requests ran on the server.
+  other_request = 1,
+  // Servers without the request crashed at the same time.
+  other_server = 2,
+};
+
 // Evidence against one request.
 struct suspicion
 {
@@ -105,10 +120,17 @@
   // crash of an idle server.
   std::uint32_t explained = 0;
   std::uint32_t with_idle_peer = 0;
+  // All crashes while the request ran. Simultaneous ones, which count once
+  // above, count separately.
+  std::uint32_t observed = 0;
   std::uint64_t last_crash_ms = 0;
+  bool is_last_with_idle_peer = false;
   // Another request shares most of the crashes, so either may be the poison
   // one.
   bool contested = false;
+  other_cause cause = other_cause::none;
+  // Trial runs since the request was last answered, and the time of the last.
+  std::uint32_t trials = 0;
   std::uint64_t last_trial_ms = 0;
 
   friend bool operator==(const suspicion&, const suspicion&) = default;
