Expect an untried server to be like the others, and prefer connected engines

What callers saw: nothing but a round trip; backend servers saw a new connection for a third of all requests. On the whole fleet (407 entries, 84 plain servers) 5,927 for 16,935 arrivals, and the busiest plain server got 6.4 times as many calls as the mean.

Cause: a server that had not answered a call yet was expected to answer in one millisecond, so each entry tried every server of the service, with a connection for each, before it used one again. Among equal servers the choice was not uniform: half of the entries of a data centre began with the first one of the list. Items went to the least loaded engine whether or not a connection to it was open.

Change: the expected duration starts from the typical one of the service and moves to the server's own with its answers; equal servers are drawn uniformly; a connected engine may have one more run than another one. `call_sent` and `item_started` say if a connection was open.

--- a/cactusford/backends/registry.cc
+++ b/cactusford/backends/registry.cc
@@ -36,11 +36,22 @@
 // and a response.
 constexpr std::uint64_t refusal_pause_ms = 250;
 
+// Number of calls after which a server's own duration weighs as much as the
+// typical one, and after which the weight grows no more.
+constexpr double typical_weight = 4;
+constexpr std::uint32_t max_weighed_calls = 16;
+
 // Unit: one running request per slot. The far penalty only breaks ties: a
 // nearby server is preferred over an equally loaded one in another data centre.
 constexpr double far_penalty = 0.05;
 constexpr double slow_penalty = 4;
 
+// Unit: runs. An engine batches its runs, and one more of them slows the others
+// by less than a hundredth: a connected engine with one more run is preferred.
+// Spreading each burst over the idle engines opened a connection for two items
+// in five.
+constexpr double unconnected_penalty_runs = 1.2;
+
 // Time that opening a connection adds to a call: a round trip between data
 // centres plus the server's own work. A server that is faster or less loaded by
 // more than this is still preferred over a connected one.
@@ -85,6 +96,34 @@
          (needs.only_version == 0 || found->second == needs.only_version);
 }
 
+// Returns the mean duration of a plain call over the servers of the service
+// that have answered one, or the shortest possible if none has.
+double
+typical_call_ms(const registry& r, std::string_view service)
+{
+  double sum = 0;
+  std::size_t known = 0;
+  for (const auto& [id, b] : r.all) {
+    if (b.info.service == service && b.calls > 0) {
+      sum += b.call_ms;
+      ++known;
+    }
+  }
+  return known > 0 ? std::max(sum / static_cast<double>(known), 1.0) : 1.0;
+}
+
+// A server that has answered few calls is expected to be like the others. If an
+// untried one were taken for a fast one, an entry with a call every second
+// would open a connection to each server of a large service before it used one
+// again.
+double
+expected_call_ms(const backend& b, double typical_ms)
+{
+  const auto weight = static_cast<double>(b.calls);
+  return (typical_weight * typical_ms + weight * b.call_ms) /
+         (typical_weight + weight);
+}
+
 // In a deployment whose backend servers can restart, all of them publish a
 // start time. The majority decides, because a single entry of a different
 // writer that carries a start time must not make all other servers invalid.
@@ -231,6 +270,7 @@
   const auto took = static_cast<double>(took_ms);
   b.call_ms =
     b.call_ms == 0 ? took : b.call_ms + call_gain * (took - b.call_ms);
+  b.calls = std::min(b.calls + 1, max_weighed_calls);
 }
 
 void
@@ -317,12 +357,12 @@
                 std::uint64_t now_ms,
                 double random)
 {
+  const auto typical_ms = typical_call_ms(r, needs.service);
   // The second pass includes servers that are avoided after failures: they are
   // the last resort when every server is avoided.
   for (const bool skip_avoided : { true, false }) {
-    backend* best = nullptr;
+    std::vector<backend*> best;
     double best_cost = std::numeric_limits<double>::max();
-    std::uint32_t equal = 0;
     for (auto& [id, b] : r.all) {
       const bool was_tried =
         std::find(needs.tried.begin(), needs.tried.end(), id) !=
@@ -332,19 +372,21 @@
         continue;
       }
       const double cost =
-        (1 + load_of(b, now_ms)) * std::max(b.call_ms, 1.0) +
+        (1 + load_of(b, now_ms)) * expected_call_ms(b, typical_ms) +
         (needs.is_connected(b.info.address) ? 0 : connect_cost_ms) +
         (b.info.data_centre == needs.data_centre ? 0 : far_penalty);
       constexpr double tolerance = 1e-9;
-      equal = cost < best_cost - tolerance ? 1 : equal + 1;
-      if (cost < best_cost - tolerance ||
-          (cost < best_cost + tolerance && random * equal < 1)) {
-        best = &b;
+      if (cost < best_cost - tolerance) {
+        best.clear();
         best_cost = cost;
       }
+      if (cost < best_cost + tolerance) {
+        best.push_back(&b);
+      }
     }
-    if (best != nullptr) {
-      return best;
+    if (!best.empty()) {
+      const auto count = static_cast<double>(best.size());
+      return best[static_cast<std::size_t>(random * count) % best.size()];
     }
   }
   return nullptr;
@@ -361,9 +403,13 @@
         id == needs.excluded_id || load_of(b, now_ms) >= 1) {
       continue;
     }
-    const double cost =
-      load_of(b, now_ms) + (is_slow(b, typical_ms, now_ms) ? slow_penalty : 0) +
-      (b.info.data_centre == needs.data_centre ? 0 : far_penalty);
+    double cost = load_of(b, now_ms) +
+                  (is_slow(b, typical_ms, now_ms) ? slow_penalty : 0) +
+                  (b.info.data_centre == needs.data_centre ? 0 : far_penalty);
+    if (cost < best_cost && !needs.is_connected(b.info.address)) {
+      cost +=
+        unconnected_penalty_runs / std::max<std::uint32_t>(b.info.slots, 1);
+    }
     if (cost < best_cost) {
       best = &b;
       best_cost = cost;
--- a/cactusford/backends/registry.h
+++ b/cactusford/backends/registry.h
@@ -72,8 +72,10 @@
   // Moving average of the time between two events of a stream; 0 if unknown.
   double pace_ms = 0;
   std::uint64_t pace_at_ms = 0;
-  // Moving average of the duration of a plain call; 0 if unknown.
+  // Moving average of the duration of a plain call, and the number of calls in
+  // it; 0 if unknown.
   double call_ms = 0;
+  std::uint32_t calls = 0;
   // When the server disappeared from the platform's list; 0 if it is listed.
   std::uint64_t missing_since_ms = 0;
 
@@ -181,16 +183,22 @@
 bool
 is_slow(const backend& b, double typical_ms, std::uint64_t now_ms);
 
+// Returns true if an idle open connection to this address exists.
+using connection_check = std::function<bool(const std::string&)>;
+
+inline bool
+is_never_connected(const std::string&)
+{
+  return false;
+}
+
 struct call_needs
 {
   std::string_view service;
   std::string_view data_centre;
   // Ids of the servers that were already tried for this call.
   std::vector<std::string> tried;
-  // Returns true if an idle open connection to this address exists.
-  std::function<bool(const std::string&)> is_connected = [](const auto&) {
-    return false;
-  };
+  connection_check is_connected = is_never_connected;
 };
 
 // Picks a backend server for a plain call: the least loaded one that was not
@@ -217,10 +225,12 @@
   // The engine on which the item just failed.
   std::string_view excluded_id;
   std::string_view data_centre;
+  connection_check is_connected = is_never_connected;
 };
 
 // Picks an engine for an item: the least loaded one with a free slot, slow
-// engines last. Returns null if no engine has a free slot.
+// engines last. A connected engine may have one more run than the others.
+// Returns null if no engine has a free slot.
 backend*
 choose_for_item(registry& r, const item_needs& needs, std::uint64_t now_ms);
 
--- a/cactusford/batches/runs.cc
+++ b/cactusford/batches/runs.cc
@@ -140,6 +140,9 @@
     route->single_version && i.text.events > 0 ? i.text.version : 0;
   needs.excluded_id = i.failed_on;
   needs.data_centre = deps.data_centre;
+  needs.is_connected = [this](const std::string& address) {
+    return deps.http.has_idle(address);
+  };
   if (needs.only_version != 0 && !backends::can_serve(deps.registry, needs)) {
     i.text = {};
     needs.only_version = 0;
@@ -202,6 +205,7 @@
       .with("batch", b.stored.id)
       .with("backend", backend->info.id)
       .with("in_flight", backend->in_flight)
+      .with("connected", deps.http.has_idle(backend->info.address) ? 1U : 0U)
       .with("version", backend->info.versions[b.submission.model])
       .with("resumed_at", i.text.last_event)
       .with("try", i.tries));
--- a/cactusford/edge/forward.cc
+++ b/cactusford/edge/forward.cc
@@ -455,6 +455,7 @@
       .with("attempt", call->attempts.size())
       .with("in_flight", b.in_flight)
       .with("others", b.other_load)
+      .with("connected", http_.has_idle(b.info.address) ? 1U : 0U)
       .with("left_ms",
             call->input.give_up_ms > now ? call->input.give_up_ms - now : 0));
   ++b.in_flight;
