Join watches from different revisions; a relay gives up before its callers do

Cause: watches were joined only if they started from the same revision. Each instance that has restarted, or lost its connection, watches a kind from the revision of its own list until the kind changes, so each of them cost a call a second for each kind. And a watch that a relay had started for itself waited 1.9 s for the store, longer than the 1.6 s after which those who had joined it took the relay for dead, all at the same moment.

Change: a watch waits for one of its kind from the same or an older revision. It gets that answer if there are no changes, or if all changes are newer than its own revision; otherwise it gets a call of its own, so that no instance sees a change, or a deletion, that it has gone past. A relay's own watches end before those that join them; what a relay has left to say so is 0.15 s instead of 0.3 s, which leaves a slow store 0.45 s.

--- a/cactusford/store/paths-test.cc
+++ b/cactusford/store/paths-test.cc
@@ -160,6 +160,13 @@
       response_timeout_ms(l, t, relay, response_kind::watch, wait_ms);
     cr_assert_eq(at_relay + relay_extra_ms, wait_ms + l.shared_answer_ms);
   }
+  SECTION("so does a relay's own watch, which others join")
+  {
+    const auto of_relay = make_paths(2, direct_path, true);
+    const auto at_relay = response_timeout_ms(
+      l, of_relay, direct_path, response_kind::watch, wait_ms);
+    cr_assert_leq(at_relay + relay_extra_ms, wait_ms + l.shared_answer_ms);
+  }
   SECTION("a watch times out before a change must be in force")
   {
     constexpr std::uint64_t in_force_ms = 2000;
--- a/cactusford/store/paths.cc
+++ b/cactusford/store/paths.cc
@@ -143,9 +143,12 @@
                     std::uint64_t wait_ms)
 {
   if (kind == response_kind::watch) {
-    return wait_ms + (path == direct_path
-                        ? l.answer_ms
-                        : l.shared_answer_ms - relay_extra_ms);
+    // Other instances join a relay's own watch. If it waited longer than they
+    // do, a store that falls silent would make all of them take the relay for
+    // dead at once, and each would ask the store itself.
+    const bool may_be_joined = path != direct_path || t.is_relay;
+    return wait_ms +
+           (may_be_joined ? l.shared_answer_ms - relay_extra_ms : l.answer_ms);
   }
   // A call on a path that failed probes whether it is open again.
   const bool is_probe = t.paths[path].last_outcome != path_outcome::answered;
--- a/cactusford/store/paths.h
+++ b/cactusford/store/paths.h
@@ -134,7 +134,8 @@
 constexpr std::uint64_t second_path_after_ms = 250;
 
 // Extra timeout for a relay, which itself waits for the store, in milliseconds.
-constexpr std::uint64_t relay_extra_ms = 300;
+// What is left of `shared_answer_ms` must be enough for a slow store.
+constexpr std::uint64_t relay_extra_ms = 150;
 
 // Returns how long the store may take for a call on this path. For a relay the
 // instance waits `relay_extra_ms` longer, so that the relay can report that the
--- a/cactusford/store/relay_wire-test.cc
+++ b/cactusford/store/relay_wire-test.cc
@@ -23,7 +23,7 @@
 Test(relay_wire, encodes_and_decodes_a_call)
 {
   relayed_call c;
-  c.inner = { { "GET", "/things", {}, "b" }, 1300, 1000 };
+  c.inner = { { "GET", "/things", {}, "b" }, 1300, 1000, "things", 7 };
   c.shared = true;
   c.hops = 2;
   c.message = { { "x", 1 } };
--- a/cactusford/store/relay_wire.cc
+++ b/cactusford/store/relay_wire.cc
@@ -41,6 +41,8 @@
                              { "body", inner.body },
                              { "timeout_ms", c.inner.timeout_ms },
                              { "held_ms", c.inner.held_ms },
+                             { "kind", c.inner.kind },
+                             { "since", c.inner.since },
                              { "shared", c.shared },
                              { "hops", c.hops },
                              { "sent_along", c.message } };
@@ -62,6 +64,8 @@
     c.inner.request.body = string_field(j, "body");
     c.inner.timeout_ms = uint_field(j, "timeout_ms");
     c.inner.held_ms = uint_field_or(j, "held_ms", 0);
+    c.inner.kind = string_field_or(j, "kind", "");
+    c.inner.since = uint_field_or(j, "since", 0);
     c.shared = bool_field(j, "shared");
     c.hops = uint_field(j, "hops");
     c.message = j.value("sent_along", nlohmann::json{});
--- a/cactusford/store/relay_wire.h
+++ b/cactusford/store/relay_wire.h
@@ -16,13 +16,17 @@
 // HTTP path of the relay, on the port that instances use among themselves.
 constexpr std::string_view relay_path = "/store";
 
-// A call that may share its response with identical calls. The caller waits
+// A call that may share its response with equivalent calls. The caller waits
 // `timeout_ms` for the answer; the store may hold the request for `held_ms`.
 struct joinable_call
 {
   http::request request;
   std::uint64_t timeout_ms = 0;
   std::uint64_t held_ms = 0;
+  // For a watch: what it watches, and from which revision. Watches of a kind
+  // from different revisions are equivalent while nothing of it changes.
+  std::string kind;
+  std::uint64_t since = 0;
 
   friend bool operator==(const joinable_call&, const joinable_call&) = default;
 };
--- a/cactusford/store/relaying.cc
+++ b/cactusford/store/relaying.cc
@@ -5,6 +5,8 @@
 
 #include <asio/post.hpp>
 
+#include <algorithm>
+
 namespace cactusford::store {
 
 // A relayed watch may be held for seconds, and the next one follows at once:
@@ -102,14 +104,27 @@
          claim_if_open(paths_, first_watch_path_, http::now_ms());
 }
 
-bool
-client::has_changes(const http::response& r) const
+answer_contents
+client::contents_of(const http::response& r) const
 {
   store::call watch;
   watch.op = operation::watch;
   const auto answer = dialect_.decode(watch, r);
-  return !answer.changes.empty() || !answer.unreadable_objects.empty() ||
-         !answer.items.empty();
+  answer_contents contents;
+  contents.is_history_gone = answer.result == call_result::history_gone;
+  contents.has_objects = !answer.changes.empty() ||
+                         !answer.unreadable_objects.empty() ||
+                         !answer.items.empty();
+  const auto oldest =
+    std::min_element(answer.changes.begin(),
+                     answer.changes.end(),
+                     [](const auto& a, const auto& b) {
+                       return a.value.revision < b.value.revision;
+                     });
+  const bool are_all_known =
+    oldest != answer.changes.end() && answer.unreadable_objects.empty();
+  contents.oldest_change = are_all_known ? oldest->value.revision : 0;
+  return contents;
 }
 
 void
@@ -127,21 +142,20 @@
                         held_ms = inner.held_ms,
                         asked_ms = http::boot_ms()](http::exchange_outcome end,
                                                     http::response&& r) {
-      const bool changed =
-        end == http::exchange_outcome::complete && has_changes(r);
-      const auto confirmed_ms =
-        store_confirmed_ms(asked_ms, held_ms, changed, http::boot_ms());
+      const bool is_complete = end == http::exchange_outcome::complete;
+      const auto contents = is_complete ? contents_of(r) : answer_contents{};
+      const auto confirmed_ms = store_confirmed_ms(
+        asked_ms, held_ms, contents.has_objects, http::boot_ms());
       direct_watches_.complete(
-        target, http::now_ms(), end, r, confirmed_ms, changed);
+        target, http::now_ms(), end, r, confirmed_ms, contents);
     };
     http_.fetch(settings_.address, inner.request, o, ended);
   };
   // Posted, so that a reused answer does not arrive before this function
   // returns.
-  asio::post(
-    io_, [this, target = inner.request.target, from, start_call, done] {
-      direct_watches_.join(target, http::now_ms(), from, start_call, done);
-    });
+  asio::post(io_, [this, inner, from, start_call, done] {
+    direct_watches_.join(inner, http::now_ms(), from, start_call, done);
+  });
 }
 
 void
@@ -163,12 +177,9 @@
                   handle_upstream_response(inner, asked_ms, end, r);
                 });
   };
-  asio::post(io_, [this, target = inner.request.target, start_call, done] {
-    upstream_watches_.join(target,
-                           http::now_ms(),
-                           shared_watches::origin::relayed,
-                           start_call,
-                           done);
+  asio::post(io_, [this, inner, start_call, done] {
+    upstream_watches_.join(
+      inner, http::now_ms(), shared_watches::origin::relayed, start_call, done);
   });
 }
 
@@ -203,14 +214,14 @@
                               const http::response& a,
                               std::uint64_t confirmed_ms) {
                  upstream_watches_.complete(
-                   target, http::now_ms(), e, a, confirmed_ms, false);
+                   target, http::now_ms(), e, a, confirmed_ms, {});
                });
     return;
   }
-  const bool changed = complete && has_changes(r);
+  const auto contents = complete ? contents_of(r) : answer_contents{};
   const auto confirmed_ms = relay_confirmed_ms(r, asked_ms, http::boot_ms());
   upstream_watches_.complete(
-    target, http::now_ms(), end, r, confirmed_ms, changed);
+    target, http::now_ms(), end, r, confirmed_ms, contents);
 }
 
 } // namespace cactusford::store
--- a/cactusford/store/shared_watches-test.cc
+++ b/cactusford/store/shared_watches-test.cc
@@ -32,6 +32,28 @@
 
 const http::response changes_response{ 200, {}, "changes" };
 
+// The contents of answers with and without changes.
+const store::answer_contents changes{ true, false, 100 };
+const store::answer_contents nothing{};
+
+constexpr std::uint64_t held_ms = 1000;
+
+// A watch of one kind from revision 50.
+const store::joinable_call watch{ { "GET", "t", {}, "" },
+                                  2 * held_ms,
+                                  held_ms,
+                                  "configuration",
+                                  50 };
+
+store::joinable_call
+watch_from(std::uint64_t since)
+{
+  auto w = watch;
+  w.request.target = "t?since=" + std::to_string(since);
+  w.since = since;
+  return w;
+}
+
 } // namespace
 
 // Twenty entries watch the same kind. Guards against one call from each of them
@@ -43,11 +65,11 @@
   std::vector<recording_waiter> all(20);
   for (auto& a : all) {
     w.join(
-      "t", 0, own, [&] { ++calls; }, a.handler());
+      watch, 0, own, [&] { ++calls; }, a.handler());
   }
   cr_assert_eq(calls, 1);
   w.complete(
-    "t", 10, http::exchange_outcome::complete, changes_response, 0, true);
+    "t", 10, http::exchange_outcome::complete, changes_response, 0, changes);
   for (const auto& a : all) {
     cr_assert_eq(a.answers, 1);
   }
@@ -55,7 +77,7 @@
   {
     recording_waiter late;
     w.join(
-      "t", 100, own, [&] { ++calls; }, late.handler());
+      watch, 100, own, [&] { ++calls; }, late.handler());
     cr_assert_eq(late.answers, 1);
     cr_assert_eq(calls, 1);
   }
@@ -63,7 +85,7 @@
   {
     recording_waiter late;
     w.join(
-      "t", 10 + store::reuse_ms, own, [&] { ++calls; }, late.handler());
+      watch, 10 + store::reuse_ms, own, [&] { ++calls; }, late.handler());
     cr_assert_eq(late.answers, 0);
     cr_assert_eq(calls, 2);
   }
@@ -77,12 +99,12 @@
   int calls = 0;
   recording_waiter first;
   w.join(
-    "t", 0, own, [&] { ++calls; }, first.handler());
+    watch, 0, own, [&] { ++calls; }, first.handler());
   w.complete(
-    "t", 1000, http::exchange_outcome::complete, { 200, {}, "" }, 0, false);
+    "t", 1000, http::exchange_outcome::complete, { 200, {}, "" }, 0, nothing);
   recording_waiter again;
   w.join(
-    "t", 1001, own, [&] { ++calls; }, again.handler());
+    watch, 1001, own, [&] { ++calls; }, again.handler());
   cr_assert_eq(again.answers, 0);
   cr_assert_eq(calls, 2);
 }
@@ -96,37 +118,129 @@
   recording_waiter a;
   recording_waiter b;
   w.join(
-    "t", 0, own, [&] { ++calls; }, a.handler());
+    watch, 0, own, [&] { ++calls; }, a.handler());
   w.join(
-    "t", 0, own, [&] { ++calls; }, b.handler());
-  w.complete("t", 5, http::exchange_outcome::connection_lost, {}, 0, false);
+    watch, 0, own, [&] { ++calls; }, b.handler());
+  w.complete("t", 5, http::exchange_outcome::connection_lost, {}, 0, nothing);
   cr_assert_eq(a.answers + b.answers, 2);
   cr_assert(b.end == http::exchange_outcome::connection_lost);
   recording_waiter later;
   w.join(
-    "t", 6, own, [&] { ++calls; }, later.handler());
+    watch, 6, own, [&] { ++calls; }, later.handler());
   cr_assert_eq(later.answers, 0);
 }
 
-Test(shared_watches, keep_kinds_and_revisions_apart)
+// Forty instances have been restarted one after the other, and each watches a
+// kind that does not change from the revision of its own list. Guards against a
+// call a second from each of them.
+Test(shared_watches, join_watches_from_different_revisions)
+{
+  shared_watches w;
+  int calls = 0;
+  constexpr std::uint64_t instances = 40;
+  std::vector<recording_waiter> all(instances);
+  for (std::uint64_t i = 0; i < instances; ++i) {
+    w.join(
+      watch_from(50 + i), i, own, [&] { ++calls; }, all[i].handler());
+  }
+  cr_assert_eq(calls, 1);
+  SECTION("an answer without changes holds for all")
+  {
+    w.complete("t?since=50",
+               held_ms,
+               http::exchange_outcome::complete,
+               { 200, {}, "" },
+               0,
+               nothing);
+    for (const auto& a : all) {
+      cr_assert_eq(a.answers, 1);
+    }
+  }
+}
+
+// A change is on its way to a watch from an older revision when an instance
+// that has listed it joins. Guards against an instance that gets an older state
+// of an object than it has, or a deletion of one that exists again.
+Test(shared_watches, give_no_instance_a_change_that_it_has_seen)
 {
   shared_watches w;
   int calls = 0;
+  recording_waiter older;
+  recording_waiter newer;
+  const auto count = [&] { ++calls; };
+  const auto answer_with = [&](const store::answer_contents& contents) {
+    w.complete("t?since=50",
+               10,
+               http::exchange_outcome::complete,
+               changes_response,
+               0,
+               contents);
+  };
+  w.join(watch_from(50), 0, own, count, older.handler());
+  w.join(watch_from(70), 0, own, count, newer.handler());
+  cr_assert_eq(calls, 1);
+  SECTION("a change after both revisions goes to both")
+  {
+    auto other = w;
+    answer_with({ true, false, 71 });
+    cr_assert_eq(older.answers, 1);
+    cr_assert_eq(newer.answers, 1);
+    w = std::move(other);
+  }
+  older.answers = 0;
+  newer.answers = 0;
+  SECTION("a change between them only to the older one")
+  {
+    auto other = w;
+    answer_with({ true, false, 60 });
+    cr_assert_eq(older.answers, 1);
+    cr_assert_eq(newer.answers, 0);
+    cr_assert_eq(calls, 2, "the newer one has a call of its own now");
+    w = std::move(other);
+  }
+  older.answers = 0;
+  SECTION("the same if the revision of a change is not known")
+  {
+    auto other = w;
+    answer_with({ true, false, 0 });
+    cr_assert_eq(newer.answers, 0);
+    w = std::move(other);
+  }
+  SECTION("the loss of the history concerns only the older one")
+  {
+    answer_with({ false, true, 0 });
+    cr_assert_eq(newer.answers, 0);
+  }
+}
+
+Test(shared_watches, keep_kinds_and_older_revisions_apart)
+{
+  shared_watches w;
+  int calls = 0;
+  const auto count = [&] { ++calls; };
   recording_waiter a;
-  recording_waiter b;
-  w.join(
-    "t?since=1", 0, own, [&] { ++calls; }, a.handler());
-  w.join(
-    "t?since=2", 0, own, [&] { ++calls; }, b.handler());
-  cr_assert_eq(calls, 2);
-  w.complete("t?since=1",
-             5,
-             http::exchange_outcome::complete,
-             changes_response,
-             0,
-             true);
-  cr_assert_eq(a.answers, 1);
-  cr_assert_eq(b.answers, 0);
+  w.join(watch_from(50), 0, own, count, a.handler());
+  SECTION("a watch from an older revision may have an answer already")
+  {
+    w.join(watch_from(40), 0, own, count, a.handler());
+    cr_assert_eq(calls, 2);
+  }
+  SECTION("another kind has other changes")
+  {
+    auto other_kind = watch_from(60);
+    other_kind.kind = "batches";
+    other_kind.request.target = "batches?since=60";
+    w.join(other_kind, 0, own, count, a.handler());
+    cr_assert_eq(calls, 3);
+  }
+  SECTION("a check is answered at once")
+  {
+    auto check = watch_from(60);
+    check.held_ms = 1;
+    check.request.target = "t?since=60&held_ms=1";
+    w.join(check, 0, own, count, a.handler());
+    cr_assert_eq(calls, 4);
+  }
 }
 
 // A relay shuts down. Instances that wait through it are sent elsewhere; its
@@ -138,12 +252,16 @@
   recording_waiter mine;
   recording_waiter other;
   w.join(
-    "t", 0, own, [&] { ++calls; }, mine.handler());
+    watch, 0, own, [&] { ++calls; }, mine.handler());
   w.join(
-    "t", 0, shared_watches::origin::relayed, [&] { ++calls; }, other.handler());
+    watch,
+    0,
+    shared_watches::origin::relayed,
+    [&] { ++calls; },
+    other.handler());
   cr_assert_eq(w.take_relayed_handlers().size(), 1);
   w.complete(
-    "t", 5, http::exchange_outcome::complete, changes_response, 0, true);
+    "t", 5, http::exchange_outcome::complete, changes_response, 0, changes);
   cr_assert_eq(mine.answers, 1);
   cr_assert_eq(other.answers, 0);
 }
@@ -158,15 +276,15 @@
   recording_waiter first;
   recording_waiter late;
   w.join(
-    "t", 0, own, [] {}, first.handler());
+    watch, 0, own, [] {}, first.handler());
   w.complete("t",
              100,
              http::exchange_outcome::complete,
              changes_response,
              confirmed_ms,
-             true);
+             changes);
   w.join(
-    "t", 200, own, [] {}, late.handler());
+    watch, 200, own, [] {}, late.handler());
   cr_assert_eq(first.confirmed_ms, confirmed_ms);
   cr_assert_eq(late.confirmed_ms, confirmed_ms);
 }
--- a/cactusford/store/shared_watches.h
+++ b/cactusford/store/shared_watches.h
@@ -1,8 +1,9 @@
-// Joins identical watches of many instances into one call to the store. Does no
-// I/O itself: the caller passes in a function that makes the call.
+// Joins equivalent watches of many instances into one call to the store. Does
+// no I/O itself: the caller passes in a function that makes the call.
 #pragma once
 
 #include "cactusford/http/client.h"
+#include "cactusford/store/relay_wire.h"
 
 #include <cstdint>
 #include <functional>
@@ -19,6 +20,20 @@
 // change must be in force.
 constexpr std::uint64_t reuse_ms = 250;
 
+// What an answer of the store contains.
+struct answer_contents
+{
+  // Changes or listed objects.
+  bool has_objects = false;
+  // The store no longer knows the changes since the watched revision.
+  bool is_history_gone = false;
+  // The lowest revision among the changes; 0 if it is not known of all.
+  std::uint64_t oldest_change = 0;
+
+  friend bool operator==(const answer_contents&,
+                         const answer_contents&) = default;
+};
+
 class shared_watches
 {
 public:
@@ -37,9 +52,14 @@
     relayed,
   };
 
-  // Calls `done` with the result of the call for `target` that is in flight;
+  // Calls `done` with the result of an equivalent call that is in flight;
   // starts one if there is none.
-  void join(const std::string& target,
+  //
+  // Each instance that has started or lost its connection lists a kind at
+  // another moment, and watches it from another revision until it changes. If
+  // only watches from the same revision were joined, each of these instances
+  // would cost the store a call a second for each kind.
+  void join(const joinable_call& call,
             std::uint64_t now_ms,
             origin from,
             const call_starter& start_call,
@@ -53,7 +73,7 @@
                 http::exchange_outcome end,
                 const http::response& r,
                 std::uint64_t confirmed_ms,
-                bool has_changes);
+                const answer_contents& contents);
 
   // Removes and returns the handlers of other instances without calling them.
   std::vector<handler> take_relayed_handlers();
@@ -61,6 +81,8 @@
 private:
   struct answer
   {
+    joinable_call call;
+    answer_contents contents;
     std::uint64_t at_ms = 0;
     std::uint64_t confirmed_ms = 0;
     http::response value;
@@ -68,12 +90,25 @@
 
   struct waiter
   {
+    joinable_call call;
     origin from = origin::own;
+    call_starter start_call;
     handler done;
   };
 
-  // An entry exists as long as its call is in flight.
-  std::map<std::string, std::vector<waiter>> waiting_;
+  struct call_in_flight
+  {
+    joinable_call call;
+    std::vector<waiter> waiters;
+  };
+
+  const answer* find_recent(const joinable_call& call,
+                            std::uint64_t now_ms) const;
+  call_in_flight* find_in_flight(const joinable_call& call);
+  void wait(waiter w);
+
+  // By target. A call is here as long as it is in flight.
+  std::map<std::string, call_in_flight> in_flight_;
   std::map<std::string, answer> recent_;
 };
 
--- a/cactusford/store/store.cc
+++ b/cactusford/store/store.cc
@@ -228,6 +228,12 @@
   });
 }
 
+joinable_call
+client::joinable(const attempt& a, std::uint64_t timeout_ms)
+{
+  return { a.request, timeout_ms, a.call.wait_ms, a.call.kind, a.call.since };
+}
+
 // On any path but the usual one, the relay is asked to make the call itself:
 // the relay through which all watches usually go may be the one that fails.
 std::uint64_t
@@ -266,7 +272,7 @@
                                               response_kind_of(a->call.op),
                                               a->call.wait_ms);
   if (path == direct_path && is_joined) {
-    join_watch({ a->request, timeout_ms, a->call.wait_ms },
+    join_watch(joinable(*a, timeout_ms),
                shared_watches::origin::own,
                [this, a, sent](http::exchange_outcome end,
                                const http::response& r,
@@ -295,7 +301,7 @@
   ++relayed_;
   o.timeout_ms = timeout_ms + relay_extra_ms;
   relayed_call relayed;
-  relayed.inner = { a->request, timeout_ms, a->call.wait_ms };
+  relayed.inner = joinable(*a, timeout_ms);
   relayed.shared = is_joined;
   relayed.hops = hops_to(a->call, path);
   relayed.message = is_joined ? next_piggyback() : nlohmann::json{};
--- a/cactusford/store/store.h
+++ b/cactusford/store/store.h
@@ -241,6 +241,7 @@
   void try_path(const std::shared_ptr<attempt>& a, std::size_t path);
   std::size_t first_path_of(const store::call& c) const;
   std::uint64_t hops_to(const store::call& c, std::size_t path) const;
+  static joinable_call joinable(const attempt& a, std::uint64_t timeout_ms);
   void finish(const std::shared_ptr<attempt>& a, reply&& r);
   void handle_response(const std::shared_ptr<attempt>& a,
                        path_try sent,
@@ -267,7 +268,7 @@
                                 http::exchange_outcome end,
                                 const http::response& r);
   bool should_join_upstream(std::uint64_t hops);
-  bool has_changes(const http::response& r) const;
+  answer_contents contents_of(const http::response& r) const;
   void record_answer();
   void record_failure(std::string_view why);
 
