Pack the lists that relays pass on

Cause: a list is sent on a second, direct path if the relay has not answered within 250 ms. The list of 456 backend servers is some hundred kilobytes and goes to a third of the fleet from each relay: bytes grow with servers times instances.

Change: a relay packs answers of two kilobytes and more, each once, for callers that say that they unpack them.

--- a/cactusford/store/relay_wire-test.cc
+++ b/cactusford/store/relay_wire-test.cc
@@ -25,6 +25,7 @@
   relayed_call c;
   c.inner = { { "GET", "/things", {}, "b" }, 1300, 1000, "things", 7 };
   c.shared = true;
+  c.accepts_packed = true;
   c.hops = 2;
   c.message = { { "x", 1 } };
   const auto r = encode(c);
--- a/cactusford/store/relay_wire.cc
+++ b/cactusford/store/relay_wire.cc
@@ -44,6 +44,7 @@
                              { "kind", c.inner.kind },
                              { "since", c.inner.since },
                              { "shared", c.shared },
+                             { "accepts_packed", c.accepts_packed },
                              { "hops", c.hops },
                              { "sent_along", c.message } };
   http::request r;
@@ -67,6 +68,7 @@
     c.inner.kind = string_field_or(j, "kind", "");
     c.inner.since = uint_field_or(j, "since", 0);
     c.shared = bool_field(j, "shared");
+    c.accepts_packed = bool_field_or(j, "accepts_packed", false);
     c.hops = uint_field(j, "hops");
     c.message = j.value("sent_along", nlohmann::json{});
     return c;
--- a/cactusford/store/relay_wire.h
+++ b/cactusford/store/relay_wire.h
@@ -37,6 +37,8 @@
   joinable_call inner;
   // May be joined with identical calls of other instances.
   bool shared = false;
+  // The caller unpacks packed answers (`packing.h`).
+  bool accepts_packed = false;
   // Number of relays passed so far, including the one that reads this.
   std::uint64_t hops = 1;
   // Piggybacked message; null if there is none.
--- a/cactusford/store/relaying.cc
+++ b/cactusford/store/relaying.cc
@@ -80,12 +80,17 @@
   metadata.asked_ms = http::boot_ms();
   metadata.message =
     answers ? piggyback.answer(relayed.message) : nlohmann::json{};
-  const auto done = [caller, metadata](http::exchange_outcome end,
-                                       const http::response& r,
-                                       std::uint64_t confirmed_ms) {
+  const auto done = [this, caller, metadata, packs = relayed.accepts_packed](
+                      http::exchange_outcome end,
+                      const http::response& r,
+                      std::uint64_t confirmed) {
     auto n = metadata;
-    n.confirmed_ms = confirmed_ms;
-    caller.respond(relayed_response(end, r, n));
+    n.confirmed_ms = confirmed;
+    auto answer = relayed_response(end, r, n);
+    if (packs) {
+      packer_.pack(answer);
+    }
+    caller.respond(std::move(answer));
   };
   if (should_join_upstream(relayed.hops)) {
     join_upstream(relayed.inner, relayed.hops, done);
@@ -168,13 +173,13 @@
     o.timeout_ms = inner.timeout_ms + relay_extra_ms;
     o.connect_timeout_ms = connect_ms;
     ++relayed_;
-    const relayed_call relayed{ inner, true, hops + 1, next_piggyback() };
+    const relayed_call relayed{ inner, true, true, hops + 1, next_piggyback() };
     http_.fetch(settings_.relays.front(),
                 encode(relayed),
                 o,
                 [this, inner, asked_ms = http::boot_ms()](
                   http::exchange_outcome end, http::response&& r) {
-                  handle_upstream_response(inner, asked_ms, end, r);
+                  handle_upstream_response(inner, asked_ms, end, std::move(r));
                 });
   };
   asio::post(io_, [this, inner, start_call, done] {
@@ -187,12 +192,12 @@
 client::handle_upstream_response(const joinable_call& inner,
                                  std::uint64_t asked_ms,
                                  http::exchange_outcome end,
-                                 const http::response& r)
+                                 http::response&& r)
 {
   handle_piggyback(r);
   constexpr int unavailable = 503;
   const auto target = inner.request.target;
-  const bool complete = end == http::exchange_outcome::complete;
+  const bool complete = end == http::exchange_outcome::complete && unpack(r);
   const bool refused = end == http::exchange_outcome::not_sent ||
                        (complete && r.status == unavailable);
   if (refused || !complete) {
--- a/cactusford/store/store.cc
+++ b/cactusford/store/store.cc
@@ -303,6 +303,7 @@
   relayed_call relayed;
   relayed.inner = joinable(*a, timeout_ms);
   relayed.shared = is_joined;
+  relayed.accepts_packed = true;
   relayed.hops = hops_to(a->call, path);
   relayed.message = is_joined ? next_piggyback() : nlohmann::json{};
   http_.fetch(settings_.relays[path - 1], encode(relayed), o, ended);
@@ -318,7 +319,7 @@
   const auto now = http::now_ms();
   // The list of relays may have been replaced since the call was sent.
   const auto path = sent.path < paths_.paths.size() ? sent.path : direct_path;
-  const bool complete = end == http::exchange_outcome::complete;
+  const bool complete = end == http::exchange_outcome::complete && unpack(r);
   --a->tries_in_flight;
   handle_piggyback(r);
   reply answer;
--- a/cactusford/store/store.h
+++ b/cactusford/store/store.h
@@ -5,6 +5,7 @@
 #include "cactusford/http/client.h"
 #include "cactusford/http/server.h"
 #include "cactusford/store/fields.h"
+#include "cactusford/store/packing.h"
 #include "cactusford/store/paths.h"
 #include "cactusford/store/relay_wire.h"
 #include "cactusford/store/shared_watches.h"
@@ -266,7 +267,7 @@
   void handle_upstream_response(const joinable_call& inner,
                                 std::uint64_t asked_ms,
                                 http::exchange_outcome end,
-                                const http::response& r);
+                                http::response&& r);
   bool should_join_upstream(std::uint64_t hops);
   answer_contents contents_of(const http::response& r) const;
   void record_answer();
@@ -286,6 +287,7 @@
   std::size_t first_watch_path_ = direct_path;
   // Watches made directly, for this instance and others, and watches joined
   // through the first relay.
+  packer packer_;
   shared_watches direct_watches_;
   shared_watches upstream_watches_;
 };
