Only the largest entries probe owners often and take over

What the platform saw: with 407 entries and six owners of open batches 8,000 probes a second between entries, growing with entries times trainers, and at an owner's death a conditional write by each entry that had not yet seen the first one's. Whoever wrote first took the step, usually an entry with a tenth of a large one's processor.

Change: an entry that a relay names among the largest probes owners every 300 ms and takes over as before; with three relays these are 21 at most, whatever the size. The others probe every five seconds and take over after 11 s, for the case that all standbys died too. An entry without a relay's reply is a standby, so small deployments behave as before. An entry that is no standby trusts the batch's object for who runs a trainer's steps.

Measured: probes that an owner answers, by the test at 30, 300 and 2,000 entries, 69, 126 and 466 a second in place of 100, 1,000 and 6,667.

--- a/cactusford/batches/manager.cc
+++ b/cactusford/batches/manager.cc
@@ -12,14 +12,6 @@
 // Interval of the periodic check of runs, owners and writes, in milliseconds.
 constexpr std::uint64_t tick_ms = 100;
 
-// An owner that has not answered for this long, which is four probes, is
-// presumed dead. A mistaken takeover costs only duplicate runs.
-constexpr std::uint64_t silent_owner_timeout_ms = 1300;
-
-// An owner that refuses connections has crashed. It may restart at once, but
-// then has lost its in-memory state.
-constexpr std::uint64_t refused_owner_timeout_ms = 500;
-
 // A takeover requires a write to the store, so an instance starts one only if
 // it has had an answer from the store within this time. Watches bring an answer
 // every second. While the store is unavailable to everyone, batches stay with
@@ -224,7 +216,7 @@
   const auto spread =
     std::hash<std::string>{}(deps.instance + b.stored.id) % takeover_spread_ms;
   if (b.stored.owner.empty()) {
-    return now - b.owner_since_ms > spread
+    return now - b.owner_since_ms > probes.released_ms + spread
              ? std::optional<std::string_view>{ "released" }
              : std::nullopt;
   }
@@ -234,16 +226,17 @@
   // from when the store became reachable for this instance again, so that it
   // gets the usual time to reconnect.
   const bool reported_cut_off =
-    now - owner_cut_off_at_ms[address] <= silent_owner_timeout_ms;
+    now - owner_cut_off_at_ms[address] <= probes.silent_ms;
   const auto seen =
     std::max({ owner_seen_at_ms[address],
                b.owner_since_ms,
+               standby_since_ms,
                reported_cut_off ? store_reachable_since_ms : 0 });
   const auto refused = owner_refused_at_ms[address];
-  if (refused > seen && now - seen > refused_owner_timeout_ms + spread) {
+  if (refused > seen && now - seen > probes.refused_ms + spread) {
     return "owner_refused";
   }
-  return now - seen > silent_owner_timeout_ms + spread
+  return now - seen > probes.silent_ms + spread
            ? std::optional<std::string_view>{ "owner_silent" }
            : std::nullopt;
 }
@@ -272,6 +265,7 @@
   const auto now = http::now_ms();
   check_for_pause(now);
   track_store(now);
+  update_standby(now);
   probe_owners(now);
   remove_expired(now);
   restart_runs_of_ended_incarnations();
--- a/cactusford/batches/manager.h
+++ b/cactusford/batches/manager.h
@@ -7,6 +7,7 @@
 #include "cactusford/edge/forward.h"
 #include "cactusford/http/server.h"
 #include "cactusford/membership/directory.h"
+#include "cactusford/membership/standby.h"
 #include "cactusford/store/store.h"
 
 #include <asio/io_context.hpp>
@@ -59,6 +60,10 @@
   };
   // Null: no item is quarantined.
   quarantine::manager* quarantine_manager = nullptr;
+  // Default: this instance takes batches over like any other.
+  std::function<membership::standby_state()> standby_state = [] {
+    return membership::standby_state{};
+  };
 };
 
 class manager
--- a/cactusford/batches/manager_impl.h
+++ b/cactusford/batches/manager_impl.h
@@ -119,6 +119,7 @@
   bool adopt_if_next_chunk(const std::string& id, const store::object& o);
   void load_chunks(const std::string& id, std::function<void(bool)> done);
   void fence(const std::string& id, int tries, std::function<void(bool)> done);
+  void update_standby(std::uint64_t now);
   void probe_owners(std::uint64_t now);
   void take_over(batch_state& b, std::string_view reason);
   void write_status(const std::string& id,
@@ -225,6 +226,9 @@
     accepting;
   std::unordered_map<std::string, detail::reusable_text> reusable_texts;
   // When the owner at an address last answered, on the steady clock.
+  bool is_standby = true;
+  std::uint64_t standby_since_ms = 0;
+  membership::probe_schedule probes = membership::schedule_of(true);
   std::map<std::string, std::uint64_t> owner_seen_at_ms;
   std::map<std::string, std::uint64_t> owner_refused_at_ms;
   // When the owner last answered that it is alive but cannot reach the store.
--- a/cactusford/batches/ownership.cc
+++ b/cactusford/batches/ownership.cc
@@ -11,9 +11,6 @@
 
 namespace {
 
-// How often the owners of open batches are probed. A step has seconds to spare,
-// and each probe is one small message in each direction.
-constexpr std::uint64_t owner_probe_interval_ms = 300;
 constexpr std::uint64_t owner_probe_timeout_ms = 600;
 
 // A connection attempt that fails faster than this was refused: no process
@@ -315,12 +312,27 @@
     });
 }
 
+void
+manager::impl::update_standby(std::uint64_t now)
+{
+  const bool before = std::exchange(
+    is_standby, membership::is_standby(deps.standby_state(), now));
+  if (is_standby == before) {
+    return;
+  }
+  probes = membership::schedule_of(is_standby);
+  standby_since_ms = now;
+  process::log_line(timeline::event{ is_standby ? "standby" : "no_standby" }
+                      .with("probe_ms", probes.interval_ms)
+                      .with("silent_ms", probes.silent_ms));
+}
+
 // Probes the owners of open batches. Only their own silence counts, because the
 // store may be unreachable for this instance alone.
 void
 manager::impl::probe_owners(std::uint64_t now)
 {
-  if (now - last_probe_ms < owner_probe_interval_ms) {
+  if (now - last_probe_ms < probes.interval_ms) {
     return;
   }
   last_probe_ms = now;
--- a/cactusford/batches/submissions.cc
+++ b/cactusford/batches/submissions.cc
@@ -259,8 +259,10 @@
       view.busy_instances.insert(s.owner);
       continue;
     }
+    // An instance that is no standby probes owners too rarely to know. The
+    // batch's object names the owner that the standbys have found alive.
     const auto seen =
-      b->owned ? view.now_ms : owner_seen_at_ms[s.owner_address];
+      b->owned || !is_standby ? view.now_ms : owner_seen_at_ms[s.owner_address];
     view.trainer_runners.push_back(
       { { s.owner, s.owner_address, s.owner_capacity },
         s.accepted_wall_ms,
--- a/cactusford/edge/edge.cc
+++ b/cactusford/edge/edge.cc
@@ -145,6 +145,7 @@
   backends::registry registry;
   routes::table_ptr table;
   membership::directory entries;
+  membership::standby_state standby;
   // Sidecars that watch the weight versions with this entry as their relay.
   membership::directory sidecars;
   std::uint64_t started_ms = timeline::wall_ms();
@@ -209,7 +210,8 @@
                        return membership::largest(
                          entries, max_entries_in_reply, http::now_ms());
                      },
-                     &quarantine_manager } }
+                     &quarantine_manager,
+                     [this] { return standby; } } }
   , configuration{ runtime.io,
                    store,
                    { wire.kinds.configuration,
@@ -397,9 +399,13 @@
     return membership::encode(members);
   };
   store.piggyback.incoming = [this](const nlohmann::json& reply) {
+    const auto now = http::now_ms();
+    standby.replied_at_ms = now;
     for (const auto& m : membership::members_from(reply)) {
-      if (m.instance != runtime.settings.instance) {
-        membership::record(entries, m, http::now_ms());
+      if (m.instance == runtime.settings.instance) {
+        standby.named_at_ms = now;
+      } else {
+        membership::record(entries, m, now);
       }
     }
   };
@@ -815,7 +821,9 @@
   }
   runtime.on_reload = [this](const hosted_settings& fresh) {
     store.use_relays(fresh.peers, fresh.peer_rank);
+    standby.is_relay = fresh.peer_rank.has_value();
   };
+  standby.is_relay = s.peer_rank.has_value();
   batch_manager.start();
   // Refreshes the list at once, so that a server that has restarted under
   // another id is used without waiting for coalesced changes. Otherwise callers
