--- a/cactusford/edge/forward.cc
+++ b/cactusford/edge/forward.cc
@@ -1,4 +1,4 @@
-#include "cactusford/edge/forward.h"
+#include "cactusford/edge/forward_impl.h"
 
 #include "cactusford/http/socket.h"
 #include "cactusford/process/line_log.h"
@@ -25,10 +25,6 @@
 // trial.
 constexpr std::uint64_t trial_retry_after_ms = 1000;
 
-// How often a suspected request checks whether the run that it waits for has
-// ended. A plain call takes about ten milliseconds.
-constexpr std::uint64_t suspect_poll_interval_ms = 20;
-
 // Answers are buffered completely before they are returned to the caller.
 constexpr std::size_t max_answer_bytes = 16U << 20;
 
@@ -98,54 +94,6 @@
   return may_repeat ? next_step::try_another : next_step::give_up_unknown;
 }
 
-struct forwarder::attempt
-{
-  http::pending_request exchange;
-  backends::incarnation backend;
-  std::string address;
-  std::uint64_t sent_ms = 0;
-  bool ended = false;
-  // The backend server has certainly not run the request.
-  bool not_run = false;
-};
-
-struct forwarder::call_state
-{
-  forward_request input;
-  handler done;
-  std::string service;
-  quarantine::fingerprint fingerprint;
-  std::vector<std::string> contacted;
-  std::vector<attempt> attempts;
-  std::unique_ptr<asio::steady_timer> deadline_timer;
-  std::unique_ptr<asio::steady_timer> second_attempt_timer;
-  std::unique_ptr<asio::steady_timer> wait_timer;
-  std::uint32_t runs = 0;
-  std::uint32_t failed_runs = 0;
-  std::uint32_t refusals = 0;
-  // Backend servers had crashed while running this request before its first
-  // attempt.
-  bool is_suspect = false;
-  // The next run of this call is the single trial run that shows whether the
-  // request crashes backend servers.
-  bool holds_trial = false;
-  bool is_start_reported = false;
-  // The quarantine decision because of which the call was refused.
-  quarantine::decision refusal_decision;
-  bool finished = false;
-
-  bool is_repeatable() const
-  {
-    return input.route.kind == routes::call_kind::idempotent;
-  }
-
-  bool has_open_attempt() const
-  {
-    return std::any_of(
-      attempts.begin(), attempts.end(), [](const auto& a) { return !a.ended; });
-  }
-};
-
 // Also called for the last attempt, and for one that ends after another attempt
 // has been answered.
 void
@@ -230,113 +178,6 @@
   };
 }
 
-quarantine::decision
-forwarder::check_quarantine(const call_state& call)
-{
-  return quarantine_ == nullptr
-           ? quarantine::decision{}
-           : quarantine_->evaluate(call.fingerprint,
-                                   quarantine::run_kind::call);
-}
-
-// Refuses a poison request, unless one of its attempts is still open and will
-// decide the call. Without the refusal, each arrival of such a request at any
-// entry crashes all servers of the service and fails all other calls on them:
-// four servers crashed sixteen times within 90 s.
-void
-forwarder::refuse_quarantined(const std::shared_ptr<call_state>& call,
-                              const quarantine::decision& v)
-{
-  call->refusal_decision = v;
-  if (call->has_open_attempt()) {
-    return;
-  }
-  const bool may_have_run = call->runs > 0;
-  quarantine_->note_refused();
-  finish(
-    call, may_have_run ? forward_end::unknown : forward_end::quarantined, {});
-}
-
-void
-forwarder::report_to_quarantine(const call_state& call,
-                                const attempt& a,
-                                const attempt_end& end)
-{
-  if (quarantine_ == nullptr) {
-    return;
-  }
-  if (end.state == http::exchange_outcome::connection_lost) {
-    quarantine_->on_connection_lost(a.backend, a.address, call.fingerprint);
-  } else if (end.state == http::exchange_outcome::complete && end.is_signed &&
-             !end.not_run) {
-    quarantine_->on_answered(call.fingerprint);
-  }
-}
-
-// Returns whether an attempt may be sent now. If not, the call has been refused
-// or resumes later, after a trial has been claimed or a pending run has ended.
-bool
-forwarder::may_send(const std::shared_ptr<call_state>& call)
-{
-  if (call->holds_trial) {
-    return true;
-  }
-  const auto v = check_quarantine(*call);
-  if (v.status == quarantine::request_status::quarantined) {
-    refuse_quarantined(call, v);
-    return false;
-  }
-  if (quarantine::has_crashes(v) && call->attempts.empty()) {
-    call->is_suspect = true;
-    if (has_unresolved_run(*call)) {
-      wait_for_unresolved_run(call);
-      return false;
-    }
-  }
-  switch (v.status) {
-    case quarantine::request_status::clear:
-    case quarantine::request_status::suspected:
-      return true;
-    case quarantine::request_status::on_trial:
-      // Without a backend server the call ends now. A claimed trial would hold
-      // up the same request at all instances.
-      if (choose_backend(*call) == nullptr) {
-        return true;
-      }
-      start_trial(call);
-      return false;
-    case quarantine::request_status::awaiting_trial:
-      wait_for_unresolved_run(call);
-      return false;
-    case quarantine::request_status::quarantined:
-      return false;
-  }
-  return true;
-}
-
-// True while the same request is running, or while the outcome of such a run is
-// still being checked.
-bool
-forwarder::has_unresolved_run(const call_state& call) const
-{
-  return running_attempts_.contains(call.fingerprint) ||
-         quarantine_->is_probing(call.fingerprint);
-}
-
-// Runs of a suspected request are serialized. Concurrent ones could each crash
-// a server before the first crash is known.
-void
-forwarder::wait_for_unresolved_run(const std::shared_ptr<call_state>& call)
-{
-  call->wait_timer = std::make_unique<asio::steady_timer>(
-    io_, std::chrono::milliseconds{ suspect_poll_interval_ms });
-  call->wait_timer->async_wait([this, call](asio::error_code ec) {
-    if (!ec && !call->finished) {
-      send_next_attempt(call);
-    }
-  });
-}
-
 // Reports only the first run of a request, even if later attempts run it again.
 void
 forwarder::report_run_started(call_state& call)
@@ -369,24 +210,6 @@
   return b;
 }
 
-void
-forwarder::start_trial(const std::shared_ptr<call_state>& call)
-{
-  quarantine_->claim_trial(call->fingerprint, [this, call](bool is_granted) {
-    if (call->finished) {
-      return;
-    }
-    const auto v = check_quarantine(*call);
-    call->holds_trial = is_granted;
-    call->is_suspect = call->is_suspect || is_granted;
-    if (is_granted || v.status == quarantine::request_status::awaiting_trial) {
-      send_next_attempt(call);
-    } else {
-      refuse_quarantined(call, v);
-    }
-  });
-}
-
 // Returns null if no backend server is left for the call.
 backends::backend*
 forwarder::choose_backend(const call_state& call)
--- /dev/null
+++ b/cactusford/edge/forward_impl.h
@@ -0,0 +1,63 @@
+// The state of a call while it is forwarded. Internal to the forwarder.
+#pragma once
+
+#include "cactusford/edge/forward.h"
+
+#include <asio/steady_timer.hpp>
+
+#include <algorithm>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace cactusford::edge {
+
+struct forwarder::attempt
+{
+  http::pending_request exchange;
+  backends::incarnation backend;
+  std::string address;
+  std::uint64_t sent_ms = 0;
+  bool ended = false;
+  // The backend server has certainly not run the request.
+  bool not_run = false;
+};
+
+struct forwarder::call_state
+{
+  forward_request input;
+  handler done;
+  std::string service;
+  quarantine::fingerprint fingerprint;
+  std::vector<std::string> contacted;
+  std::vector<attempt> attempts;
+  std::unique_ptr<asio::steady_timer> deadline_timer;
+  std::unique_ptr<asio::steady_timer> second_attempt_timer;
+  std::unique_ptr<asio::steady_timer> wait_timer;
+  std::uint32_t runs = 0;
+  std::uint32_t failed_runs = 0;
+  std::uint32_t refusals = 0;
+  // Backend servers had crashed while running this request before its first
+  // attempt.
+  bool is_suspect = false;
+  // The next run of this call is the single trial run that shows whether the
+  // request crashes backend servers.
+  bool holds_trial = false;
+  bool is_start_reported = false;
+  // The quarantine decision because of which the call was refused.
+  quarantine::decision refusal_decision;
+  bool finished = false;
+
+  bool is_repeatable() const
+  {
+    return input.route.kind == routes::call_kind::idempotent;
+  }
+
+  bool has_open_attempt() const
+  {
+    return std::any_of(
+      attempts.begin(), attempts.end(), [](const auto& a) { return !a.ended; });
+  }
+};
+
+} // namespace cactusford::edge
