--- a/cactusford/backends/registry.cc
+++ b/cactusford/backends/registry.cc
@@ -46,10 +46,8 @@
 constexpr double far_penalty = 0.05;
 constexpr double slow_penalty = 4;
 
-// Unit: runs. An engine batches its runs, and one more of them slows the others
-// by less than a hundredth: a connected engine with one more run is preferred.
-// Spreading each burst over the idle engines opened a connection for two items
-// in five.
+// Unit: runs. An engine batches its runs, and one more of them hardly slows the
+// others: a connected engine with one more run is preferred.
 constexpr double unconnected_penalty_runs = 1.2;
 
 // Time that opening a connection adds to a call: a round trip between data
