Settings: memory of the instance, and mechanisms that can be switched off

The parts of docs/contention.md need a bound that follows the instance's memory, and a way to measure each part with and without it. An engine may also be excluded for an item by the caller of choose_for_item.

--- a/cactusford/backends/registry.cc
+++ b/cactusford/backends/registry.cc
@@ -398,7 +398,8 @@
   double best_cost = std::numeric_limits<double>::max();
   for (auto& [id, b] : r.all) {
     if (!accepts(b, needs, now_ms) || !is_open(b, now_ms) ||
-        id == needs.excluded_id || load_of(b, now_ms) >= 1) {
+        id == needs.excluded_id || load_of(b, now_ms) >= 1 ||
+        !needs.may_use(b)) {
       continue;
     }
     double cost = load_of(b, now_ms) +
--- a/cactusford/backends/registry.h
+++ b/cactusford/backends/registry.h
@@ -215,6 +215,15 @@
                 std::uint64_t now_ms,
                 double random);
 
+// Returns true if this instance may start another run on the engine.
+using run_permission = std::function<bool(const backend&)>;
+
+inline bool
+is_always_permitted(const backend&)
+{
+  return true;
+}
+
 struct item_needs
 {
   std::string_view service;
@@ -226,6 +235,7 @@
   std::string_view excluded_id;
   std::string_view data_centre;
   connection_check is_connected = is_never_connected;
+  run_permission may_use = is_always_permitted;
 };
 
 // Picks an engine for an item: the least loaded one with a free slot, slow
--- a/cactusford/edge/settings-test.cc
+++ b/cactusford/edge/settings-test.cc
@@ -45,3 +45,21 @@
           "grase_s": 1})"));
   }
 }
+
+Test(hosted_settings, mechanisms_are_on_unless_they_are_disabled)
+{
+  const auto s = hosted_settings_from(
+    R"({"instance": "a", "data_centre": "a", "store": "1.2.3.4:5",
+        "memory_mb": 120, "disabled": ["server_speeds"]})");
+  cr_assert(s);
+  cr_assert_eq(s.value.memory_mb, 120);
+  cr_assert_not(s.value.mechanisms.server_speeds);
+  cr_assert(s.value.mechanisms.engine_shares);
+  cr_assert(s.value.mechanisms.call_queue);
+  SECTION("an unknown mechanism is refused, as it may be misspelt")
+  {
+    cr_assert_not(hosted_settings_from(
+      R"({"instance": "a", "data_centre": "a", "store": "1.2.3.4:5",
+          "disabled": ["server_speed"]})"));
+  }
+}
--- a/cactusford/edge/settings.cc
+++ b/cactusford/edge/settings.cc
@@ -34,7 +34,11 @@
   "keep_batches_s": {"type": "number", "minimum": 1, "maximum": 86400},
   "log_lines_per_second": {"type": "integer", "minimum": 1,
                            "maximum": 100000},
-  "grace_s": {"type": "number", "minimum": 1, "maximum": 600}
+  "grace_s": {"type": "number", "minimum": 1, "maximum": 600},
+  "memory_mb": {"type": "integer", "minimum": 0, "maximum": 16777216},
+  "disabled": {"type": "array", "uniqueItems": true,
+               "items": {"enum": ["engine_shares", "run_health",
+                                  "server_speeds", "call_queue"]}}
   }})";
 
 template<typename T>
@@ -59,6 +63,18 @@
   }
 }
 
+mechanism_switches
+switches_from(const std::vector<std::string>& disabled)
+{
+  const auto is_on = [&](std::string_view name) {
+    return std::find(disabled.begin(), disabled.end(), name) == disabled.end();
+  };
+  return { is_on("engine_shares"),
+           is_on("run_health"),
+           is_on("server_speeds"),
+           is_on("call_queue") };
+}
+
 } // namespace
 
 result<hosted_settings>
@@ -88,6 +104,10 @@
   read_seconds(document, "keep_batches_s", s.keep_batches_ms);
   read_key(document, "log_lines_per_second", s.log_lines_per_second);
   read_seconds(document, "grace_s", s.grace_ms);
+  read_key(document, "memory_mb", s.memory_mb);
+  std::vector<std::string> disabled;
+  read_key(document, "disabled", disabled);
+  s.mechanisms = switches_from(disabled);
   const auto own_peer = std::find(s.peers.begin(), s.peers.end(), s.peer);
   if (own_peer != s.peers.end()) {
     s.peer_rank = static_cast<std::size_t>(own_peer - s.peers.begin());
--- a/cactusford/edge/settings.h
+++ b/cactusford/edge/settings.h
@@ -12,6 +12,19 @@
 
 namespace cactusford::edge {
 
+// Mechanisms that can be switched off, to measure what each is worth. One that
+// is on takes effect only where the configuration calls for it.
+struct mechanism_switches
+{
+  bool engine_shares = true;
+  bool run_health = true;
+  bool server_speeds = true;
+  bool call_queue = true;
+
+  friend bool operator==(const mechanism_switches&,
+                         const mechanism_switches&) = default;
+};
+
 // Addresses have the form "ip:port". Port 0 lets the kernel choose a port; an
 // empty address disables the listener.
 struct hosted_settings
@@ -49,6 +62,10 @@
   // Time from SIGTERM to the exit of the process, in milliseconds. The platform
   // kills processes that outlive its grace period.
   std::uint64_t grace_ms = 8000;
+  // Memory of this instance in megabytes; 0: unknown, so nothing is bounded by
+  // it.
+  std::uint64_t memory_mb = 0;
+  mechanism_switches mechanisms;
 
   friend bool operator==(const hosted_settings&,
                          const hosted_settings&) = default;
