Shares of engine slots between owners; waiting runs told from hanging ones

Callers saw runs of three trainers that start their steps at the same moment end as silent at engines with more runs than slots: each owner chose free slots from reports up to 250 ms old, and a run without a slot was taken to hang.

Owners now report their demand, divide the slots of a service in the same way, and start runs on their own share; slots that their owner does not need are open to the others. A run that only waits leaves its engine's standing alone and moves when there is a free slot for it. With one owner, or with engine_shares and run_health switched off, choices are as before.

Runs of other owners that an engine's answer included were counted again when their reports arrived, for up to a second. With shares they are counted once.

--- a/cactusford/batches/engine_usage_reports.cc
+++ b/cactusford/batches/engine_usage_reports.cc
@@ -2,6 +2,8 @@
 #include "cactusford/http/socket.h"
 #include "cactusford/process/line_log.h"
 
+#include <algorithm>
+
 namespace cactusford::batches {
 
 namespace {
@@ -49,25 +51,36 @@
 }
 
 void
-manager::impl::report_engine_usage(std::uint64_t now)
+manager::impl::report_engine_usage(std::uint64_t now, bool at_once)
 {
-  if (now - last_report_ms < report_interval_ms) {
+  if (!at_once && now - last_report_ms < report_interval_ms) {
     return;
   }
   const auto recipients = other_owners();
   auto runs = own_runs();
-  const bool is_unchanged =
-    runs == reported_runs && now - last_report_ms < report_refresh_ms;
-  if (recipients.empty() || is_unchanged) {
+  auto demand = deps.engine_shares ? own_demand(now) : demand_by_service{};
+  const bool is_unchanged = runs == reported_runs &&
+                            demand == reported_demand &&
+                            now - last_report_ms < report_refresh_ms;
+  if (recipients.empty()) {
+    reported_demand.clear();
+    return;
+  }
+  if (is_unchanged) {
     return;
   }
   last_report_ms = now;
   reported_runs = std::move(runs);
+  reported_demand = std::move(demand);
   http::request r;
   r.method = "POST";
   r.target = peer_engine_usage_path;
   r.fields = { { "Host", "owner" } };
-  r.body = encode(engine_usage_report{ deps.instance, reported_runs }).dump();
+  engine_usage_report report{ deps.instance, reported_runs };
+  if (deps.engine_shares) {
+    report.demand = reported_demand;
+  }
+  r.body = encode(report).dump();
   http::exchange_options o;
   o.timeout_ms = report_timeout_ms;
   o.connect_timeout_ms = report_timeout_ms / 2;
@@ -91,9 +104,24 @@
     return;
   }
   const auto now = http::now_ms();
+  if (!report->demand) {
+    report->demand = demand_of_runs(impl_->deps.registry, report->runs);
+  }
   record_report(impl_->peer_usage, std::move(*report), now);
-  backends::set_peer_runs(
-    impl_->deps.registry, total_runs(impl_->peer_usage, now), now);
+  const auto runs = total_runs(impl_->peer_usage, now);
+  if (impl_->deps.engine_shares) {
+    set_reported_runs(impl_->deps.registry, runs, now);
+  } else {
+    backends::set_peer_runs(impl_->deps.registry, runs, now);
+  }
+  // Slots that the other owner does not need may be free for waiting items.
+  const bool has_waiting = std::any_of(
+    impl_->sharing.begin(), impl_->sharing.end(), [](const auto& e) {
+      return e.second.is_shared && e.second.own.waiting > 0;
+    });
+  if (impl_->deps.engine_shares && has_waiting) {
+    impl_->schedule_dispatch();
+  }
   peer.respond(answer(200));
 }
 
--- a/cactusford/batches/engine_use-test.cc
+++ b/cactusford/batches/engine_use-test.cc
@@ -117,3 +117,65 @@
                   json{ { "instance", "a" }, { "runs", { { "e", -1 } } } })
                   .has_value());
 }
+
+Test(engine_use, demand_is_an_optional_field)
+{
+  using nlohmann::json;
+  const engine_usage_report report{ "a",
+                                    { { "e1", 3 } },
+                                    demand_by_service{ { "s", { 104, 4 } } } };
+  cr_assert(*decode_engine_usage_report(encode(report)) == report);
+  SECTION("reports of earlier builds have none")
+  {
+    const auto old = decode_engine_usage_report(
+      json{ { "instance", "a" }, { "runs", { { "e1", 3 } } } });
+    cr_assert(old.has_value());
+    cr_assert_not(old->demand.has_value());
+  }
+  SECTION("malformed values are refused")
+  {
+    for (const char* demand : { "[]",
+                                "7",
+                                R"({"s":7})",
+                                R"({"s":{"items":1}})",
+                                R"({"s":{"weight":1}})",
+                                R"({"s":{"items":-1,"weight":1}})",
+                                R"({"s":{"items":1.5,"weight":1}})",
+                                R"({"s":{"items":1,"weight":0}})",
+                                R"({"s":{"items":1,"weight":101}})",
+                                R"({"s":{"items":99000000,"weight":1}})" }) {
+      auto j = encode(report);
+      j["demand"] = json::parse(demand);
+      cr_assert_not(decode_engine_usage_report(j).has_value(), "%s", demand);
+    }
+  }
+}
+
+// A step that starts is divided by the demand of the steps before, as those of
+// the other owners are not known yet.
+Test(engine_use, remembers_the_largest_demand_of_two_steps)
+{
+  constexpr std::uint64_t now = 20'000;
+  demand_history h;
+  cr_assert_not(peak_demand(h, now).has_value());
+  record_demand(h, 104, now);
+  cr_assert_eq(h.rose_at_ms, now);
+  for (std::uint32_t items = 103; items > 0; --items) {
+    record_demand(h, items, now + 10 * (104 - items));
+  }
+  cr_assert_eq(h.rose_at_ms, now);
+  cr_assert_eq(peak_demand(h, now + 8000).value_or(0), 104);
+  cr_assert_lt(peak_demand(h, now + 8100).value_or(0), 104);
+  cr_assert_not(peak_demand(h, now + 10'000).has_value());
+  SECTION("a service that is no longer listed has no demand")
+  {
+    peer_engine_usage usage;
+    const demand_by_service demand{ { "s", { 50, 1 } } };
+    record_report(usage, { "a", {}, demand }, now);
+    record_report(usage, { "a", {}, demand_by_service{} }, now + 100);
+    cr_assert_eq(find_demand(usage, "a", "s")->items, 0);
+    record_report(usage, { "a", {}, demand_by_service{} }, now + 9000);
+    cr_assert_null(find_demand(usage, "a", "s"));
+    cr_assert_null(find_report(usage, "a", now + 9801));
+  }
+}
--- a/cactusford/batches/manager.cc
+++ b/cactusford/batches/manager.cc
@@ -269,6 +269,7 @@
   probe_owners(now);
   remove_expired(now);
   restart_runs_of_ended_incarnations();
+  runs_waiting = 0;
   bool has_loaded_batch = false;
   for (auto& [id, b] : batches) {
     if (!b->readers.empty()) {
@@ -305,6 +306,9 @@
   if (has_loaded_batch) {
     dispatch();
     report_engine_usage(now);
+  } else if (!reported_demand.empty()) {
+    update_sharing(now);
+    report_demand_change(now);
   }
 }
 
@@ -316,6 +320,7 @@
 manager::~manager()
 {
   impl_->timer.cancel();
+  impl_->sharing_timer.cancel();
 }
 
 void
--- a/cactusford/batches/manager.h
+++ b/cactusford/batches/manager.h
@@ -64,6 +64,24 @@
   std::function<membership::standby_state()> standby_state = [] {
     return membership::standby_state{};
   };
+  // Whether the slots of engines are divided between owners, and whether runs
+  // that wait on an engine are told from those that hang.
+  bool engine_shares = true;
+  bool run_health = true;
+};
+
+// What the manager did about engines that several owners use.
+struct sharing_counts
+{
+  std::uint64_t slots_owned = 0;
+  std::uint64_t slots_borrowed = 0;
+  std::uint64_t items_waiting = 0;
+  std::uint64_t runs_waiting = 0;
+  std::uint64_t moved_waiting = 0;
+  std::uint64_t moved_stalled = 0;
+
+  friend bool operator==(const sharing_counts&,
+                         const sharing_counts&) = default;
 };
 
 class manager
@@ -121,6 +139,8 @@
 
   std::size_t owned() const;
 
+  sharing_counts sharing() const;
+
 private:
   struct impl;
   std::shared_ptr<impl> impl_;
--- a/cactusford/batches/manager_impl.h
+++ b/cactusford/batches/manager_impl.h
@@ -1,6 +1,7 @@
 // Implementation class of the batch manager, shared by its source files.
 #pragma once
 
+#include "cactusford/batches/engine_shares.h"
 #include "cactusford/batches/engine_use.h"
 #include "cactusford/batches/manager.h"
 #include "cactusford/batches/placement.h"
@@ -64,6 +65,7 @@
   explicit impl(manager_dependencies dependencies)
     : deps{ std::move(dependencies) }
     , timer{ deps.io }
+    , sharing_timer{ deps.io }
   {
   }
 
@@ -138,7 +140,27 @@
   // Engine usage reports between owners
   engine_runs own_runs() const;
   std::set<std::string> other_owners() const;
-  void report_engine_usage(std::uint64_t now);
+  void report_engine_usage(std::uint64_t now, bool at_once = false);
+
+  // Engine slots shared with other owners
+  std::map<std::string, own_use> own_uses(std::uint64_t now) const;
+  demand_by_service own_demand(std::uint64_t now) const;
+  std::map<std::string, std::vector<listed_owner>> listed_owners() const;
+  void note_new_batches(std::uint64_t now);
+  void update_sharing(std::uint64_t now);
+  void report_demand_change(std::uint64_t now);
+  service_sharing* sharing_of(std::string_view service);
+  void restrict_to_share(backends::item_needs& needs, std::uint64_t now);
+  void on_run_started(std::string_view service, const std::string& engine);
+  bool has_active_sibling(const batch_state& b,
+                          const item_state& i,
+                          std::uint64_t silence_limit,
+                          std::uint64_t now) const;
+  bool check_silent_run(batch_state& b,
+                        item_state& i,
+                        backends::backend& backend,
+                        std::uint64_t silence_limit,
+                        std::uint64_t now);
 
   // Runs
   void schedule_dispatch();
@@ -219,6 +241,8 @@
 
   manager_dependencies deps;
   asio::steady_timer timer;
+  // Ends when the shares no longer rest on assumptions after a new batch.
+  asio::steady_timer sharing_timer;
   std::unordered_map<std::string, std::unique_ptr<batch_state>> batches;
   // Submissions that this instance is accepting; it does not need to read them
   // back from the store.
@@ -244,6 +268,14 @@
   token_pace pace;
   peer_engine_usage peer_usage;
   engine_runs reported_runs;
+  demand_by_service reported_demand;
+  // By engine service.
+  std::map<std::string, service_sharing, std::less<>> sharing;
+  bool has_new_batch = false;
+  std::uint64_t shares_logged_ms = 0;
+  std::uint64_t runs_waiting = 0;
+  std::uint64_t runs_moved_waiting = 0;
+  std::uint64_t runs_moved_stalled = 0;
   std::uint64_t last_report_ms = 0;
   score_queue unscored;
   score_limit score_limiter;
--- a/cactusford/batches/runs.cc
+++ b/cactusford/batches/runs.cc
@@ -11,10 +11,6 @@
 
 namespace {
 
-// A run without its first event for this long is moved to another engine. The
-// limit is longer than an engine takes to process a prompt.
-constexpr std::uint64_t first_event_limit_ms = 1500;
-
 // Minimum time that a run stays on a slow engine before it is moved.
 constexpr std::uint64_t min_run_before_move_ms = 600;
 
@@ -93,6 +89,7 @@
 manager::impl::dispatch()
 {
   const auto now = http::now_ms();
+  update_sharing(now);
   std::vector<batch_state*> open;
   std::vector<waiting_item> waiting;
   for (auto& entry : batches) {
@@ -122,6 +119,7 @@
       blocked[w.batch] = !start_run(b, b.items[w.item], urgency);
     }
   }
+  report_demand_change(now);
 }
 
 bool
@@ -156,11 +154,13 @@
     i.not_before_ms = now + quarantine_check_ms;
     return true;
   }
+  restrict_to_share(needs, now);
   auto* backend = backends::choose_for_item(deps.registry, needs, now);
   if (backend == nullptr) {
     i.failed_on.clear();
     return false;
   }
+  on_run_started(needs.service, backend->info.id);
   const auto& names = deps.dialect.headers;
   http::request r;
   r.method = "POST";
@@ -515,13 +515,8 @@
     if (backend == nullptr) {
       continue;
     }
-    const auto limit =
-      i.events_in_run > 0 ? silence_limit : first_event_limit_ms;
-    if (now - i.last_event_ms > limit) {
-      backends::note_failure(*backend, now);
-      stop_run(i);
-      i.failed_on = i.backend.id;
-      retry_item(b, i, 0, "silent");
+    if (now - i.last_event_ms > silence_limit &&
+        check_silent_run(b, i, *backend, silence_limit, now)) {
       continue;
     }
     const auto& service = backend->info.service;
@@ -538,6 +533,7 @@
     needs.min_version = b.submission.min_version;
     needs.excluded_id = i.backend.id;
     needs.data_centre = deps.data_centre;
+    restrict_to_share(needs, now);
     auto* other = backends::choose_for_item(deps.registry, needs, now);
     if (other != nullptr && !backends::is_slow(*other, typical_gap_ms, now)) {
       stop_run(i);
--- a/cactusford/batches/state.h
+++ b/cactusford/batches/state.h
@@ -117,6 +117,8 @@
   bool owned = false;
   bool loaded = false;
   bool load_retry_needed = false;
+  // The items count for this instance's demand for engines.
+  bool has_demand = false;
   // The batch ended while this instance owned it and knew all of its chunks, so
   // no more results will be listed.
   bool complete = false;
--- a/cactusford/edge/edge.cc
+++ b/cactusford/edge/edge.cc
@@ -131,6 +131,7 @@
   void start_watches();
   void export_view_metrics();
   void export_quarantine_metrics();
+  void export_sharing_metrics();
   void export_usage_metrics();
   void retain_missing_backends();
   void set_up_relay_messages();
@@ -211,7 +212,9 @@
                          entries, max_entries_in_reply, http::now_ms());
                      },
                      &quarantine_manager,
-                     [this] { return standby; } } }
+                     [this] { return standby; },
+                     s.mechanisms.engine_shares,
+                     s.mechanisms.run_health } }
   , configuration{ runtime.io,
                    store,
                    { wire.kinds.configuration,
@@ -277,6 +280,7 @@
       metrics.set("batches_owned", static_cast<double>(batch_manager.owned()));
       export_view_metrics();
       export_quarantine_metrics();
+      export_sharing_metrics();
       export_usage_metrics();
       http::response r;
       r.status = 200;
@@ -342,6 +346,18 @@
   metrics.set("quarantine_refusals", static_cast<double>(c.refusals));
 }
 
+void
+edge_process::export_sharing_metrics()
+{
+  const auto c = batch_manager.sharing();
+  metrics.set("engine_slots_owned", static_cast<double>(c.slots_owned));
+  metrics.set("engine_slots_borrowed", static_cast<double>(c.slots_borrowed));
+  metrics.set("items_waiting", static_cast<double>(c.items_waiting));
+  metrics.set("runs_waiting_at_engines", static_cast<double>(c.runs_waiting));
+  metrics.set("runs_moved_waiting", static_cast<double>(c.moved_waiting));
+  metrics.set("runs_moved_stalled", static_cast<double>(c.moved_stalled));
+}
+
 void
 edge_process::export_usage_metrics()
 {
