Engine shares: owners whose next step is not listed yet

A trainer that has enough groups ends its batch. At the start of the next steps no owner saw the others' batches yet, and one that took itself for the only one would have started runs on all slots. For the period after its own new batch, an owner now also counts those that reported a demand in the last 8 s, and its report goes to them as well. Ranks of owners by engine are computed with the division, and a report's runs are counted once.

Tested: slice tests engine_shares and engine_use, all pass.

--- a/cactusford/batches/engine_shares-test.cc
+++ b/cactusford/batches/engine_shares-test.cc
@@ -61,6 +61,8 @@
 // An owner "a" on four engines, and what it knows of others.
 struct lone_owner
 {
+  std::string name = "a";
+  std::string service = "s";
   service_sharing sharing;
   backends::registry engines = registry_of(engines_of_six(4));
   peer_engine_usage reports;
@@ -68,7 +70,8 @@
 
   void update(std::uint64_t now, own_use own)
   {
-    update_shares(sharing, { "a", "s", own, owners, reports, engines }, now);
+    update_shares(
+      sharing, { name, service, own, owners, reports, engines }, now);
   }
 
   void receive(engine_usage_report report, std::uint64_t now)
@@ -234,6 +237,28 @@
   }
 }
 
+// A trainer that has enough groups ends its batch. When the next steps start,
+// the other owner's batch is not listed yet, and an owner that thinks itself
+// alone would start runs on all slots.
+Test(engine_shares, expects_owners_whose_next_step_is_not_listed_yet)
+{
+  lone_owner a;
+  a.owners = { { "a" } };
+  a.receive(report_of("b", {}, 24), start_ms - 3000);
+  a.update(start_ms - 1000, { 0, 0 });
+  cr_assert_not(a.sharing.is_shared);
+  note_new_batch(a.sharing, start_ms);
+  a.update(start_ms, { 0, 24 });
+  cr_assert(a.sharing.is_shared);
+  cr_assert_eq(a.start_all(start_ms), 12);
+  SECTION("only until the other would have been heard from")
+  {
+    a.update(start_ms + new_batch_period_ms, { 12, 12 });
+    cr_assert_not(a.sharing.is_shared);
+    cr_assert_eq(a.start_all(start_ms + new_batch_period_ms), 12);
+  }
+}
+
 // Guards against idle slots: an owner whose engines load weights cannot use its
 // share although its items wait.
 Test(engine_shares, uses_slots_that_their_owner_leaves_free)
@@ -586,9 +611,10 @@
   void dispatch(sim_owner& o)
   {
     if (has_shares_) {
-      update_shares(o.sharing,
-                    { o.name, "s", use_of(o), listed_, o.reports, o.engines },
-                    now_);
+      update_shares(
+        o.sharing,
+        { o.name, service_, use_of(o), listed_, o.reports, o.engines },
+        now_);
       forget_used_slots(o.sharing, o.engines, now_);
     }
     for (auto& i : items_) {
@@ -676,6 +702,7 @@
   std::mt19937_64 random_;
   bool has_shares_;
   std::uint64_t now_ = start_ms;
+  std::string service_ = "s";
   std::vector<listed_owner> listed_;
   std::array<sim_owner, 3> owners_;
   std::deque<sim_item> items_;
--- a/cactusford/batches/engine_shares.cc
+++ b/cactusford/batches/engine_shares.cc
@@ -130,23 +130,31 @@
           std::uint32_t own_items,
           std::uint64_t now)
 {
-  const std::string service{ v.service };
   const auto* report = find_report(v.reports, o.instance, now);
-  const auto* history = find_demand(v.reports, o.instance, service);
+  const auto* history = find_demand(v.reports, o.instance, v.service);
   const auto peak =
     history == nullptr ? std::nullopt : peak_demand(*history, now);
   // An owner that was never heard from has the items that the store lists, or
   // else a step like this one's.
   const auto unheard = o.items > 0 ? o.items : own_items;
   const auto items = peak.value_or(report != nullptr ? 0 : unheard);
-  auto weight = o.weight;
-  if (report != nullptr) {
-    const auto found = report->demand.find(service);
-    weight = found == report->demand.end() ? weight : found->second.weight;
-  }
-  return { o.instance, rounded_up(items), weight };
+  return { o.instance,
+           rounded_up(items),
+           history == nullptr ? o.weight : history->weight };
+}
+
+bool
+contains(const std::vector<owner_demand>& owners, const std::string& name)
+{
+  return std::any_of(owners.begin(), owners.end(), [&](const auto& o) {
+    return o.owner == name;
+  });
 }
 
+// Returns the owners with open batches on the service. The store's list may
+// be late: an owner that reports a demand has open batches as well, and in the
+// moment in which this owner's step starts, so may one that had a step in the
+// last 8 s.
 std::vector<owner_demand>
 owners_of(const service_sharing& s, const sharing_view& v, std::uint64_t now)
 {
@@ -159,19 +167,17 @@
       owners.push_back(demand_of(o, v, own_items, now));
     }
   }
-  // The store's list may be late.
-  for (const auto& [instance, report] : v.reports.by_instance) {
-    const auto found = report.demand.find(std::string{ v.service });
-    const bool is_open = found != report.demand.end() &&
-                         found->second.items > 0 &&
-                         find_report(v.reports, instance, now) != nullptr;
-    const bool is_listed =
-      std::any_of(owners.begin(), owners.end(), [&](const auto& o) {
-        return o.owner == instance;
-      });
-    if (is_open && !is_listed) {
-      owners.push_back(
-        demand_of({ instance, found->second.weight }, v, own_items, now));
+  for (const auto& [instance, by_service] : v.reports.demands) {
+    const auto history = by_service.find(v.service);
+    if (history == by_service.end() || contains(owners, instance)) {
+      continue;
+    }
+    const auto& h = history->second;
+    const bool has_demand =
+      h.items > 0 && find_report(v.reports, instance, now) != nullptr;
+    const bool had_demand = peak_demand(h, now).value_or(0) > 0;
+    if (has_demand || (had_demand && s.is_new_batch_period)) {
+      owners.push_back(demand_of({ instance, h.weight }, v, own_items, now));
     }
   }
   std::sort(owners.begin(), owners.end(), [](const auto& a, const auto& b) {
@@ -204,16 +210,15 @@
 needs_slots(const service_sharing& s,
             const sharing_view& v,
             const std::string& owner,
+            std::uint32_t runs,
             std::uint64_t now)
 {
   const auto* report = find_report(v.reports, owner, now);
   if (s.is_new_batch_period || report == nullptr) {
     return true;
   }
-  const std::string service{ v.service };
-  const auto found = report->demand.find(service);
-  const auto items = found == report->demand.end() ? 0 : found->second.items;
-  if (items > runs_on_service(report->runs, s.engines)) {
+  const auto* history = find_demand(v.reports, owner, v.service);
+  if (history != nullptr && history->items > runs) {
     return true;
   }
   const auto since = s.new_batch_ms;
@@ -221,7 +226,6 @@
       report->at_ms >= since + max_report_delay_ms) {
     return false;
   }
-  const auto* history = find_demand(v.reports, owner, service);
   return history == nullptr ||
          history->rose_at_ms + max_report_delay_ms < since;
 }
@@ -232,12 +236,22 @@
   std::vector<other_owner> others;
   for (std::size_t i = 0; i < s.owners.size(); ++i) {
     const auto& owner = s.owners[i].owner;
-    if (owner != v.self) {
-      const auto* report = find_report(v.reports, owner, now);
-      others.push_back({ i,
-                         report == nullptr ? 0 : report->at_ms,
-                         needs_slots(s, v, owner, now) });
+    if (owner == v.self) {
+      continue;
+    }
+    other_owner other{ i };
+    if (const auto* report = find_report(v.reports, owner, now)) {
+      const auto known =
+        std::find_if(s.others.begin(), s.others.end(), [&](const auto& o) {
+          return o.index == i && o.reported_ms == report->at_ms;
+        });
+      other.reported_ms = report->at_ms;
+      other.runs = known != s.others.end()
+                     ? known->runs
+                     : runs_on_service(report->runs, s.engines);
     }
+    other.needs_slots = needs_slots(s, v, owner, other.runs, now);
+    others.push_back(other);
   }
   return others;
 }
@@ -272,8 +286,8 @@
         run != runs.end() && run->first == p.engine ? run->second : 0;
       const auto share = s.division[i].shares[other.index];
       p.reserved += share > used ? share - used : 0;
-      p.is_first = p.is_first && membership::weight_of(name, p.engine) <
-                                   membership::weight_of(v.self, p.engine);
+      const auto& ranks = s.division[i].ranks;
+      p.is_first = p.is_first && ranks[other.index] < ranks[self];
     }
   }
   return permits;
@@ -356,8 +370,12 @@
   division.reserve(engines.size());
   for (std::size_t e = 0; e < engines.size(); ++e) {
     const auto [rank, count] = ranks[e];
-    divided_engine d{ engines[e], {} };
+    divided_engine d{ engines[e], {}, {} };
     d.shares.reserve(owners.size());
+    d.ranks.reserve(owners.size());
+    for (const auto& o : owners) {
+      d.ranks.push_back(membership::weight_of(o.owner, d.of.id));
+    }
     std::uint64_t cumulative = 0;
     std::uint64_t before = 0;
     for (const auto share : shares) {
@@ -416,6 +434,8 @@
 update_shares(service_sharing& s, const sharing_view& v, std::uint64_t now_ms)
 {
   s.own = v.own;
+  s.is_new_batch_period =
+    s.new_batch_ms != 0 && now_ms < s.new_batch_ms + new_batch_period_ms;
   record_demand(
     s.own_demand, rounded_up(v.own.running + v.own.waiting), now_ms);
   if (v.own.waiting == 0) {
@@ -431,13 +451,12 @@
     s.engines.clear();
     return false;
   }
-  s.is_new_batch_period =
-    s.new_batch_ms != 0 && now_ms < s.new_batch_ms + new_batch_period_ms;
   const bool new_engines = update_engines(s.engines, v.engines, v.service);
   const bool is_new_division = new_engines || owners != s.owners;
   if (is_new_division) {
     s.owners = std::move(owners);
     s.division = divide_engines(s.engines, s.owners);
+    s.others.clear();
   }
   auto others = others_of(s, v, now_ms);
   if (is_new_division || others != s.others) {
--- a/cactusford/batches/engine_shares.h
+++ b/cactusford/batches/engine_shares.h
@@ -56,6 +56,9 @@
   // In the order of the owners. The sum is less than the engine's slots if the
   // owners need fewer.
   std::vector<std::uint32_t> shares;
+  // The owner with the highest value comes first for the slots that no owner
+  // needs or owns.
+  std::vector<std::uint64_t> ranks;
 
   friend bool operator==(const divided_engine&,
                          const divided_engine&) = default;
@@ -103,8 +106,10 @@
 struct other_owner
 {
   std::size_t index = 0;
-  // When its latest report arrived; 0 if there is none.
+  // When its latest report arrived, and its runs on the service then; 0 if
+  // there is none.
   std::uint64_t reported_ms = 0;
+  std::uint32_t runs = 0;
   // Its items may need its slots.
   bool needs_slots = true;
 
@@ -118,8 +123,7 @@
   std::uint32_t own_share = 0;
   // Slots that other owners may need and do not use yet.
   std::uint32_t reserved = 0;
-  // Of the owners that need slots, this one comes first for the slots of the
-  // engine that none of them owns.
+  // Of the owners that need slots, this one has the highest rank.
   bool is_first = false;
 
   friend bool operator==(const engine_permit&, const engine_permit&) = default;
@@ -153,8 +157,8 @@
 // The inputs of an update. The owners may include `self`.
 struct sharing_view
 {
-  std::string_view self;
-  std::string_view service;
+  const std::string& self;
+  const std::string& service;
   own_use own;
   const std::vector<listed_owner>& owners;
   const peer_engine_usage& reports;
--- a/cactusford/batches/engine_usage_reports.cc
+++ b/cactusford/batches/engine_usage_reports.cc
@@ -37,13 +37,18 @@
   return runs;
 }
 
+// Returns the addresses of the owners of open batches. An owner that reported a
+// demand in the last 8 s may have a batch that is not listed yet.
 std::set<std::string>
-manager::impl::other_owners() const
+manager::impl::other_owners(std::uint64_t now) const
 {
   std::set<std::string> addresses;
   for (const auto& [id, b] : batches) {
     const auto& address = b->stored.owner_address;
-    if (b->is_open() && !address.empty() && address != deps.address) {
+    const bool is_recent =
+      deps.engine_shares && had_demand(peer_usage, b->stored.owner, now);
+    if ((b->is_open() || is_recent) && !address.empty() &&
+        address != deps.address) {
       addresses.insert(address);
     }
   }
@@ -56,7 +61,7 @@
   if (!at_once && now - last_report_ms < report_interval_ms) {
     return;
   }
-  const auto recipients = other_owners();
+  const auto recipients = other_owners(now);
   auto runs = own_runs();
   auto demand = deps.engine_shares ? own_demand(now) : demand_by_service{};
   const bool is_unchanged = runs == reported_runs &&
--- a/cactusford/batches/engine_use-test.cc
+++ b/cactusford/batches/engine_use-test.cc
@@ -174,6 +174,8 @@
     record_report(usage, { "a", {}, demand }, now);
     record_report(usage, { "a", {}, demand_by_service{} }, now + 100);
     cr_assert_eq(find_demand(usage, "a", "s")->items, 0);
+    cr_assert(had_demand(usage, "a", now + 7900));
+    cr_assert_not(had_demand(usage, "a", now + 8100));
     record_report(usage, { "a", {}, demand_by_service{} }, now + 9000);
     cr_assert_null(find_demand(usage, "a", "s"));
     cr_assert_null(find_report(usage, "a", now + 9801));
--- a/cactusford/batches/engine_use.cc
+++ b/cactusford/batches/engine_use.cc
@@ -131,7 +131,9 @@
   auto demand = std::move(report.demand).value_or(demand_by_service{});
   auto& histories = usage.demands[report.instance];
   for (const auto& [service, d] : demand) {
-    record_demand(histories[service], d.items, now_ms);
+    auto& history = histories[service];
+    record_demand(history, d.items, now_ms);
+    history.weight = d.weight;
   }
   // A service that is no longer listed has no demand.
   for (auto& [service, h] : histories) {
@@ -177,6 +179,19 @@
   return found == owner->second.end() ? nullptr : &found->second;
 }
 
+bool
+had_demand(const peer_engine_usage& usage,
+           const std::string& instance,
+           std::uint64_t now_ms)
+{
+  const auto owner = usage.demands.find(instance);
+  return owner != usage.demands.end() &&
+         std::any_of(
+           owner->second.begin(), owner->second.end(), [now_ms](const auto& e) {
+             return peak_demand(e.second, now_ms).value_or(0) > 0;
+           });
+}
+
 engine_runs
 total_runs(const peer_engine_usage& usage, std::uint64_t now_ms)
 {
--- a/cactusford/batches/engine_use.h
+++ b/cactusford/batches/engine_use.h
@@ -64,6 +64,7 @@
   // the largest of the remaining period.
   std::vector<std::pair<std::uint64_t, std::uint32_t>> peaks;
   std::uint32_t items = 0;
+  std::uint32_t weight = 1;
   // When the demand last rose as it does with a new batch.
   std::uint64_t rose_at_ms = 0;
 
@@ -115,6 +116,12 @@
             const std::string& instance,
             const std::string& service);
 
+// Returns true if the instance reported a demand in the last 8 s.
+bool
+had_demand(const peer_engine_usage& usage,
+           const std::string& instance,
+           std::uint64_t now_ms);
+
 // Returns the number of runs by engine, summed over all recent reports.
 engine_runs
 total_runs(const peer_engine_usage& usage, std::uint64_t now_ms);
--- a/cactusford/batches/manager_impl.h
+++ b/cactusford/batches/manager_impl.h
@@ -139,7 +139,7 @@
 
   // Engine usage reports between owners
   engine_runs own_runs() const;
-  std::set<std::string> other_owners() const;
+  std::set<std::string> other_owners(std::uint64_t now) const;
   void report_engine_usage(std::uint64_t now, bool at_once = false);
 
   // Engine slots shared with other owners
