--- a/cactusford/batches/engine_shares-test.cc
+++ b/cactusford/batches/engine_shares-test.cc
@@ -48,7 +48,7 @@
 }
 
 engine_usage_report
-report_of(const char* owner,
+report_of(const std::string& owner,
           engine_runs runs,
           std::uint32_t items,
           std::uint32_t weight = 1)
@@ -80,8 +80,8 @@
     backends::set_peer_runs(engines, total_runs(reports, now), now);
   }
 
-  // Starts runs until no further one may start. Returns their number.
-  std::uint32_t start_all(std::uint64_t now)
+  // Starts up to `items` runs. Returns their number.
+  std::uint32_t start_all(std::uint64_t now, std::uint32_t items = 1000)
   {
     backends::item_needs needs;
     needs.service = "s";
@@ -90,7 +90,11 @@
       return may_start_run(sharing, b, now);
     };
     std::uint32_t started = 0;
-    while (auto* b = backends::choose_for_item(engines, needs, now)) {
+    while (started < items) {
+      auto* b = backends::choose_for_item(engines, needs, now);
+      if (b == nullptr) {
+        break;
+      }
       note_run_started(sharing, b->info.id);
       ++b->in_flight;
       ++started;
@@ -384,6 +388,64 @@
   cr_assert(demand == demand_by_service({ { "s", { 9, 1 } } }));
 }
 
+// No slot stays idle while an owner has waiting items, and while reports arrive
+// no engine gets more runs than slots, whatever the demands and the engines
+// that an owner cannot use.
+Test(engine_shares, leaves_no_slot_idle_while_items_wait)
+{
+  const bool ok = rc::check([] {
+    std::array<lone_owner, 3> owners;
+    std::array<std::uint32_t, 3> items{};
+    for (std::size_t o = 0; o < owners.size(); ++o) {
+      owners[o].name = std::string(1, static_cast<char>('a' + o));
+      owners[o].owners = { { "a" }, { "b" }, { "c" } };
+      items[o] = *rc::gen::inRange<std::uint32_t>(1, 40);
+      note_new_batch(owners[o].sharing, start_ms);
+    }
+    // The first owner's model is not loaded on some engines.
+    const auto unusable = *rc::gen::inRange<std::uint32_t>(0, 5);
+    for (std::uint32_t e = 0; e < unusable; ++e) {
+      owners[0]
+        .engines.all["e" + std::to_string(100 + e)]
+        .info.versions.clear();
+    }
+    std::array<std::uint32_t, 3> running{};
+    for (auto now = start_ms; now <= start_ms + 3000; now += 100) {
+      for (std::size_t o = 0; o < owners.size(); ++o) {
+        auto& owner = owners[o];
+        owner.update(now, { running[o], items[o] - running[o] });
+        forget_used_slots(owner.sharing, owner.engines, now);
+        running[o] += owner.start_all(now, items[o] - running[o]);
+        engine_runs runs;
+        for (const auto& [id, b] : owner.engines.all) {
+          if (b.in_flight > 0) {
+            runs[id] = b.in_flight;
+          }
+        }
+        for (auto& other : owners) {
+          if (other.name != owner.name) {
+            other.receive(report_of(owner.name, runs, items[o]), now);
+          }
+        }
+      }
+    }
+    std::uint32_t all_running = 0;
+    for (const auto& e : engines_of_six(4)) {
+      std::uint32_t runs = 0;
+      for (const auto& o : owners) {
+        runs += o.engines.all.at(e.id).in_flight;
+      }
+      RC_ASSERT(runs <= slots);
+      all_running += runs;
+    }
+    const auto others = items[1] + items[2] - running[1] - running[2];
+    RC_ASSERT(others == 0 || all_running == 4 * slots);
+    const auto own = items[0] - running[0];
+    RC_ASSERT(own == 0 || unusable > 0 || all_running == 4 * slots);
+  });
+  cr_assert(ok);
+}
+
 namespace {
 
 struct sim_item
--- a/cactusford/batches/engine_sharing.cc
+++ b/cactusford/batches/engine_sharing.cc
@@ -59,7 +59,8 @@
 manager::impl::listed_owners() const
 {
   std::map<std::string, std::vector<listed_owner>> owners;
-  for (const auto& [id, b] : batches) {
+  for (const auto& entry : batches) {
+    const auto& b = entry.second;
     if (!b->is_open() || b->stored.owner.empty()) {
       continue;
     }
