Speed of engines: slow ones keep their runs, and get the shorter texts

Callers saw runs of sound engines start again elsewhere: 734 `slow` moves among 2,232 items, each with a prompt, a connection and a slot. Every engine was compared with the fastest quarter of its service, whatever its model and its load.

The pace of a stream is now the base pace of the service, times the factor of the engine, times the slowdown at its load; what is left is trouble. Gaps are measured over several events. Runs leave an engine in trouble, once, if the move pays, and a text leaves a slow engine if it would end too late there. Items go where they end first. The duration of a plain call is divided by the queueing at the load when it was sent. With `server_speeds` disabled all decisions are as before.

--- a/cactusford/backends/registry.cc
+++ b/cactusford/backends/registry.cc
@@ -1,6 +1,7 @@
 #include "cactusford/backends/registry.h"
 
 #include <algorithm>
+#include <cmath>
 #include <limits>
 
 namespace cactusford::backends {
@@ -55,21 +56,16 @@
 // more than this is still preferred over a connected one.
 constexpr double connect_cost_ms = 3;
 
+// Speeds of servers that are gone are kept this long, and at most this many.
+constexpr std::uint64_t keep_speed_ms = 600'000;
+constexpr std::size_t max_past_speeds = 20'000;
+
 std::uint32_t
 peer_runs_of(const backend& b, std::uint64_t now_ms)
 {
   return now_ms - b.peer_runs_at_ms < max_load_age_ms ? b.peer_runs : 0;
 }
 
-double
-load_of(const backend& b, std::uint64_t now_ms)
-{
-  const bool fresh = now_ms - b.other_load_at_ms < max_load_age_ms;
-  const double all =
-    b.in_flight + peer_runs_of(b, now_ms) + (fresh ? b.other_load : 0);
-  return all / std::max<std::uint32_t>(b.info.slots, 1);
-}
-
 bool
 is_open(const backend& b, std::uint64_t now_ms)
 {
@@ -135,8 +131,71 @@
   return 2 * static_cast<std::size_t>(reporting) > r.all.size();
 }
 
+// Keeps the speed of a server that is removed from the list.
+void
+remember_speed(registry& r, const backend& b, std::uint64_t now_ms)
+{
+  if (b.speed.samples == 0) {
+    return;
+  }
+  auto& past = r.past_speeds;
+  if (past.size() >= max_past_speeds) {
+    past.erase(std::min_element(
+      past.begin(), past.end(), [](const auto& a, const auto& other) {
+        return a.second.gone_at_ms < other.second.gone_at_ms;
+      }));
+  }
+  past[b.info.id] = { b.info.service, b.speed, now_ms };
+}
+
+void
+restore_speed(registry& r, backend& b)
+{
+  const auto past = r.past_speeds.find(b.info.id);
+  if (past == r.past_speeds.end()) {
+    return;
+  }
+  if (b.speed.samples == 0 && past->second.service == b.info.service) {
+    b.speed = past->second.speed;
+    restart(b.speed);
+  }
+  r.past_speeds.erase(past);
+}
+
+// Returns what the server's speed adds to the cost of an item, in units of
+// load.
+double
+slowness_of(const backend& b,
+            const service_pace* pace,
+            double typical_ms,
+            std::uint64_t now_ms)
+{
+  if (pace == nullptr) {
+    return is_slow(b, typical_ms, now_ms) ? slow_penalty : 0;
+  }
+  const auto one_run = 1.0 / std::max<std::uint32_t>(b.info.slots, 1);
+  return speed_cost(*pace, b.speed, load_of(b, now_ms) + one_run) +
+         (is_in_trouble(*pace, b.speed, now_ms) ? slow_penalty : 0);
+}
+
 } // namespace
 
+double
+load_of(const backend& b, std::uint64_t now_ms)
+{
+  const bool fresh = now_ms - b.other_load_at_ms < max_load_age_ms;
+  const double all =
+    b.in_flight + peer_runs_of(b, now_ms) + (fresh ? b.other_load : 0);
+  return all / std::max<std::uint32_t>(b.info.slots, 1);
+}
+
+const service_pace*
+pace_of(const registry& r, std::string_view service)
+{
+  const auto found = r.paces.find(service);
+  return r.server_speeds && found != r.paces.end() ? &found->second : nullptr;
+}
+
 std::string_view
 name_of(announce_result result) noexcept
 {
@@ -170,7 +229,10 @@
   }
   const bool is_new = known != 0 && a.started_ms > known;
   if (is_new) {
+    const auto speed = b.speed;
     b = {};
+    b.speed = speed;
+    restart(b.speed);
   }
   // Versions only grow within an incarnation, and the announcement may be older
   // than what this instance has learned from responses.
@@ -180,6 +242,7 @@
   }
   b.info = std::move(a);
   b.missing_since_ms = 0;
+  restore_speed(r, b);
   return is_new ? announce_result::new_incarnation
                 : announce_result::same_incarnation;
 }
@@ -187,7 +250,10 @@
 void
 drop(registry& r, const std::string& id)
 {
-  r.all.erase(id);
+  if (const auto* b = find(r, id)) {
+    remember_speed(r, *b, b->speed.sampled_at_ms.front());
+    r.all.erase(id);
+  }
 }
 
 void
@@ -235,8 +301,16 @@
   if (now_ms < r.keep_missing_until_ms) {
     return false;
   }
-  const auto removed = std::erase_if(
-    r.all, [](const auto& e) { return e.second.missing_since_ms != 0; });
+  std::erase_if(r.past_speeds, [now_ms](const auto& e) {
+    return now_ms - e.second.gone_at_ms > keep_speed_ms;
+  });
+  const auto removed = std::erase_if(r.all, [&](const auto& e) {
+    const auto& b = e.second;
+    if (b.missing_since_ms != 0) {
+      remember_speed(r, b, b.missing_since_ms);
+    }
+    return b.missing_since_ms != 0;
+  });
   return removed > 0;
 }
 
@@ -271,6 +345,20 @@
   b.calls = std::min(b.calls + 1, max_weighed_calls);
 }
 
+void
+note_success(const registry& r,
+             backend& b,
+             std::uint64_t took_ms,
+             double load_when_sent)
+{
+  // The cost of a server counts its load already. Without this, a busy server
+  // would be taken for a slow one as well.
+  const auto queueing = r.server_speeds ? queueing_at(load_when_sent) : 1;
+  note_success(b,
+               static_cast<std::uint64_t>(
+                 std::llround(static_cast<double>(took_ms) / queueing)));
+}
+
 void
 note_failure(backend& b, std::uint64_t now_ms)
 {
@@ -393,7 +481,9 @@
 backend*
 choose_for_item(registry& r, const item_needs& needs, std::uint64_t now_ms)
 {
-  const auto typical_ms = typical_pace_ms(r, needs.service, now_ms);
+  const auto* pace = pace_of(r, needs.service);
+  const auto typical_ms =
+    pace == nullptr ? typical_pace_ms(r, needs.service, now_ms) : 0;
   backend* best = nullptr;
   double best_cost = std::numeric_limits<double>::max();
   for (auto& [id, b] : r.all) {
@@ -403,7 +493,7 @@
       continue;
     }
     double cost = load_of(b, now_ms) +
-                  (is_slow(b, typical_ms, now_ms) ? slow_penalty : 0) +
+                  slowness_of(b, pace, typical_ms, now_ms) +
                   (b.info.data_centre == needs.data_centre ? 0 : far_penalty);
     if (cost < best_cost && !needs.is_connected(b.info.address)) {
       cost +=
--- a/cactusford/backends/registry.h
+++ b/cactusford/backends/registry.h
@@ -3,6 +3,8 @@
 // parameters.
 #pragma once
 
+#include "cactusford/backends/speed.h"
+
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -76,15 +78,45 @@
   // it; 0 if unknown.
   double call_ms = 0;
   std::uint32_t calls = 0;
+  // Speed of the server's streams; kept when it restarts.
+  server_speed speed;
   // When the server disappeared from the platform's list; 0 if it is listed.
   std::uint64_t missing_since_ms = 0;
 
   friend bool operator==(const backend&, const backend&) = default;
 };
 
+// Speed of a server that is no longer listed.
+struct past_speed
+{
+  std::string service;
+  server_speed speed;
+  std::uint64_t gone_at_ms = 0;
+
+  friend bool operator==(const past_speed&, const past_speed&) = default;
+};
+
+// Decisions on runs of engines that are slow or in trouble.
+struct move_counts
+{
+  std::uint64_t moved_trouble = 0;
+  std::uint64_t moved_late = 0;
+  std::uint64_t kept_despite_trouble = 0;
+
+  friend bool operator==(const move_counts&, const move_counts&) = default;
+};
+
 struct registry
 {
   std::map<std::string, backend> all;
+  // Chooses servers and judges runs by the measured speed of each server. If
+  // false, servers are compared with the fastest quarter of their service.
+  bool server_speeds = true;
+  // By service.
+  std::map<std::string, service_pace, std::less<>> paces;
+  // By server id.
+  std::map<std::string, past_speed> past_speeds;
+  move_counts moves;
   // Entries that expired during a store outage are kept until this time, so
   // that live backend servers can announce themselves again.
   std::uint64_t keep_missing_until_ms = 0;
@@ -154,6 +186,14 @@
 void
 note_success(backend& b, std::uint64_t took_ms);
 
+// Records that a plain call succeeded that was sent when the server had this
+// load, the call itself included.
+void
+note_success(const registry& r,
+             backend& b,
+             std::uint64_t took_ms,
+             double load_when_sent);
+
 void
 note_failure(backend& b, std::uint64_t now_ms);
 
@@ -174,6 +214,15 @@
 void
 note_pace(backend& b, double gap_ms, std::uint64_t now_ms);
 
+// Returns the server's known load in running requests per slot.
+double
+load_of(const backend& b, std::uint64_t now_ms);
+
+// Returns the measured pace of the service, or null if there is none or it is
+// not used.
+const service_pace*
+pace_of(const registry& r, std::string_view service);
+
 // Time between stream events on a healthy engine of the service: the lower
 // quartile over all engines with a recent value. 0 if there are none.
 double
@@ -238,9 +287,10 @@
   run_permission may_use = is_always_permitted;
 };
 
-// Picks an engine for an item: the least loaded one with a free slot, slow
-// engines last. A connected engine may have one more run than the others.
-// Returns null if no engine has a free slot.
+// Picks an engine for an item: the one on which it is expected to end first, of
+// equally fast ones the least loaded, and engines in trouble last. A connected
+// engine may have one more run than the others. Returns null if no engine has a
+// free slot.
 backend*
 choose_for_item(registry& r, const item_needs& needs, std::uint64_t now_ms);
 
--- a/cactusford/batches/manager_impl.h
+++ b/cactusford/batches/manager_impl.h
@@ -147,6 +147,14 @@
                             const item_state& i,
                             double typical_event_gap_ms) const;
   double typical_event_gap_ms(const batch_state& b) const;
+  void note_run_events(item_state& i,
+                       backends::backend& b,
+                       std::uint64_t events,
+                       std::uint64_t now);
+  backends::run_outlook outlook_of(const batch_state& b,
+                                   const item_state& i,
+                                   double event_gap_ms) const;
+  double gap_of_run_ms(const item_state& i, double typical_ms) const;
   void dispatch();
   bool start_run(batch_state& b, item_state& i, std::uint32_t urgency);
   bool is_quarantined(const batch_state& b, const item_state& i);
--- a/cactusford/batches/runs.cc
+++ b/cactusford/batches/runs.cc
@@ -64,8 +64,12 @@
   if (route == nullptr || route->services.empty()) {
     return default_gap_ms;
   }
-  const auto seen = backends::typical_pace_ms(
-    deps.registry, route->services.front().service, http::now_ms());
+  const auto& service = route->services.front().service;
+  const auto* measured = backends::pace_of(deps.registry, service);
+  const auto seen =
+    measured != nullptr
+      ? backends::typical_gap_ms(*measured)
+      : backends::typical_pace_ms(deps.registry, service, http::now_ms());
   return seen > 0 ? seen : default_gap_ms;
 }
 
@@ -85,7 +89,11 @@
   const auto hint = b.submission.items[i.index].length_hint;
   const auto elapsed_ms =
     typical_event_gap_ms * static_cast<double>(i.text.events);
-  return expected_run_ms(pace, hint, static_cast<std::uint64_t>(elapsed_ms));
+  const auto rest =
+    expected_run_ms(pace, hint, static_cast<std::uint64_t>(elapsed_ms));
+  const auto slowness =
+    gap_of_run_ms(i, typical_event_gap_ms) / typical_event_gap_ms;
+  return static_cast<std::uint64_t>(static_cast<double>(rest) * slowness);
 }
 
 // Starts waiting items on engines, those with the least slack first.
@@ -375,11 +383,7 @@
     return;
   }
   if (auto* backend = backends::find(deps.registry, i->backend)) {
-    if (i->events_in_run > 0) {
-      const auto gap = static_cast<double>(now - i->last_event_ms) /
-                       static_cast<double>(events.size());
-      backends::note_pace(*backend, gap, now);
-    }
+    note_run_events(*i, *backend, events.size(), now);
     auto& known_version = backend->info.versions[b.submission.model];
     known_version = std::max(known_version, i->text.version);
   }
@@ -502,7 +506,8 @@
 void
 manager::impl::check_runs(batch_state& b, std::uint64_t now)
 {
-  const auto silence_limit = silence_limit_ms(typical_event_gap_ms(b));
+  const auto event_gap_ms = typical_event_gap_ms(b);
+  const auto silence_limit = silence_limit_ms(event_gap_ms);
   for (auto& i : b.items) {
     if (i.stage == item_stage::scoring && i.score_retry_at_ms != 0 &&
         i.score_retry_at_ms <= now) {
@@ -529,7 +534,13 @@
       backends::typical_pace_ms(deps.registry, service, now);
     const bool slow = backends::is_slow(*backend, typical_gap_ms, now) &&
                       now - i.started_ms > min_run_before_move_ms;
-    if (!backend->info.leaving && !slow) {
+    const auto run = outlook_of(b, i, event_gap_ms);
+    const auto cause =
+      backend->info.leaving
+        ? backends::move_cause::none
+        : backends::cause_to_move(deps.registry, *backend, run, i.moves, now);
+    if (!backend->info.leaving && !slow &&
+        cause == backends::move_cause::none) {
       continue;
     }
     backends::item_needs needs;
@@ -539,12 +550,27 @@
     needs.excluded_id = i.backend.id;
     needs.data_centre = deps.data_centre;
     auto* other = backends::choose_for_item(deps.registry, needs, now);
-    if (other != nullptr && !backends::is_slow(*other, typical_gap_ms, now)) {
-      stop_run(i);
-      i.failed_on = i.backend.id;
-      retry_item(b, i, 0, backend->info.leaving ? "leaving" : "slow");
-      dispatch();
+    const bool pays =
+      other != nullptr &&
+      (cause == backends::move_cause::none
+         ? !backends::is_slow(*other, typical_gap_ms, now) &&
+             !backends::is_in_trouble(deps.registry, *other, now)
+         : backends::should_move(
+             deps.registry, *backend, *other, cause, run, now));
+    if (!pays) {
+      backends::note_kept(deps.registry, *backend, cause, i.moves);
+      continue;
     }
+    backends::note_move(deps.registry, *backend, cause, i.moves);
+    stop_run(i);
+    i.failed_on = i.backend.id;
+    retry_item(b,
+               i,
+               0,
+               backend->info.leaving ? "leaving"
+               : slow                ? "slow"
+                                     : backends::name_of(cause));
+    dispatch();
   }
 }
 
--- a/cactusford/batches/state.h
+++ b/cactusford/batches/state.h
@@ -1,7 +1,7 @@
 // The in-memory state of a batch and its items.
 #pragma once
 
-#include "cactusford/backends/registry.h"
+#include "cactusford/backends/run_moves.h"
 #include "cactusford/batches/batch.h"
 #include "cactusford/batches/event_reader.h"
 #include "cactusford/batches/ledger.h"
@@ -53,6 +53,8 @@
   std::uint64_t first_event_ms = 0;
   std::uint64_t last_event_ms = 0;
   std::uint64_t events_in_run = 0;
+  backends::gap_window gaps;
+  backends::move_history moves;
 
   // The scorer call.
   std::uint32_t score_tries = 0;
--- a/cactusford/edge/edge.cc
+++ b/cactusford/edge/edge.cc
@@ -1,3 +1,4 @@
+#include "cactusford/backends/run_moves.h"
 #include "cactusford/batches/manager.h"
 #include "cactusford/edge/credentials.h"
 #include "cactusford/edge/denial.h"
@@ -132,6 +133,7 @@
   void export_view_metrics();
   void export_quarantine_metrics();
   void export_usage_metrics();
+  void export_speed_metrics();
   void retain_missing_backends();
   void set_up_relay_messages();
   nlohmann::json answer_rank(const std::string& sidecar) const;
@@ -278,6 +280,7 @@
       export_view_metrics();
       export_quarantine_metrics();
       export_usage_metrics();
+      export_speed_metrics();
       http::response r;
       r.status = 200;
       r.fields.push_back({ "Content-Type", "text/plain; version=0.0.4" });
@@ -286,6 +289,7 @@
     }
   }
 {
+  registry.server_speeds = s.mechanisms.server_speeds;
 }
 
 bool
@@ -352,6 +356,19 @@
   metrics.set("usage_duty_held", meter.holds_duty() ? 1 : 0);
 }
 
+void
+edge_process::export_speed_metrics()
+{
+  const auto& m = registry.moves;
+  metrics.set("servers_in_trouble",
+              static_cast<double>(
+                backends::servers_in_trouble(registry, http::now_ms())));
+  metrics.set("runs_moved_trouble", static_cast<double>(m.moved_trouble));
+  metrics.set("runs_moved_late", static_cast<double>(m.moved_late));
+  metrics.set("runs_kept_despite_trouble",
+              static_cast<double>(m.kept_despite_trouble));
+}
+
 // A leaving entry offers no capacity.
 membership::member
 edge_process::own_member() const
--- a/cactusford/edge/forward.cc
+++ b/cactusford/edge/forward.cc
@@ -282,6 +282,7 @@
       .with("left_ms",
             call->input.give_up_ms > now ? call->input.give_up_ms - now : 0));
   ++b.in_flight;
+  call->attempts.back().load = backends::load_of(b, now);
   ++running_attempts_[call->fingerprint];
   ++call->runs;
   http::exchange_options o;
@@ -355,7 +356,7 @@
     if (complete && !not_run) {
       record_answer(second_attempts_[call->input.route.path_prefix],
                     now - a.sent_ms);
-      backends::note_success(*b, now - a.sent_ms);
+      backends::note_success(registry_, *b, now - a.sent_ms, a.load);
     } else {
       backends::note_failure(*b, now);
     }
--- a/cactusford/edge/forward_impl.h
+++ b/cactusford/edge/forward_impl.h
@@ -21,6 +21,8 @@
   bool ended = false;
   // The backend server has certainly not run the request.
   bool not_run = false;
+  // Load of the backend server when the request was sent, itself included.
+  double load = 0;
 };
 
 struct forwarder::call_state
