Engine shares: two owners on one engine, with and without the mechanism

Test cluster: entries take each other's usage reports. With engine_shares off the metrics of slots stay 0, and without other owners no dispatch is added after a new batch.

Tested: slice tests and the process tests of batches and quarantined items.

--- a/cactusford/batches/engine_sharing.cc
+++ b/cactusford/batches/engine_sharing.cc
@@ -140,7 +140,7 @@
           .with("owners", s.owners.size())
           .with("slots", slots_in_use_of(s, deps.registry).owned));
     }
-    if (s.is_new_batch_period && s.new_batch_ms == now) {
+    if (s.is_shared && s.is_new_batch_period && s.new_batch_ms == now) {
       sharing_timer.expires_after(
         std::chrono::milliseconds{ new_batch_period_ms });
       sharing_timer.async_wait(
@@ -275,7 +275,9 @@
 {
   sharing_counts c;
   for (const auto& [service, s] : impl_->sharing) {
-    const auto slots = slots_in_use_of(s, impl_->deps.registry);
+    const auto slots = impl_->deps.engine_shares
+                         ? slots_in_use_of(s, impl_->deps.registry)
+                         : slots_in_use{};
     c.slots_owned += slots.owned;
     c.slots_borrowed += slots.borrowed;
     c.items_waiting += s.own.waiting;
--- a/tests/batches-test.cc
+++ b/tests/batches-test.cc
@@ -400,6 +400,34 @@
   cr_assert_not(batches::decode_chunk(first->spec)->results.empty());
 }
 
+// Two owners with batches on one engine of eight slots. Guards against reports
+// without the demand, from which an owner would take itself for the only one,
+// and against shares that are in force although they are switched off.
+Test(batches, owners_share_the_slots_of_an_engine)
+{
+  for (const bool engine_shares : { true, false }) {
+    batch_cluster cluster{ 2, engine_shares };
+    auto& first = *cluster.entries[0];
+    auto& second = *cluster.entries[1];
+    cluster.engine.events = 30;
+    cr_assert_eq(cluster.call(first, "POST", submission(12), "batch-0"), 202);
+    first.refuses_submissions = true;
+    cr_assert_eq(cluster.call(second, "POST", submission(12)), 202);
+    cr_assert_eq(cluster.owner(), "entry-1");
+    if (engine_shares) {
+      cluster.run_until([&] {
+        return first.batch_manager->sharing().slots_owned == 4 &&
+               second.batch_manager->sharing().slots_owned == 4;
+      });
+    }
+    check_results(cluster.read_all(second, 12), cluster.engine);
+    if (!engine_shares) {
+      const auto counts = second.batch_manager->sharing();
+      cr_assert_eq(counts.slots_owned + counts.slots_borrowed, 0);
+    }
+  }
+}
+
 // The entry that runs a trainer's steps refuses new ones, or stops responding.
 // The next step is still accepted in time and runs where it arrived.
 Test(batches, run_where_they_arrive_when_nobody_else_takes_them)
--- a/tests/batches_cluster.h
+++ b/tests/batches_cluster.h
@@ -79,7 +79,9 @@
   int answered_probes = 0;
   std::vector<http::call> unanswered;
 
-  entry(const std::string& name, const std::string& store_address)
+  entry(const std::string& name,
+        const std::string& store_address,
+        bool engine_shares = true)
     : peer{ io, {}, [this](const http::call& c) { on_peer(c); } }
     , front{ io, {}, [this](const http::call& c) { on_caller(c); } }
     , store{ io, http, dialect.store, { store_address, {} } }
@@ -102,7 +104,9 @@
                                      retention_ms,
                                      1,
                                      [this] { return largest_entries; },
-                                     &quarantine_manager });
+                                     &quarantine_manager,
+                                     [] { return membership::standby_state{}; },
+                                     engine_shares });
     watcher = std::make_unique<store::watcher>(
       io,
       store,
@@ -139,6 +143,10 @@
       store.relay(c);
       return;
     }
+    if (path == batches::peer_engine_usage_path) {
+      batch_manager->on_engine_usage(c);
+      return;
+    }
     if (path.starts_with(batches::peer_forwarded_path)) {
       const auto id = path.substr(batches::peer_forwarded_path.size());
       if (refuses_submissions) {
@@ -215,7 +223,10 @@
   // The workspace of the caller.
   std::string workspace;
 
-  explicit batch_cluster(int count)
+  bool engine_shares = true;
+
+  explicit batch_cluster(int count, bool with_engine_shares = true)
+    : engine_shares{ with_engine_shares }
   {
     for (int i = 0; i < count; ++i) {
       add_entry("entry-" + std::to_string(i));
@@ -229,7 +240,8 @@
 
   entry& add_entry(const std::string& name)
   {
-    entries.push_back(std::make_unique<entry>(name, store.address()));
+    entries.push_back(
+      std::make_unique<entry>(name, store.address(), engine_shares));
     entries.back()->announce_backend(
       "e1", "engines", engine.address(), engine.version);
     entries.back()->announce_backend("s1", "scorers", scorer.address(), 0);
