Calls wait in a queue before a full service

Callers saw: a call beyond the slots of a service tried up to six full servers and was refused, chance decided who was served, and all refused callers were told the same time to return. Cause: nothing ordered the calls of an entry; the priority of a workspace was read and not used; Retry-After was a constant. Change: where the configuration declares different demands on a plain service, its calls wait at the entry (admission/call_queue.h), ordered by urgency, fairness between workspaces and deadline, scorers' calls last. What cannot be served in time is refused at once, before any server has seen it, and Retry-After spreads the returns at the measured rate. A second attempt is postponed while calls wait and servers report that they are full. Workspaces have a weight and a limit of running calls, with neutral defaults. Elsewhere calls are sent as before.

--- a/cactusford/batches/scoring.cc
+++ b/cactusford/batches/scoring.cc
@@ -147,6 +147,7 @@
   // callers.
   f.route.kind = routes::call_kind::idempotent;
   f.no_retry_after_disconnect = true;
+  f.demand.is_scorer = true;
   f.request = request_of(call);
   f.request.fields.push_back({ deps.dialect.headers.request_id, call.id });
   f.give_up_ms = http::now_ms() + route->timeout_ms;
@@ -161,8 +162,11 @@
       edge::forward_outcome&& o) {
       const bool is_full =
         o.refusals > 0 || o.what == edge::forward_end::unknown;
-      const auto end = yields ? yielding_end(o.load) : score_end::answered;
-      self->end_score_call(next, is_full ? score_end::refused : end, slots);
+      auto end = yields ? yielding_end(o.load) : score_end::answered;
+      end = is_full ? score_end::refused : end;
+      // A refusal by the queue of this instance says nothing about servers.
+      end = o.is_unsent ? score_end::cancelled : end;
+      self->end_score_call(next, end, slots);
       self->on_scored(next.text.batch, next.text.at, std::move(o));
       self->start_queued_scores();
     });
--- a/cactusford/edge/credentials.cc
+++ b/cactusford/edge/credentials.cc
@@ -18,7 +18,8 @@
   if (owner == nullptr) {
     return { access::unknown_key, "", workspaces::short_digest(*key) };
   }
-  return { access::granted, owner->name, "" };
+  return { access::granted, owner->name,   "",
+           owner->priority, owner->weight, owner->max_running };
 }
 
 bool
--- a/cactusford/edge/credentials.h
+++ b/cactusford/edge/credentials.h
@@ -5,6 +5,8 @@
 #include "cactusford/http/message.h"
 #include "cactusford/routes/table.h"
 
+#include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -30,6 +32,10 @@
   std::string workspace;
   // Short digest of an unknown key, for log lines.
   std::string key_digest;
+  // What is declared about the workspace's calls.
+  std::optional<std::uint32_t> priority = std::nullopt;
+  std::uint32_t weight = 1;
+  std::uint32_t max_running = 0;
 
   friend bool operator==(const caller_identity&,
                          const caller_identity&) = default;
--- a/cactusford/edge/edge.cc
+++ b/cactusford/edge/edge.cc
@@ -14,6 +14,9 @@
 #include "cactusford/usage/meter.h"
 
 #include <algorithm>
+#include <array>
+#include <cstdio>
+#include <set>
 
 namespace cactusford::edge {
 
@@ -83,6 +86,17 @@
   return std::to_string((ms + ms_per_second - 1) / ms_per_second);
 }
 
+// The queue gives multiples of ten milliseconds.
+std::string
+in_seconds(std::uint64_t ms)
+{
+  constexpr double ms_per_second = 1000;
+  std::array<char, 32> text{};
+  std::snprintf(
+    text.data(), text.size(), "%.2f", static_cast<double>(ms) / ms_per_second);
+  return text.data();
+}
+
 http::response
 empty_response(int status)
 {
@@ -132,6 +146,7 @@
   void export_view_metrics();
   void export_quarantine_metrics();
   void export_usage_metrics();
+  void export_queue_metrics();
   void retain_missing_backends();
   void set_up_relay_messages();
   nlohmann::json answer_rank(const std::string& sidecar) const;
@@ -144,6 +159,8 @@
   store::client store;
   backends::registry registry;
   routes::table_ptr table;
+  // Services before which calls wait in a queue.
+  std::set<std::string> contended_services;
   membership::directory entries;
   membership::standby_state standby;
   // Sidecars that watch the weight versions with this entry as their relay.
@@ -164,6 +181,8 @@
   http::server readiness_server;
   http::server peer_server;
   http::server metrics_server;
+  // Services and workspaces whose waiting calls were exported last.
+  std::set<std::pair<std::string, std::string>> exported_workspaces;
   bool is_leaving = false;
   bool has_handed_over_batches = false;
   std::uint64_t leave_started_ms = 0;
@@ -279,6 +298,7 @@
       export_view_metrics();
       export_quarantine_metrics();
       export_usage_metrics();
+      export_queue_metrics();
       http::response r;
       r.status = 200;
       r.fields.push_back({ "Content-Type", "text/plain; version=0.0.4" });
@@ -353,6 +373,38 @@
   metrics.set("usage_duty_held", meter.holds_duty() ? 1 : 0);
 }
 
+// Exports figures of a few workspaces only: a deployment may have ten thousand.
+void
+edge_process::export_queue_metrics()
+{
+  constexpr std::size_t max_workspaces = 10;
+  for (const auto& [service, workspace] : exported_workspaces) {
+    metrics.set("workspace_calls_waiting",
+                0,
+                { { "service", service }, { "workspace", workspace } });
+  }
+  exported_workspaces.clear();
+  for (const auto& q : calls.queues()) {
+    const std::map<std::string, std::string> labels{ { "service", q.service } };
+    const auto& state = *q.queue;
+    metrics.set(
+      "calls_waiting", static_cast<double>(state.waiting.size()), labels);
+    metrics.set("calls_queued", static_cast<double>(q.queued), labels);
+    metrics.set("calls_refused_full", static_cast<double>(q.refused), labels);
+    metrics.set("service_limit", state.limit, labels);
+    for (const auto& [name, w] :
+         admission::busiest_workspaces(state, max_workspaces)) {
+      auto of_workspace = labels;
+      of_workspace["workspace"] = name;
+      metrics.set("workspace_calls_waiting", w.waiting, of_workspace);
+      metrics.set("workspace_calls_refused",
+                  static_cast<double>(w.refused),
+                  of_workspace);
+      exported_workspaces.emplace(q.service, name);
+    }
+  }
+}
+
 // A leaving entry offers no capacity.
 membership::member
 edge_process::own_member() const
@@ -479,6 +531,7 @@
                       .with("revision", o.revision));
   caller_server.set_limits(fresh->limits);
   table = std::make_shared<const routes::table>(std::move(*fresh));
+  contended_services = routes::contended_services(*table);
   batch_manager.on_backends();
 }
 
@@ -670,6 +723,11 @@
   f.id = id;
   f.workspace = caller.workspace;
   f.route = r;
+  f.demand = { false,
+               caller.priority.value_or(r.priority),
+               caller.workspace,
+               caller.weight,
+               caller.max_running };
   const auto caller_wait_ms =
     http::find_number(f.request.fields, wire.headers.deadline_ms)
       .value_or(r.timeout_ms);
@@ -720,7 +778,9 @@
       return;
     }
     case forward_end::not_run:
-      refuse(c, std::string{ default_retry_after_s });
+      refuse(c,
+             o.retry_after_ms > 0 ? in_seconds(o.retry_after_ms)
+                                  : std::string{ default_retry_after_s });
       return;
     case forward_end::quarantined:
       refuse(c, round_up_to_seconds(o.retry_after_ms));
@@ -798,6 +858,10 @@
                     peer_server.active_requests() == 0 &&
                     drain_ms >= min_drain_ms;
   const auto limit = runtime.settings.grace_ms - kill_margin_ms;
+  // One interval before the end, so that the refusals are still delivered.
+  if (drain_ms + drain_poll_interval_ms >= limit) {
+    calls.refuse_waiting();
+  }
   if ((idle && has_handed_over_batches && meter.has_left()) ||
       drain_ms >= limit) {
     process::log_line(timeline::event{ "left" }
@@ -837,6 +901,15 @@
       backend_list.refresh();
     }
   };
+  calls.is_queued = [this](const std::string& service) {
+    return runtime.settings.mechanisms.call_queue &&
+           contended_services.contains(service);
+  };
+  calls.on_queue_wait = [this](std::uint64_t waited_ms) {
+    constexpr double ms_per_second = 1000;
+    metrics.observe("queue_wait_seconds",
+                    static_cast<double>(waited_ms) / ms_per_second);
+  };
   calls.on_run_started = [this](const std::string& workspace,
                                 std::uint64_t at_ms) {
     meter.note_run(workspace, at_ms);
--- a/cactusford/edge/forward.cc
+++ b/cactusford/edge/forward.cc
@@ -152,7 +152,7 @@
   });
   asio::post(io_, [this, call] {
     if (!call->finished) {
-      send_next_attempt(call);
+      begin(call);
     }
   });
   return [this, call] {
@@ -160,6 +160,8 @@
       return;
     }
     call->finished = true;
+    forward_outcome cancelled;
+    leave_queue(*call, cancelled);
     call->deadline_timer->cancel();
     if (call->second_attempt_timer) {
       call->second_attempt_timer->cancel();
@@ -314,6 +316,11 @@
   call->second_attempt_timer = std::make_unique<asio::steady_timer>(
     io_, std::chrono::milliseconds{ wait });
   call->second_attempt_timer->async_wait([this, call](asio::error_code ec) {
+    if (!ec && !call->finished && call->queue != nullptr &&
+        admission::is_congested(call->queue->state, http::now_ms())) {
+      schedule_second_attempt(call);
+      return;
+    }
     // Two concurrent attempts of a suspected request could crash two backend
     // servers at once.
     if (!ec && !call->finished && call->runs < call->input.route.max_attempts &&
@@ -343,6 +350,9 @@
   constexpr int misdirected = 421;
   const bool not_run = complete && (http::find(r.fields, names.not_run) ||
                                     r.status == misdirected);
+  if (not_run && r.status != misdirected && call->queue != nullptr) {
+    admission::on_refusal(call->queue->state, now);
+  }
   if (complete && r.status == misdirected && on_misdirected) {
     on_misdirected();
   }
@@ -484,6 +494,7 @@
   if (!call->contacted.empty()) {
     o.backend = call->contacted.back();
   }
+  leave_queue(*call, o);
   const auto done = std::move(call->done);
   call->done = nullptr;
   done(std::move(o));
--- a/cactusford/edge/forward.h
+++ b/cactusford/edge/forward.h
@@ -2,6 +2,7 @@
 // their outcomes mean for the caller.
 #pragma once
 
+#include "cactusford/admission/call_queue.h"
 #include "cactusford/edge/dialect.h"
 #include "cactusford/edge/second_attempt.h"
 #include "cactusford/http/client.h"
@@ -14,6 +15,7 @@
 #include <memory>
 #include <random>
 #include <string>
+#include <vector>
 
 namespace cactusford::edge {
 
@@ -30,6 +32,7 @@
   // Does not repeat the request after an attempt has lost its connection. The
   // requester retries itself, as no caller is waiting for the answer.
   bool no_retry_after_disconnect = false;
+  admission::call_demand demand;
 };
 
 enum class forward_end
@@ -61,9 +64,12 @@
   std::string backend;
   // Load that the server reported with its answer; zero if it reported none.
   backends::reported_load load;
-  // For `quarantined`: the delay before a retry, and the number of backend
-  // servers that have crashed while running the request.
+  // Refused by the queue of its service: no server was asked.
+  bool is_unsent = false;
+  // For `quarantined` and `not_run`: the delay before a retry; 0 if unknown.
   std::uint64_t retry_after_ms = 0;
+  // For `quarantined`: the number of backend servers that have crashed while
+  // running the request.
   std::uint32_t crashes = 0;
 };
 
@@ -105,6 +111,16 @@
 bool
 is_failed_run(const attempt_end& end);
 
+// The queue of one service, for metrics.
+struct queue_view
+{
+  std::string service;
+  const admission::call_queue* queue = nullptr;
+  // Calls that had to wait and calls that were refused, since the start.
+  std::uint64_t queued = 0;
+  std::uint64_t refused = 0;
+};
+
 class forwarder
 {
 public:
@@ -126,6 +142,18 @@
   std::function<void(const std::string& workspace, std::uint64_t at_ms)>
     on_run_started;
 
+  // Returns true if calls of this service wait in a queue while it is full.
+  std::function<bool(const std::string& service)> is_queued =
+    [](const std::string&) { return false; };
+
+  // Called when a call starts that was accepted by a queue, with its wait.
+  std::function<void(std::uint64_t waited_ms)> on_queue_wait;
+
+  // Refuses all calls that wait in queues.
+  void refuse_waiting();
+
+  std::vector<queue_view> queues() const;
+
   // Starts the call and returns a function that cancels it. `done` is not
   // called after a cancellation.
   std::function<void()> start(forward_request r, handler done);
@@ -133,6 +161,14 @@
 private:
   struct call_state;
   struct attempt;
+  struct service_queue;
+  void begin(const std::shared_ptr<call_state>& call);
+  service_queue& queue_of(const std::string& service);
+  void refresh_slots(service_queue& q) const;
+  void start_waiting_calls(service_queue& q);
+  void schedule_queue_check(service_queue& q);
+  void refuse_queued(service_queue& q, const admission::refused_call& r);
+  void leave_queue(call_state& call, forward_outcome& o);
   void send_next_attempt(const std::shared_ptr<call_state>& call);
   quarantine::decision check_quarantine(const call_state& call);
   bool may_send(const std::shared_ptr<call_state>& call);
@@ -176,6 +212,8 @@
   std::map<std::string, second_attempts> second_attempts_;
   // Number of open attempts by the fingerprint of their request.
   std::map<quarantine::fingerprint, std::uint32_t> running_attempts_;
+  std::map<std::string, std::shared_ptr<service_queue>> queues_;
+  std::uint64_t last_queue_id_ = 0;
   std::mt19937_64 random_{ std::random_device{}() };
 };
 
--- a/cactusford/edge/forward_impl.h
+++ b/cactusford/edge/forward_impl.h
@@ -6,6 +6,7 @@
 #include <asio/steady_timer.hpp>
 
 #include <algorithm>
+#include <map>
 #include <memory>
 #include <string>
 #include <vector>
@@ -23,6 +24,16 @@
   bool not_run = false;
 };
 
+struct forwarder::service_queue
+{
+  std::string service;
+  admission::call_queue state;
+  std::map<std::uint64_t, std::shared_ptr<call_state>> waiting;
+  asio::steady_timer timer;
+  std::uint64_t queued = 0;
+  std::uint64_t refused = 0;
+};
+
 struct forwarder::call_state
 {
   forward_request input;
@@ -49,6 +60,13 @@
   // The quarantine decision because of which the call was refused.
   quarantine::decision refusal_decision;
   bool finished = false;
+  // The queue in which the call waits or to whose limit it counts; or null.
+  service_queue* queue = nullptr;
+  std::uint64_t queue_id = 0;
+  std::uint64_t queue_started_ms = 0;
+  // Its position when it arrived, and why the queue refused it.
+  std::size_t queue_position = 0;
+  admission::refusal queue_refusal = admission::refusal::too_late;
 
   bool is_repeatable() const
   {
--- /dev/null
+++ b/cactusford/edge/queueing-test.cc
@@ -0,0 +1,171 @@
+#include "cactusford/edge/forward.h"
+
+#include "cactusford/http/server.h"
+#include "cactusford/http/socket.h"
+#include "cactusford/testing/section.h"
+
+#include <criterion/criterion.h>
+
+#include <algorithm>
+
+using namespace cactusford;
+using namespace cactusford::edge;
+
+namespace {
+
+constexpr std::size_t call_count = 20;
+
+// Calls to one server that answers only when told to.
+struct held_service
+{
+  asio::io_context io;
+  std::vector<http::call> held;
+  std::size_t most_held = 0;
+  std::size_t received = 0;
+  http::server server{ io, {}, [this](const http::call& c) {
+                        held.push_back(c);
+                        ++received;
+                        most_held = std::max(most_held, held.size());
+                      } };
+  backends::registry registry;
+  dialect names;
+  http::client http{ io };
+  forwarder calls{ io, http, registry, names, "a" };
+  std::vector<forward_outcome> outcomes;
+
+  explicit held_service(bool is_queued)
+  {
+    names.headers.signature = "Signature";
+    names.headers.deadline_ms = "Wait";
+    names.headers.expected_backend = "Expect";
+    names.headers.not_run = "Not-Run";
+    names.headers.load = "Load";
+    calls.is_queued = [is_queued](const std::string&) { return is_queued; };
+  }
+
+  void add_server()
+  {
+    cr_assert_not(server.listen("127.0.0.1:0"));
+    backends::announcement a;
+    a.id = "one";
+    a.service = "plain";
+    a.address = "127.0.0.1:" + std::to_string(server.port());
+    a.slots = 1;
+    backends::announce(registry, a);
+  }
+
+  std::function<void()> start()
+  {
+    forward_request r;
+    r.request = { "POST", "/book/", { { "Host", "h" } }, "b" };
+    r.route.services = { { "plain", 1 } };
+    constexpr std::uint64_t timeout_ms = 20000;
+    r.give_up_ms = http::now_ms() + timeout_ms;
+    return calls.start(std::move(r), [this](forward_outcome&& o) {
+      outcomes.push_back(std::move(o));
+    });
+  }
+
+  void run_until(const std::function<bool()>& is_done)
+  {
+    while (!is_done()) {
+      io.run_one();
+    }
+  }
+
+  void answer_held()
+  {
+    for (const auto& c : std::exchange(held, {})) {
+      c.respond({ 200, { { "Signature", "s" } }, "" });
+    }
+  }
+};
+
+} // namespace
+
+// Guards against a change where no queue is in force: all calls are sent at
+// once, and a call without a server is refused at once, without a time to
+// return.
+Test(queueing, without_a_queue_calls_are_sent_as_before)
+{
+  held_service s{ false };
+  s.start();
+  s.run_until([&] { return s.outcomes.size() == 1; });
+  cr_assert(s.outcomes[0].what == forward_end::not_run);
+  cr_assert_eq(s.outcomes[0].retry_after_ms, 0);
+  cr_assert_not(s.outcomes[0].is_unsent);
+  s.add_server();
+  for (std::size_t i = 0; i < call_count; ++i) {
+    s.start();
+  }
+  s.run_until([&] { return s.held.size() == call_count; });
+  s.answer_held();
+  s.run_until([&] { return s.outcomes.size() == call_count + 1; });
+  cr_assert(s.calls.queues().empty());
+}
+
+// Guards against calls that are lost in the queue, or sent beyond the limit.
+Test(queueing, sends_waiting_calls_as_others_are_answered)
+{
+  held_service s{ true };
+  s.add_server();
+  for (std::size_t i = 0; i < call_count; ++i) {
+    s.start();
+  }
+  while (s.outcomes.size() < call_count) {
+    s.io.run_one();
+    if (s.held.size() == 2 || s.received == call_count) {
+      s.answer_held();
+    }
+  }
+  cr_assert_eq(s.most_held, 2);
+  cr_assert(std::all_of(s.outcomes.begin(), s.outcomes.end(), [](auto& o) {
+    return o.what == forward_end::answered;
+  }));
+  cr_assert(s.calls.queues()[0].queue->running.empty());
+}
+
+// Guards against a 503 for a call that runs: at shutdown the queue answers only
+// the calls that no server has seen, also those that must not run twice.
+Test(queueing, refuses_only_calls_that_no_server_has_seen)
+{
+  held_service s{ true };
+  s.add_server();
+  for (int i = 0; i < 5; ++i) {
+    s.start();
+  }
+  s.run_until([&] { return s.held.size() == 2; });
+  s.calls.refuse_waiting();
+  cr_assert_eq(s.outcomes.size(), 3);
+  for (const auto& o : s.outcomes) {
+    cr_assert(o.what == forward_end::not_run);
+    cr_assert(o.is_unsent);
+    cr_assert_eq(o.attempts, 0);
+    cr_assert_geq(o.retry_after_ms, 100);
+  }
+  s.answer_held();
+  s.run_until([&] { return s.outcomes.size() == 5; });
+  cr_assert(s.outcomes.back().what == forward_end::answered);
+  cr_assert_eq(s.received, 2);
+}
+
+// Guards against a place that stays taken after its caller has left, whether
+// the call waited or ran.
+Test(queueing, cancelled_calls_leave_the_queue)
+{
+  held_service s{ true };
+  s.add_server();
+  const auto first = s.start();
+  s.start();
+  const auto third = s.start();
+  s.start();
+  s.run_until([&] { return s.held.size() == 2; });
+  cr_assert_eq(s.calls.queues()[0].queue->waiting.size(), 2);
+  third();
+  first();
+  s.run_until([&] { return s.received == 3; });
+  s.answer_held();
+  s.run_until([&] { return s.outcomes.size() == 2; });
+  cr_assert(s.calls.queues()[0].queue->running.empty());
+  cr_assert(s.calls.queues()[0].queue->waiting.empty());
+}
--- a/cactusford/routes/table-test.cc
+++ b/cactusford/routes/table-test.cc
@@ -62,3 +62,65 @@
   t.routes[1].services = { { "other", 1 } };
   cr_assert_not(yields_to_callers(t, scorer));
 }
+
+namespace {
+
+// Two routes of one plain service, without any difference in demand.
+table
+equal_demands()
+{
+  table t;
+  for (const auto* name : { "one", "two" }) {
+    auto r = route_of(name, std::string{ "/" } + name + "/");
+    r.services = { { "plain", 1 } };
+    r.objective_ms = 150;
+    t.routes.push_back(r);
+  }
+  t.services["plain"] = { "plain", "", 0, 0 };
+  workspaces::directory::builder b;
+  b.workspace("a", std::nullopt).key("ka").workspace("b", 0).key("kb");
+  t.workspaces = b.build();
+  return t;
+}
+
+} // namespace
+
+// Guards against calls that wait in deployments which declare nothing that
+// would order them.
+Test(routes, only_different_demands_make_a_service_contended)
+{
+  auto t = equal_demands();
+  cr_assert(contended_services(t).empty());
+  cr_assert(contended_services({}).empty());
+  SECTION("different priorities of routes alone do not")
+  {
+    auto other = equal_demands();
+    other.workspaces.reset();
+    other.routes[0].priority = 2;
+    cr_assert(contended_services(other).empty());
+  }
+  SECTION("different latency objectives do")
+  {
+    auto other = equal_demands();
+    other.routes[0].objective_ms = 400;
+    cr_assert(contended_services(other) == std::set<std::string>{ "plain" });
+    other.services["plain"].engine_slots = 6;
+    cr_assert(contended_services(other).empty(), "but not before engines");
+  }
+  SECTION("different weights, a limit, or different priorities do")
+  {
+    for (int kind = 0; kind < 3; ++kind) {
+      auto other = equal_demands();
+      auto& w = other.workspaces->all[1];
+      w.weight = kind == 0 ? 2 : 1;
+      w.max_running = kind == 1 ? 3 : 0;
+      w.priority = kind == 2 ? 1 : 0;
+      cr_assert(contended_services(other) == std::set<std::string>{ "plain" });
+      for (auto& r : other.routes) {
+        r.is_public = true;
+      }
+      cr_assert(contended_services(other).empty(),
+                "public routes have no workspaces");
+    }
+  }
+}
--- a/cactusford/routes/table.cc
+++ b/cactusford/routes/table.cc
@@ -36,6 +36,78 @@
   return r.services.empty() ? std::string{} : r.services.back().service;
 }
 
+namespace {
+
+// What is declared about the routes of one service.
+struct declared_demands
+{
+  std::set<std::uint64_t> objectives;
+  std::set<std::uint32_t> priorities;
+  bool takes_workspaces = false;
+};
+
+// Workspaces that declare no priority have that of the called route.
+bool
+differ_in_priority(const workspaces::directory& d,
+                   const std::set<std::uint32_t>& of_routes)
+{
+  std::set<std::optional<std::uint32_t>> declared;
+  for (const auto& w : d.all) {
+    declared.insert(w.priority);
+  }
+  if (declared.size() < 2 || !declared.contains(std::nullopt)) {
+    return declared.size() > 1;
+  }
+  declared.erase(std::nullopt);
+  declared.insert(of_routes.begin(), of_routes.end());
+  return declared.size() > 1;
+}
+
+bool
+differ_in_share(const workspaces::directory& d)
+{
+  return std::any_of(d.all.begin(), d.all.end(), [&](const auto& w) {
+    return w.weight != d.all.front().weight || w.max_running != 0;
+  });
+}
+
+} // namespace
+
+std::set<std::string>
+contended_services(const table& t)
+{
+  std::map<std::string, declared_demands> demands;
+  for (const auto& r : t.routes) {
+    if (r.kind == call_kind::rollout) {
+      continue;
+    }
+    for (const auto& s : r.services) {
+      auto& d = demands[s.service];
+      if (r.objective_ms > 0) {
+        d.objectives.insert(r.objective_ms);
+      }
+      if (!r.is_public) {
+        d.takes_workspaces = true;
+        d.priorities.insert(r.priority);
+      }
+    }
+  }
+  const bool shares_differ = t.workspaces && differ_in_share(*t.workspaces);
+  std::set<std::string> contended;
+  for (const auto& [name, d] : demands) {
+    const auto service = t.services.find(name);
+    const bool is_engine =
+      service != t.services.end() && service->second.engine_slots > 0;
+    const bool workspaces_differ =
+      t.workspaces && d.takes_workspaces &&
+      (shares_differ || differ_in_priority(*t.workspaces, d.priorities));
+    if (!is_engine && (d.objectives.size() > 1 || workspaces_differ)) {
+      contended.insert(name);
+    }
+  }
+  return contended;
+}
+
 bool
 yields_to_callers(const table& t, const route& r)
 {
--- a/cactusford/routes/table.h
+++ b/cactusford/routes/table.h
@@ -9,6 +9,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -100,6 +101,13 @@
 std::string
 pick_service(const route& r, double random);
 
+// Plain services whose callers have different demands: routes with different
+// latency objectives, or workspaces with different weights or priorities or
+// with a limit of their running calls. Only there can the order of waiting
+// calls matter.
+std::set<std::string>
+contended_services(const table& t);
+
 // Returns true if calls of this route must leave the service's capacity to
 // others: another route with a shorter latency objective uses a service of it.
 bool
--- a/cactusford/workspaces/directory.cc
+++ b/cactusford/workspaces/directory.cc
@@ -40,7 +40,21 @@
 directory::builder::workspace(std::string name,
                               std::optional<std::uint32_t> priority)
 {
-  result_.all.push_back({ std::move(name), priority });
+  result_.all.push_back({ std::move(name), priority, 1, 0 });
+  return *this;
+}
+
+directory::builder&
+directory::builder::weight(std::uint32_t weight)
+{
+  result_.all.back().weight = weight;
+  return *this;
+}
+
+directory::builder&
+directory::builder::max_running(std::uint32_t calls)
+{
+  result_.all.back().max_running = calls;
   return *this;
 }
 
--- a/cactusford/workspaces/directory.h
+++ b/cactusford/workspaces/directory.h
@@ -36,6 +36,10 @@
   std::string name;
   // Overrides the priority of the called route.
   std::optional<std::uint32_t> priority;
+  // Share of a service's capacity in relation to other workspaces.
+  std::uint32_t weight = 1;
+  // Calls to a service that may run at once at each entry; 0: unlimited.
+  std::uint32_t max_running = 0;
 
   friend bool operator==(const workspace&, const workspace&) = default;
 };
@@ -54,8 +58,11 @@
 class directory::builder
 {
 public:
-  // Starts a workspace; the following calls of `key` add keys to it.
+  // Starts a workspace; the following calls of the other functions
+  // describe it.
   builder& workspace(std::string name, std::optional<std::uint32_t> priority);
+  builder& weight(std::uint32_t weight);
+  builder& max_running(std::uint32_t calls);
   builder& key(std::string_view key);
   directory build();
 
