Scorers' calls start each step from the initial limit

Callers would see: all slots and queues full at the start of a step, as several owners start with the limits that the step before or single calls have left (found by reading, three owners of up to 31 calls on 42 slots). Change: where scorers yield to callers, the limit returns to its initial value after 500 ms without a call, and does not grow while most of it is unused.

--- a/cactusford/batches/score_limit-test.cc
+++ b/cactusford/batches/score_limit-test.cc
@@ -112,7 +112,7 @@
     scored += running - waiting;
     for (auto& l : owners) {
       while (l.in_flight > 0) {
-        on_call_end(l, yielding_end(load), all_slots, round * 80);
+        on_call_end(l, yielding_end(l, load), all_slots, round * 80);
       }
     }
   }
@@ -138,8 +138,32 @@
 // limit then follows refusals and answers alone.
 Test(score_limit, yields_only_by_reported_load)
 {
-  cr_assert(yielding_end({ 0, 0, 0 }) == score_end::answered);
-  cr_assert(yielding_end({ 4, 0, 6 }) == score_end::answered);
-  cr_assert(yielding_end({ 5, 0, 6 }) == score_end::answered_while_busy);
-  cr_assert(yielding_end({ 6, 1, 6 }) == score_end::answered_while_queueing);
+  score_limit l;
+  l.in_flight = 8;
+  cr_assert(yielding_end(l, { 0, 0, 0 }) == score_end::answered);
+  cr_assert(yielding_end(l, { 4, 0, 6 }) == score_end::answered);
+  cr_assert(yielding_end(l, { 5, 0, 6 }) == score_end::answered_without_growth);
+  cr_assert(yielding_end(l, { 6, 1, 6 }) == score_end::answered_while_queueing);
+}
+
+// Guards against a burst that starts with the limit of the step before, or with
+// one that single calls have raised: three owners would start 93 calls on 42
+// slots at once.
+Test(score_limit, starts_each_step_from_its_initial_value)
+{
+  score_limit l;
+  for (std::uint64_t i = 0; i < 100; ++i) {
+    on_call_start(l);
+    on_call_end(l, yielding_end(l, { 0, 0, 6 }), 42, 100 * i);
+  }
+  cr_assert_leq(l.limit, score_limit{}.limit);
+  l.limit = 31;
+  on_call_start(l);
+  restart_after_idle(l, 100'000);
+  cr_assert_eq(l.limit, 31, "calls are in flight");
+  on_call_end(l, score_end::cancelled, 42, 100'000);
+  restart_after_idle(l, 100'100);
+  cr_assert_eq(l.limit, 31, "the step goes on");
+  restart_after_idle(l, 101'000);
+  cr_assert_eq(l.limit, score_limit{}.limit);
 }
--- a/cactusford/batches/score_limit.cc
+++ b/cactusford/batches/score_limit.cc
@@ -21,11 +21,17 @@
 // limit use less than half of the slots.
 constexpr double min_yielding_share = 0.125;
 
+// Longer than the gaps between the scores of one step, shorter than the time
+// between two steps. Owners that started a step with the limits of the one
+// before filled all slots and queues until refusals had lowered their limits.
+constexpr std::uint64_t idle_ms = 500;
+
 double
 lowest_limit(score_end e, std::size_t slots)
 {
   return e == score_end::answered_while_queueing
-           ? std::max(min_limit, min_yielding_share * double(slots))
+           ? std::max(min_limit,
+                      min_yielding_share * static_cast<double>(slots))
            : min_limit;
 }
 
@@ -50,6 +56,7 @@
             std::uint64_t now_ms)
 {
   l.in_flight -= l.in_flight > 0 ? 1 : 0;
+  l.last_end_ms = now_ms;
   if (e == score_end::answered) {
     l.limit += 1 / l.limit;
   } else if ((e == score_end::refused ||
@@ -66,14 +73,25 @@
 }
 
 score_end
-yielding_end(const backends::reported_load& l)
+yielding_end(const score_limit& l, const backends::reported_load& load)
 {
-  if (l.waiting > 0) {
+  if (load.waiting > 0) {
     return score_end::answered_while_queueing;
   }
-  const auto max_running = (1 - reserved_for_callers) * double(l.slots);
-  return l.slots > 0 && l.running > max_running ? score_end::answered_while_busy
-                                                : score_end::answered;
+  const auto max_running =
+    (1 - reserved_for_callers) * static_cast<double>(load.slots);
+  const bool is_busy = load.slots > 0 && load.running > max_running;
+  const bool is_unused = 2 * static_cast<double>(l.in_flight) < l.limit;
+  return is_busy || is_unused ? score_end::answered_without_growth
+                              : score_end::answered;
+}
+
+void
+restart_after_idle(score_limit& l, std::uint64_t now_ms)
+{
+  if (l.in_flight == 0 && now_ms >= l.last_end_ms + idle_ms) {
+    l.limit = std::min(l.limit, score_limit{}.limit);
+  }
 }
 
 } // namespace cactusford::batches
--- a/cactusford/batches/score_limit.h
+++ b/cactusford/batches/score_limit.h
@@ -32,6 +32,7 @@
   // The limit is not decreased again before this time, because refusals arrive
   // in bursts.
   std::uint64_t next_decrease_ms = 0;
+  std::uint64_t last_end_ms = 0;
 
   friend bool operator==(const score_limit&, const score_limit&) = default;
 };
@@ -45,8 +46,9 @@
 enum class score_end
 {
   answered,
-  // Answered, but few of the server's slots were free.
-  answered_while_busy,
+  // Answered, but few of the server's slots were free or most of the limit was
+  // unused, so the limit must not grow.
+  answered_without_growth,
   // Answered, but other requests waited for a slot of the server.
   answered_while_queueing,
   // A server had no free slot for the call or crashed during it.
@@ -65,6 +67,12 @@
 // The end of an answered call on a service that scorers must leave to callers,
 // by the load that the server reported with the answer.
 score_end
-yielding_end(const backends::reported_load& l);
+yielding_end(const score_limit& l, const backends::reported_load& load);
+
+// Lowers the limit to its initial value if no call has been in flight for a
+// while, as other owners may have started since. Call it before a call that
+// must yield to callers.
+void
+restart_after_idle(score_limit& l, std::uint64_t now_ms);
 
 } // namespace cactusford::batches
--- a/cactusford/batches/scoring.cc
+++ b/cactusford/batches/scoring.cc
@@ -153,16 +153,20 @@
   f.give_up_ms = http::now_ms() + route->timeout_ms;
   i.score_retry_at_ms = 0;
   ++i.score_tries;
-  on_call_start(score_limiter);
   const bool yields =
     deps.score_calls_yield && routes::yields_to_callers(*deps.table(), *route);
+  if (yields) {
+    restart_after_idle(score_limiter, http::now_ms());
+  }
+  on_call_start(score_limiter);
   const auto cancel = deps.forwarder.start(
     std::move(f),
     [self = shared_from_this(), next, slots = slots_of(*route), yields](
       edge::forward_outcome&& o) {
       const bool is_full =
         o.refusals > 0 || o.what == edge::forward_end::unknown;
-      auto end = yields ? yielding_end(o.load) : score_end::answered;
+      auto end = yields ? yielding_end(self->score_limiter, o.load)
+                        : score_end::answered;
       end = is_full ? score_end::refused : end;
       // A refusal by the queue of this instance says nothing about servers.
       end = o.is_unsent ? score_end::cancelled : end;
