--- a/cactusford/batches/score_limit-test.cc
+++ b/cactusford/batches/score_limit-test.cc
@@ -167,3 +167,29 @@
   restart_after_idle(l, 101'000);
   cr_assert_eq(l.limit, score_limit{}.limit);
 }
+
+// Guards against a change of the limit where scorers need not yield. The
+// values were recorded with the code before yielding was added.
+Test(score_limit, follows_the_recorded_sequence_without_yielding)
+{
+  constexpr std::array recorded{
+    5.230260697, 5.207947240, 6.212193186, 5.269813835, 5.285306853
+  };
+  score_limit l;
+  std::uint64_t random = 1;
+  for (std::uint64_t i = 0; i < 2000; ++i) {
+    random = random * 6364136223846793005ULL + 1442695040888963407ULL;
+    const auto draw = (random >> 33U) % 100;
+    if (draw < 50 && can_start(l)) {
+      on_call_start(l);
+    } else {
+      const auto end = draw < 90   ? score_end::answered
+                       : draw < 96 ? score_end::refused
+                                   : score_end::cancelled;
+      on_call_end(l, end, 42, 20 * i);
+    }
+    if (i % 400 == 399) {
+      cr_assert_float_eq(l.limit, recorded[i / 400], 1e-8);
+    }
+  }
+}
