Entry: bound on the memory of answers that wait for callers

What callers saw: an answer above 8 MB was cut although up to 16 MB are collected for a caller; an answer was cut when its caller read steadily but for longer than the time of an idle connection; a shutdown cut answers that were still being read. Nothing bounded the total: a caller that sent many requests without reading had all its answers held, and a connection kept the capacity of its largest answers for as long as it was open.

Cause: the server's limit for streams also applied to whole answers, progress of a write did not count as activity, and no bytes were counted.

Change: the server counts bytes that wait to be written, the client those that it collects, both in one total. With `memory_mb` set, new calls are refused with 503 and Retry-After above a quarter of it, and the send buffers of callers' sockets are limited to 64 KB, as the kernel otherwise holds up to 4 MB of an unread answer. A connection with more than 256 KB to be written starts no further pipelined request. Metrics buffered_bytes, buffered_bytes_peak and calls_refused_memory; log lines buffer_full, buffer_recovered and call_refused why=memory.

--- a/cactusford/edge/edge.cc
+++ b/cactusford/edge/edge.cc
@@ -4,6 +4,7 @@
 #include "cactusford/edge/forward.h"
 #include "cactusford/edge/hosted.h"
 #include "cactusford/edge/piggyback.h"
+#include "cactusford/http/buffer_budget.h"
 #include "cactusford/http/server.h"
 #include "cactusford/http/socket.h"
 #include "cactusford/membership/directory.h"
@@ -120,6 +121,7 @@
                     const std::string& id,
                     forward_outcome&& o);
   void refuse(const http::call& c, const std::string& retry_after_s);
+  void log_buffer_change();
   std::uint64_t table_age_ms() const;
   void deny(const http::call& c, int status, const timeline::event& line);
   bool authorize(const http::call& c, const caller_identity& caller);
@@ -130,6 +132,7 @@
   void on_unreadable_backend(const store::unreadable_object& u);
   void start_watches();
   void export_view_metrics();
+  void export_buffer_metrics();
   void export_quarantine_metrics();
   void export_usage_metrics();
   void retain_missing_backends();
@@ -140,6 +143,9 @@
   process_runtime runtime;
   const dialect& wire;
   process::metrics metrics;
+  // Answers that are collected or wait for callers to read them.
+  std::shared_ptr<http::buffer_budget> buffers =
+    std::make_shared<http::buffer_budget>();
   http::client http;
   store::client store;
   backends::registry registry;
@@ -260,7 +266,8 @@
                   {} } }
   , caller_server{ runtime.io,
                    {},
-                   [this](http::call c) { on_caller(std::move(c)); } }
+                   [this](http::call c) { on_caller(std::move(c)); },
+                   buffers }
   , readiness_server{ runtime.io,
                       {},
                       [this](const http::call& c) {
@@ -276,6 +283,7 @@
                   static_cast<double>(http.connections_opened()));
       metrics.set("batches_owned", static_cast<double>(batch_manager.owned()));
       export_view_metrics();
+      export_buffer_metrics();
       export_quarantine_metrics();
       export_usage_metrics();
       http::response r;
@@ -329,6 +337,30 @@
   metrics.set("store_tries_failed", static_cast<double>(store.failed_tries()));
 }
 
+void
+edge_process::export_buffer_metrics()
+{
+  log_buffer_change();
+  metrics.set("buffered_bytes", static_cast<double>(buffers->bytes));
+  metrics.set("buffered_bytes_peak", static_cast<double>(buffers->peak_bytes));
+}
+
+// Called for each call and each scrape, as only a refused call makes a full
+// buffer matter.
+void
+edge_process::log_buffer_change()
+{
+  const auto change = http::update_full(*buffers);
+  if (change != http::buffer_change::none) {
+    process::log_line(timeline::event{
+      change == http::buffer_change::became_full ? "buffer_full"
+                                                 : "buffer_recovered" }
+                        .with("bytes", buffers->bytes)
+                        .with("limit", buffers->limit_bytes)
+                        .with("unsent", caller_server.unsent_bytes()));
+  }
+}
+
 void
 edge_process::export_quarantine_metrics()
 {
@@ -544,6 +576,16 @@
     http::find(request.fields, wire.headers.request_id).value_or("")
   };
   metrics.add("calls_received");
+  log_buffer_change();
+  if (!http::may_take_call(*buffers)) {
+    metrics.add("calls_refused_memory");
+    process::log_line(timeline::event{ "call_refused" }
+                        .with("request", id)
+                        .with("why", "memory")
+                        .with("buffered", buffers->bytes));
+    refuse(c, std::string{ default_retry_after_s });
+    return;
+  }
   if (!table) {
     process::log_line(timeline::event{ "call_refused" }
                         .with("request", id)
@@ -793,9 +835,9 @@
 edge_process::poll_drained()
 {
   const auto drain_ms = http::now_ms() - leave_started_ms;
-  const bool idle = caller_server.active_requests() == 0 &&
-                    peer_server.active_requests() == 0 &&
-                    drain_ms >= min_drain_ms;
+  const bool idle =
+    caller_server.active_requests() == 0 && caller_server.unsent_bytes() == 0 &&
+    peer_server.active_requests() == 0 && drain_ms >= min_drain_ms;
   const auto limit = runtime.settings.grace_ms - kill_margin_ms;
   if ((idle && has_handed_over_batches && meter.has_left()) ||
       drain_ms >= limit) {
@@ -822,7 +864,10 @@
   runtime.on_reload = [this](const hosted_settings& fresh) {
     store.use_relays(fresh.peers, fresh.peer_rank);
     standby.is_relay = fresh.peer_rank.has_value();
+    buffers->limit_bytes = http::buffer_limit_for(fresh.memory_mb);
   };
+  buffers->limit_bytes = http::buffer_limit_for(s.memory_mb);
+  http.count_collected(buffers);
   standby.is_relay = s.peer_rank.has_value();
   batch_manager.start();
   // Refreshes the list at once, so that a server that has restarted under
--- a/cactusford/http/client.cc
+++ b/cactusford/http/client.cc
@@ -14,6 +14,36 @@
 
 namespace {
 
+// A response that is being collected. Its bytes count until it is handed over
+// or dropped.
+struct collected_response
+{
+  explicit collected_response(std::shared_ptr<buffer_budget> b)
+    : buffers{ std::move(b) }
+  {
+  }
+  ~collected_response() { release(); }
+  collected_response(const collected_response&) = delete;
+  collected_response& operator=(const collected_response&) = delete;
+
+  void append(std::string_view data)
+  {
+    value.body += data;
+    counted += data.size();
+    add_bytes(*buffers, data.size());
+  }
+
+  void release()
+  {
+    release_bytes(*buffers, counted);
+    counted = 0;
+  }
+
+  response value;
+  std::shared_ptr<buffer_budget> buffers;
+  std::size_t counted = 0;
+};
+
 constexpr std::size_t read_size = 16U << 10;
 
 // One buffer for all reads of the thread, because each read is consumed before
@@ -130,6 +160,7 @@
   std::map<std::string, std::deque<std::shared_ptr<detail::connection>>> idle;
   std::size_t count = 0;
   std::uint64_t opened = 0;
+  std::shared_ptr<buffer_budget> buffers = std::make_shared<buffer_budget>();
 };
 
 std::shared_ptr<detail::connection>
@@ -514,26 +545,33 @@
               response_handler done,
               std::size_t max_bytes)
 {
-  auto collected = std::make_shared<response>();
+  auto collected = std::make_shared<collected_response>(impl_->buffers);
   exchange_callbacks callbacks;
   callbacks.on_head = [collected](const head& h) {
-    collected->status = h.status;
-    collected->fields = h.fields;
+    collected->value.status = h.status;
+    collected->value.fields = h.fields;
   };
   callbacks.on_body = [collected, max_bytes](std::string_view data) {
-    if (collected->body.size() <= max_bytes) {
-      collected->body += data;
+    if (collected->value.body.size() <= max_bytes) {
+      collected->append(data);
     }
   };
   callbacks.on_end =
     [collected, max_bytes, done = std::move(done)](exchange_outcome state) {
-      const bool oversized = collected->body.size() > max_bytes;
+      const bool oversized = collected->value.body.size() > max_bytes;
+      collected->release();
       done(oversized ? exchange_outcome::malformed : state,
-           std::move(*collected));
+           std::move(collected->value));
     };
   return send(address, r, std::move(options), std::move(callbacks));
 }
 
+void
+client::count_collected(std::shared_ptr<buffer_budget> buffers)
+{
+  impl_->buffers = std::move(buffers);
+}
+
 void
 client::close_idle(const std::string& address)
 {
--- a/cactusford/http/client.h
+++ b/cactusford/http/client.h
@@ -2,6 +2,7 @@
 // Single-threaded.
 #pragma once
 
+#include "cactusford/http/buffer_budget.h"
 #include "cactusford/http/message.h"
 #include "cactusford/http/parser.h"
 
@@ -117,6 +118,10 @@
                         response_handler done,
                         std::size_t max_bytes = 16U << 20);
 
+  // From now on counts the bytes that `fetch` collects, from their arrival
+  // until the response is handed over or the request is cancelled.
+  void count_collected(std::shared_ptr<buffer_budget> buffers);
+
   // Closes the idle connections to an address.
   void close_idle(const std::string& address);
 
--- a/cactusford/http/server.cc
+++ b/cactusford/http/server.cc
@@ -20,6 +20,8 @@
 
 constexpr std::size_t read_size = 16U << 10;
 
+constexpr std::size_t write_size = 64U << 10;
+
 // Limit for pipelined requests of one connection, in bytes. Beyond it, the
 // server stops reading until the current request is answered.
 constexpr std::size_t ahead_limit = 256U << 10;
@@ -27,9 +29,22 @@
 // How often idle and slow connections are closed, in milliseconds.
 constexpr std::uint64_t sweep_ms = 500;
 
-// Bytes that may wait for a slow reader before its connection is closed.
+// Bytes of a streamed response that may wait for a slow reader before its
+// connection is closed.
 constexpr std::size_t unsent_limit = 8U << 20;
 
+// A connection with more bytes to be written starts no further pipelined
+// request, so a caller that does not read holds this much and one answer.
+constexpr std::size_t pipeline_limit = 256U << 10;
+
+// Send buffer of a connection's socket where the total is bounded. The kernel
+// otherwise takes up to 4 MB for each slow reader, which no bound covers.
+constexpr int socket_send_bytes = 64 << 10;
+
+// Buffers above this capacity are freed once written. Kept, two answers of 16
+// MB would stay in memory for as long as their connection is open.
+constexpr std::size_t kept_capacity = 64U << 10;
+
 std::array<char, read_size>&
 read_buffer()
 {
@@ -41,10 +56,14 @@
 
 struct server_state : std::enable_shared_from_this<server_state>
 {
-  server_state(asio::io_context& context, server_limits l, server::handler h)
+  server_state(asio::io_context& context,
+               server_limits l,
+               server::handler h,
+               std::shared_ptr<buffer_budget> b)
     : io{ context }
     , limits{ l }
     , handle{ std::move(h) }
+    , buffers{ b ? std::move(b) : std::make_shared<buffer_budget>() }
     , acceptor{ context }
     , sweep_timer{ context }
   {
@@ -56,6 +75,7 @@
   asio::io_context& io;
   server_limits limits;
   server::handler handle;
+  std::shared_ptr<buffer_budget> buffers;
   asio::ip::tcp::acceptor acceptor;
   http::timer sweep_timer;
   std::unordered_set<server_connection*> open_connections;
@@ -78,6 +98,8 @@
   void refuse(int status);
   void send(std::string bytes);
   void write();
+  void on_written(const asio::error_code& ec);
+  void release_unsent();
   void end_answer();
   void close();
   void disconnect();
@@ -166,7 +188,8 @@
 void
 server_connection::process_input()
 {
-  while (!closed && !answering && !close_when_sent && !read_ahead.empty()) {
+  while (!closed && !answering && !close_when_sent && !read_ahead.empty() &&
+         sending.size() + unsent.size() <= pipeline_limit) {
     const auto consumed = parser.feed(read_ahead);
     if (closed || close_when_sent) {
       return;
@@ -266,8 +289,14 @@
   if (closed) {
     return;
   }
-  unsent += bytes;
-  if (unsent.size() > unsent_limit) {
+  add_bytes(*owner->buffers, bytes.size());
+  if (unsent.empty()) {
+    unsent = std::move(bytes);
+  } else {
+    unsent += bytes;
+  }
+  // A whole response may be longer than the limit, which is for streams only.
+  if (head_sent && unsent.size() > unsent_limit) {
     disconnect();
     return;
   }
@@ -283,27 +312,58 @@
   asio::async_write(
     socket,
     asio::buffer(sending),
-    [self = shared_from_this()](asio::error_code ec, std::size_t) {
-      self->sending.clear();
-      if (self->closed) {
-        return;
-      }
-      if (ec) {
-        self->disconnect();
-        return;
-      }
-      if (!self->unsent.empty()) {
-        self->write();
-      } else if (self->close_when_sent) {
-        self->close();
-      }
+    // Called after each partial write. A caller that reads slowly but steadily
+    // is not idle, and its answer is written to the end.
+    [this](const asio::error_code& ec, std::size_t) -> std::size_t {
+      waiting_since_ms = now_ms();
+      return ec ? 0 : write_size;
+    },
+    [self = shared_from_this()](const asio::error_code& ec, std::size_t) {
+      self->on_written(ec);
     });
 }
 
+void
+server_connection::on_written(const asio::error_code& ec)
+{
+  if (!closed) {
+    release_bytes(*owner->buffers, sending.size());
+  }
+  sending.clear();
+  if (sending.capacity() > kept_capacity) {
+    sending = {};
+  }
+  if (closed) {
+    return;
+  }
+  if (ec) {
+    disconnect();
+    return;
+  }
+  if (!unsent.empty()) {
+    write();
+  } else if (close_when_sent) {
+    close();
+    return;
+  }
+  process_input();
+  read();
+}
+
+// `sending` itself is freed when its write ends, which closing the socket
+// causes at once.
+void
+server_connection::release_unsent()
+{
+  release_bytes(*owner->buffers, sending.size() + unsent.size());
+  unsent = {};
+}
+
 void
 server_connection::end_answer()
 {
   answering = false;
+  head_sent = false;
   disconnect_handler = nullptr;
   --owner->active_requests;
   waiting_since_ms = now_ms();
@@ -321,6 +381,7 @@
     return;
   }
   closed = true;
+  release_unsent();
   if (answering) {
     answering = false;
     --owner->active_requests;
@@ -358,6 +419,12 @@
     }
     if (!ec && self->open_connections.size() < self->limits.connections) {
       configure_socket(socket);
+      if (self->buffers->limit_bytes > 0) {
+        // Without the option the socket still works, as before.
+        asio::error_code ignored;
+        socket.set_option(
+          asio::socket_base::send_buffer_size{ socket_send_bytes }, ignored);
+      }
       std::make_shared<server_connection>(self, std::move(socket))->read();
       self->sweep();
     }
@@ -484,8 +551,14 @@
   }
 }
 
-server::server(asio::io_context& io, server_limits limits, handler h)
-  : state_{ std::make_shared<detail::server_state>(io, limits, std::move(h)) }
+server::server(asio::io_context& io,
+               server_limits limits,
+               handler h,
+               std::shared_ptr<buffer_budget> buffers)
+  : state_{ std::make_shared<detail::server_state>(io,
+                                                   limits,
+                                                   std::move(h),
+                                                   std::move(buffers)) }
 {
 }
 
@@ -559,6 +632,16 @@
   return state_->open_connections.size() - state_->active_requests;
 }
 
+std::size_t
+server::unsent_bytes() const
+{
+  std::size_t sum = 0;
+  for (const auto* c : state_->open_connections) {
+    sum += c->closed ? 0 : c->sending.size() + c->unsent.size();
+  }
+  return sum;
+}
+
 std::uint16_t
 server::port() const
 {
--- a/cactusford/http/server.h
+++ b/cactusford/http/server.h
@@ -1,6 +1,7 @@
 // Asynchronous HTTP/1.1 server. Single-threaded.
 #pragma once
 
+#include "cactusford/http/buffer_budget.h"
 #include "cactusford/http/message.h"
 
 #include <asio/io_context.hpp>
@@ -69,7 +70,11 @@
 public:
   using handler = std::function<void(call)>;
 
-  server(asio::io_context& io, server_limits limits, handler h);
+  // Counts the bytes that wait to be written in `buffers`, unless null.
+  server(asio::io_context& io,
+         server_limits limits,
+         handler h,
+         std::shared_ptr<buffer_budget> buffers = nullptr);
   ~server();
   server(const server&) = delete;
   server& operator=(const server&) = delete;
@@ -88,6 +93,9 @@
   // Number of requests whose response is not complete.
   std::size_t active_requests() const;
 
+  // Bytes of responses that wait to be written.
+  std::size_t unsent_bytes() const;
+
   // Number of connections without a request in progress.
   std::size_t idle_connections() const;
 
--- a/standins/crashing_service.cc
+++ b/standins/crashing_service.cc
@@ -126,7 +126,7 @@
     c.respond({ 200,
                 { { "Id", std::string{ id } },
                   { "Signature", "sig-" + std::string{ id } } },
-                "" });
+                options_.answer_body(c.request()) });
   });
 }
 
--- a/standins/crashing_service.h
+++ b/standins/crashing_service.h
@@ -29,6 +29,9 @@
   std::function<bool(const http::request&)> is_poison = [](const auto&) {
     return false;
   };
+  // Returns the body of the response to a request.
+  std::function<std::string(const http::request&)> answer_body =
+    [](const auto&) { return std::string{}; };
 };
 
 class crashing_service
--- a/tests/process_cluster.h
+++ b/tests/process_cluster.h
@@ -52,6 +52,7 @@
   std::string callers;
   std::string peer;
   std::string ready;
+  std::string metrics;
   pid_t pid = 0;
 };
 
@@ -63,22 +64,32 @@
   crashing_service service;
   std::vector<entry_process> entries;
   std::string folder;
+  // Settings of the entries that differ from those of `start`.
+  json settings;
+  // Returns the body of the backend servers' answer to a request.
+  std::function<std::string(const http::request&)> answer_body =
+    [](const http::request&) { return std::string{}; };
   int next_id = 0;
   // The last request that a backend server has received.
   http::request last_request;
 
-  process_cluster(const std::string& name, std::size_t count)
+  process_cluster(const std::string& name,
+                  std::size_t count,
+                  json overrides = json::object(),
+                  std::uint64_t work_ms = 30)
     : service{ io,
                store,
                { "calls",
                  4,
-                 30,
+                 work_ms,
                  400,
                  [this](const http::request& r) {
                    last_request = r;
                    return r.body == poison_body;
-                 } } }
+                 },
+                 [this](const http::request& r) { return answer_body(r); } } }
     , folder{ std::string{ CACTUSFORD_BINARY } + "/tests/processes-" + name }
+    , settings(std::move(overrides))
   {
     std::filesystem::create_directories(folder);
     choose_addresses(count);
@@ -102,7 +113,7 @@
     };
     for (std::size_t i = 0; i < count; ++i) {
       entries.push_back(
-        { "entry-" + std::to_string(i), next(), next(), next() });
+        { "entry-" + std::to_string(i), next(), next(), next(), next() });
     }
   }
 
@@ -133,17 +144,18 @@
       peers.push_back(entries[i].peer);
     }
     const auto path = folder + "/" + e.name + ".json";
-    std::ofstream{ path } << json{
-      { "instance", e.name },
-      { "data_centre", "a" },
-      { "callers", e.callers },
-      { "peer", e.peer },
-      { "ready", e.ready },
-      { "store", store.address() },
-      { "peers", peers },
-      { "grace_s", 3 },
-      { "log_lines_per_second", 1000 }
-    }.dump();
+    json all{ { "instance", e.name },
+              { "data_centre", "a" },
+              { "callers", e.callers },
+              { "peer", e.peer },
+              { "ready", e.ready },
+              { "metrics", e.metrics },
+              { "store", store.address() },
+              { "peers", peers },
+              { "grace_s", 3 },
+              { "log_lines_per_second", 1000 } };
+    all.merge_patch(settings);
+    std::ofstream{ path } << all.dump();
     e.pid = standins::spawn_program({ entry_program, "--settings", path },
                                     folder + "/" + e.name + ".log");
     cr_assert_gt(e.pid, 0);
