Speed of engines: new slow models and single pauses are not trouble; late moves follow trouble

Cause, as far as traced: a text that had moved once for being late stayed on a slow engine after its next engine got into trouble. Besides, a new engine of a model slower than the rest by more than 1.9 was never learned. Change: until a factor is known, every sample counts. Trouble is confirmed only by a later sample that is itself slow. Whether an engine is slow enough to leave is judged against the fastest one. A move because of trouble permits one more late move.

--- a/cactusford/backends/run_moves.cc
+++ b/cactusford/backends/run_moves.cc
@@ -125,8 +125,9 @@
     return has_moved ? move_cause::none : move_cause::trouble;
   }
   // A run that is late already has missed its step, and a move only costs.
-  if (history.has_moved_late || distinct_factor(here.speed) <= 1 ||
-      now_ms >= run.due_ms) {
+  const bool has_faster =
+    pace->fast_factor < clearly_faster * distinct_factor(here.speed);
+  if (history.has_moved_late || !has_faster || now_ms >= run.due_ms) {
     return move_cause::none;
   }
   const auto rest = run.remaining_events * expected_gap_ms(r, here, 0, now_ms);
@@ -148,7 +149,10 @@
   if (cause == move_cause::none || is_in_trouble(r, there, now_ms)) {
     return false;
   }
-  if (cause == move_cause::late && gap_there > clearly_faster * gap_here) {
+  const bool is_distinct =
+    distinct_factor(there.speed) < distinct_factor(here.speed);
+  if (cause == move_cause::late &&
+      (!is_distinct || gap_there > clearly_faster * gap_here)) {
     return false;
   }
   return move_pays(run.remaining_events, gap_here, gap_there);
@@ -160,6 +164,8 @@
   if (cause == move_cause::trouble) {
     h.left_id = here.info.id;
     h.left_period_ms = here.speed.trouble_since_ms;
+    // Often only slow engines are free when an engine gets into trouble.
+    h.has_moved_late = false;
     ++r.moves.moved_trouble;
   } else if (cause == move_cause::late) {
     h.has_moved_late = true;
--- a/cactusford/backends/speed-test.cc
+++ b/cactusford/backends/speed-test.cc
@@ -2,9 +2,12 @@
 // fall into trouble, as an owner of batches sees them.
 #include "cactusford/backends/run_moves.h"
 
+#include "cactusford/testing/section.h"
+
 #include <criterion/criterion.h>
 
 #include <algorithm>
+#include <array>
 #include <cstdio>
 #include <limits>
 #include <optional>
@@ -667,6 +670,51 @@
   cr_expect_eq(servers_in_trouble(r, now), 1);
 }
 
+// Guards against a slow model that counts as an engine in trouble for ever: it
+// joins fast engines and is slower than they are by more than the limit.
+Test(speed, a_new_engine_of_a_slow_model_is_not_in_trouble)
+{
+  auto r = engines(5);
+  std::uint64_t now = start_ms;
+  feed(r, { 25, 25, 25, 25 }, now, 60);
+  feed(r, { 25, 25, 25, 25, 61 }, now, 60);
+  cr_expect_eq(servers_in_trouble(r, now), 0);
+  SECTION("it is known as slow, so that long texts leave it")
+  {
+    const run_outlook late{ 100, now + 5000 };
+    const auto& slow = *find(r, engine_id(4));
+    cr_expect(cause_to_move(r, slow, late, {}, now) == move_cause::late);
+    cr_expect(should_move(
+      r, slow, *find(r, engine_id(0)), move_cause::late, late, now));
+  }
+  SECTION("real trouble is still seen")
+  {
+    feed(r, { 25, 25, 25, 25, 244 }, now, 8);
+    cr_expect(is_in_trouble(r, *find(r, engine_id(4)), now));
+  }
+}
+
+// Guards against runs that leave an engine because it loads weights: all its
+// streams pause once, for about a second, and go on at their usual pace.
+Test(speed, a_single_pause_is_no_trouble)
+{
+  auto r = engines(5);
+  std::uint64_t now = start_ms;
+  feed(r, { 66, 66, 66, 66, 66 }, now, 60);
+  auto& paused = *find(r, engine_id(4));
+  std::array<gap_window, 2> windows;
+  std::uint64_t last = now;
+  now += 900;
+  for (int event = 0; event < 40; ++event) {
+    for (auto& w : windows) {
+      note_events(r, paused, w, 1, last, now);
+    }
+    cr_assert_not(is_in_trouble(r, paused, now));
+    last = now;
+    now += 66;
+  }
+}
+
 // Without samples, or with stale ones, no engine is in trouble, and a recovered
 // one is tried again.
 Test(speed, trouble_expires_without_samples)
--- a/cactusford/backends/speed.cc
+++ b/cactusford/backends/speed.cc
@@ -109,9 +109,12 @@
 void
 learn_factor(server_speed& s, double relative, double ratio)
 {
-  const bool is_disturbed = ratio >= trouble_limit;
+  // Until the factor is known, nothing tells trouble from a slow model. Servers
+  // slower than the rest by more than the limit were taken for troubled ones
+  // that never recover.
+  const bool is_disturbed = is_factor_known(s) && ratio >= trouble_limit;
   if (s.samples == 0) {
-    s.factor = is_disturbed ? s.factor : relative;
+    s.factor = relative;
   } else {
     const auto gain = std::max(factor_gain, 1.0 / (s.samples + 1));
     auto step = std::clamp(relative / s.factor - 1, -max_step, max_step);
@@ -243,7 +246,12 @@
     s.in_trouble = false;
   } else if (relative_trouble >= trouble_limit) {
     s.trouble_since_ms = s.trouble_since_ms == 0 ? now_ms : s.trouble_since_ms;
-    s.in_trouble = s.in_trouble || now_ms - s.trouble_since_ms >= confirm_ms;
+    // An engine that loads weights pauses all its streams once, and their
+    // samples keep the average high for a while.
+    const bool is_slow_sample =
+      ratio >= trouble_limit * std::max(1.0, p.trouble);
+    s.in_trouble = s.in_trouble || (is_slow_sample &&
+                                    now_ms - s.trouble_since_ms >= confirm_ms);
   }
 
   const auto own_ratio = ratio / std::max(1.0, p.trouble);
@@ -313,6 +321,7 @@
   }
   // Slow servers yield their samples last: measured servers without a known
   // factor count as slower than all others.
+  p.fast_factor = *std::min_element(known.begin(), known.end()) / scale;
   const auto quartile = std::max(measured, known.size()) * 3 / 4;
   if (known.size() >= min_known_servers && quartile < known.size()) {
     p.slow_factor = element_at(known, quartile) / scale;
--- a/cactusford/backends/speed.h
+++ b/cactusford/backends/speed.h
@@ -47,6 +47,8 @@
   std::array<double, 5> slowdown{ 1, 1, 1, 1, 1 };
   // Factor of the slower quartile of the servers; 0 if too few are known.
   double slow_factor = 0;
+  // Factor of the fastest server.
+  double fast_factor = 1;
   // Trouble of the median server; the whole service may be slow for a while.
   double trouble = 1;
   // Moving average of the load of the measured servers.
--- a/cactusford/batches/engine_shares-test.cc
+++ b/cactusford/batches/engine_shares-test.cc
@@ -118,9 +118,32 @@
   cr_assert(divide_fairly(234, { { "a", 10 }, { "b", 0 } }) ==
             shares({ 10, 0 }));
   cr_assert(divide_fairly(0, { { "a", 10 } }) == shares({ 0 }));
-  cr_assert_eq(weight_of_priority(0), 4);
-  cr_assert_eq(weight_of_priority(1), 2);
-  cr_assert_eq(weight_of_priority(9), 1);
+}
+
+// Guards against steps of long texts that get no more slots than steps of short
+// ones, and whose longest texts therefore start seconds late.
+Test(engine_shares, weighs_owners_by_the_work_of_their_steps)
+{
+  const auto long_texts = weight_of_steps(1, 160 * 900);
+  const auto short_texts = weight_of_steps(1, 144 * 300);
+  cr_assert_geq(long_texts, 2 * short_texts);
+  SECTION("priority makes a step faster, but not at the cost of the others")
+  {
+    cr_assert_gt(weight_of_steps(0, 160 * 900), weight_of_steps(2, 160 * 900));
+    cr_assert_leq(weight_of_steps(0, 160 * 900),
+                  2 * weight_of_steps(2, 160 * 900));
+    cr_assert_lt(weight_of_steps(0, 144 * 300), long_texts);
+  }
+  SECTION("small differences of work change no slot")
+  {
+    cr_assert_eq(weight_of_steps(1, 100'000), weight_of_steps(1, 104'000));
+  }
+  SECTION("the weight is bounded")
+  {
+    cr_assert_eq(weight_of_steps(9, 0), 1);
+    cr_assert_eq(weight_of_steps(0, std::uint64_t{ 1 } << 60),
+                 max_owner_weight);
+  }
 }
 
 // Owners with the same knowledge never start runs on the same slot, and none
--- a/cactusford/batches/engine_shares.cc
+++ b/cactusford/batches/engine_shares.cc
@@ -5,6 +5,8 @@
 #include <xxhash.h>
 
 #include <algorithm>
+#include <array>
+#include <cmath>
 #include <numeric>
 #include <tuple>
 #include <utility>
@@ -416,11 +418,20 @@
   return shares;
 }
 
+// Slots follow the work, so that steps of different lengths take about equally
+// long: by priority alone, a step of 160 long texts had as many slots as one of
+// 144 short ones, and its longest texts started seconds late. Priority makes a
+// step faster by up to a half. Estimates of single texts are rough, so weights
+// are rounded to half powers of two, which also keeps the division stable.
 std::uint32_t
-weight_of_priority(std::uint32_t priority)
+weight_of_steps(std::uint32_t priority, std::uint64_t work_ms)
 {
-  constexpr std::uint32_t least_urgent = 2;
-  return 1U << (least_urgent - std::min(priority, least_urgent));
+  constexpr std::array<double, 3> rank_factors{ 1.5, 1.25, 1 };
+  const auto rank = std::min<std::size_t>(priority, rank_factors.size() - 1);
+  const auto seconds = static_cast<double>(work_ms) / 1000 * rank_factors[rank];
+  const auto exponent = std::round(2 * std::log2(std::max(seconds, 1.0))) / 2;
+  return static_cast<std::uint32_t>(
+    std::min(std::round(std::exp2(exponent)), double{ max_owner_weight }));
 }
 
 void
--- a/cactusford/batches/engine_shares.h
+++ b/cactusford/batches/engine_shares.h
@@ -77,9 +77,10 @@
           const std::vector<engine_slots>& engines,
           const std::vector<owner_demand>& owners);
 
-// Returns the weight of an owner with batches of this route priority.
+// Returns the weight of an owner whose open steps take this long in all, run
+// one item after the other. `priority` is that of the most urgent one.
 std::uint32_t
-weight_of_priority(std::uint32_t priority);
+weight_of_steps(std::uint32_t priority, std::uint64_t work_ms);
 
 // An owner of open batches on the service, as the store lists them.
 struct listed_owner
--- a/cactusford/batches/engine_sharing.cc
+++ b/cactusford/batches/engine_sharing.cc
@@ -4,6 +4,7 @@
 #include "cactusford/process/line_log.h"
 
 #include <algorithm>
+#include <limits>
 
 namespace cactusford::batches {
 
@@ -11,6 +12,13 @@
 
 constexpr std::uint64_t shares_log_interval_ms = 1000;
 
+// The work of a step counts as a whole until only a quarter of its items are
+// left, so that the division of slots does not change with each item.
+constexpr std::size_t nearly_finished_divisor = 4;
+
+// Assumed for owners that have not reported their work yet.
+constexpr std::uint64_t typical_run_ms = 500;
+
 // More items than any service has slots.
 constexpr std::uint32_t max_listed_items = 1'000'000;
 
@@ -21,6 +29,12 @@
 std::map<std::string, own_use>
 manager::impl::own_uses(std::uint64_t now) const
 {
+  struct open_steps
+  {
+    std::uint64_t work_ms = 0;
+    std::uint32_t priority = std::numeric_limits<std::uint32_t>::max();
+  };
+  std::map<std::string, open_steps> steps;
   std::map<std::string, own_use> uses;
   for (const auto& [id, b] : batches) {
     if (!b->owned || !b->loaded || !b->is_open()) {
@@ -30,13 +44,28 @@
     if (route == nullptr || route->services.empty()) {
       continue;
     }
-    auto& use = uses[route->services.front().service];
-    use.weight = std::max(use.weight, weight_of_priority(route->priority));
+    const auto& service = route->services.front().service;
+    auto& use = uses[service];
+    std::size_t unfinished = 0;
+    std::uint64_t work_ms = 0;
     for (const auto& i : b->items) {
       use.running += i.stage == item_stage::running ? 1 : 0;
       use.waiting +=
         i.stage == item_stage::waiting && i.not_before_ms <= now ? 1 : 0;
+      unfinished +=
+        i.stage == item_stage::running || i.stage == item_stage::waiting ? 1
+                                                                         : 0;
+      work_ms +=
+        expected_run_ms(pace, b->submission.items[i.index].length_hint);
     }
+    auto& step = steps[service];
+    if (unfinished * nearly_finished_divisor > b->items.size()) {
+      step.work_ms += work_ms;
+      step.priority = std::min(step.priority, route->priority);
+    }
+  }
+  for (const auto& [service, step] : steps) {
+    uses[service].weight = weight_of_steps(step.priority, step.work_ms);
   }
   return uses;
 }
@@ -69,9 +98,10 @@
       continue;
     }
     auto& of_service = owners[route->services.front().service];
-    const auto weight = weight_of_priority(route->priority);
     const auto items = static_cast<std::uint32_t>(
       std::min<std::uint64_t>(b->stored.items, max_listed_items));
+    const auto weight =
+      weight_of_steps(route->priority, items * typical_run_ms);
     const auto known =
       std::find_if(of_service.begin(), of_service.end(), [&](const auto& o) {
         return o.instance == b->stored.owner;
--- a/cactusford/batches/engine_use-test.cc
+++ b/cactusford/batches/engine_use-test.cc
@@ -142,7 +142,7 @@
                                 R"({"s":{"items":-1,"weight":1}})",
                                 R"({"s":{"items":1.5,"weight":1}})",
                                 R"({"s":{"items":1,"weight":0}})",
-                                R"({"s":{"items":1,"weight":101}})",
+                                R"({"s":{"items":1,"weight":1000001}})",
                                 R"({"s":{"items":99000000,"weight":1}})" }) {
       auto j = encode(report);
       j["demand"] = json::parse(demand);
--- a/cactusford/batches/engine_use.cc
+++ b/cactusford/batches/engine_use.cc
@@ -18,7 +18,6 @@
 
 // Larger figures would overflow the division of slots.
 constexpr std::uint64_t max_items = 10'000'000;
-constexpr std::uint64_t max_weight = 100;
 
 // Two steps of a trainer.
 constexpr std::uint64_t demand_history_ms = 8000;
@@ -50,7 +49,7 @@
   demand_by_service demand;
   for (const auto& [service, d] : j.items()) {
     demand[service] = { bounded_field(d, "items", 0, max_items),
-                        bounded_field(d, "weight", 1, max_weight) };
+                        bounded_field(d, "weight", 1, max_owner_weight) };
   }
   return demand;
 }
--- a/cactusford/batches/engine_use.h
+++ b/cactusford/batches/engine_use.h
@@ -24,6 +24,10 @@
 
 namespace cactusford::batches {
 
+// Upper limit for the weight of an owner, which bounds the products in the
+// division of slots.
+constexpr std::uint32_t max_owner_weight = 1'000'000;
+
 // Number of runs by engine id.
 using engine_runs = std::map<std::string, std::uint32_t>;
 
