Engine shares: no restriction while most of the share cannot be used

Cause: the division assumes that every engine can run every item. An owner was held to its part of the few engines that had its weights. Change: the share counts only if three quarters of it are on engines that can run the item now. Tested: new test, engine_*/* passes.

--- a/cactusford/backends/registry.cc
+++ b/cactusford/backends/registry.cc
@@ -507,6 +507,12 @@
   return best;
 }
 
+bool
+is_usable(const backend& b, const item_needs& needs, std::uint64_t now_ms)
+{
+  return accepts(b, needs, now_ms) && is_open(b, now_ms);
+}
+
 bool
 can_serve(const registry& r, const item_needs& needs)
 {
--- a/cactusford/backends/registry.h
+++ b/cactusford/backends/registry.h
@@ -294,6 +294,11 @@
 backend*
 choose_for_item(registry& r, const item_needs& needs, std::uint64_t now_ms);
 
+// Returns true if the engine can run the item now, apart from its slots: it has
+// weights that the item accepts, and neither refuses them nor is avoided.
+bool
+is_usable(const backend& b, const item_needs& needs, std::uint64_t now_ms);
+
 // Returns true if some engine that is not leaving has weights that the item
 // accepts, whether or not it has a free slot.
 bool
--- a/cactusford/batches/engine_shares-test.cc
+++ b/cactusford/batches/engine_shares-test.cc
@@ -305,6 +305,33 @@
   cr_assert_gt(started, 12);
 }
 
+// Guards against waiting for slots that no one can use: after an outage only a
+// few engines have the weights that an owner's items need, and its share of
+// them is a part of their slots.
+Test(engine_shares, do_not_restrict_an_owner_whose_engines_lack_its_weights)
+{
+  lone_owner a;
+  a.receive(report_of("b", {}, 48), start_ms);
+  a.update(start_ms, { 0, 48 });
+  backends::item_needs needs;
+  needs.service = "s";
+  needs.model = "m";
+  cr_assert(is_share_usable(a.sharing, a.engines, needs, start_ms));
+  SECTION("most engines have older weights")
+  {
+    needs.min_version = 2;
+    a.engines.all.begin()->second.info.versions["m"] = 2;
+    cr_assert_not(is_share_usable(a.sharing, a.engines, needs, start_ms));
+  }
+  SECTION("most engines refuse the model while they load it")
+  {
+    for (auto& [id, b] : a.engines.all) {
+      backends::note_refusal(b, "m", start_ms);
+    }
+    cr_assert_not(is_share_usable(a.sharing, a.engines, needs, start_ms));
+  }
+}
+
 // Guards against a change where owners do not compete: with one owner, every
 // choice is that of the code before, and no slot is withheld.
 Test(engine_shares, a_single_owner_is_not_restricted)
--- a/cactusford/batches/engine_shares.cc
+++ b/cactusford/batches/engine_shares.cc
@@ -497,6 +497,28 @@
          now_ms - since > max_withheld_ms;
 }
 
+bool
+is_share_usable(const service_sharing& s,
+                const backends::registry& engines,
+                const backends::item_needs& needs,
+                std::uint64_t now_ms)
+{
+  std::uint64_t owned = 0;
+  std::uint64_t usable = 0;
+  auto known = engines.all.begin();
+  for (const auto& p : s.permits) {
+    while (known != engines.all.end() && known->first < p.engine) {
+      ++known;
+    }
+    owned += p.own_share;
+    if (known != engines.all.end() && known->first == p.engine &&
+        backends::is_usable(known->second, needs, now_ms)) {
+      usable += p.own_share;
+    }
+  }
+  return usable * 4 >= owned * 3;
+}
+
 void
 note_run_started(service_sharing& s, const std::string& engine)
 {
--- a/cactusford/batches/engine_shares.h
+++ b/cactusford/batches/engine_shares.h
@@ -186,6 +186,16 @@
               const backends::backend& engine,
               std::uint64_t now_ms);
 
+// Returns true if most of this owner's share is on engines that can run the
+// item now. Otherwise the division does not fit: after an outage, or while
+// engines load weights, only some have a version that the item accepts, and the
+// other owners may need other engines.
+bool
+is_share_usable(const service_sharing& s,
+                const backends::registry& engines,
+                const backends::item_needs& needs,
+                std::uint64_t now_ms);
+
 // Called when this owner has started a run on the engine.
 void
 note_run_started(service_sharing& s, const std::string& engine);
--- a/cactusford/batches/engine_sharing.cc
+++ b/cactusford/batches/engine_sharing.cc
@@ -212,7 +212,8 @@
 manager::impl::restrict_to_share(backends::item_needs& needs, std::uint64_t now)
 {
   auto* s = sharing_of(needs.service);
-  if (deps.engine_shares && s != nullptr && s->is_shared) {
+  if (deps.engine_shares && s != nullptr && s->is_shared &&
+      is_share_usable(*s, deps.registry, needs, now)) {
     needs.may_use = [s, now](const backends::backend& b) {
       return may_start_run(*s, b, now);
     };
