Call queue: a call that is too late displaces no other

Cause: a full queue dropped its least urgent call for a more urgent one and then refused the new one as too late. Only the latter was returned, so the dropped one was neither started nor refused until its own deadline passed, and was not refused at shutdown.

Change: the time is checked first.

--- a/cactusford/admission/call_queue-test.cc
+++ b/cactusford/admission/call_queue-test.cc
@@ -363,6 +363,26 @@
   cr_assert_eq(*next_start(q, start_ms), 7, "the urgent call is next");
 }
 
+// Guards against a waiting call that is never answered: a call that came too
+// late displaced it from the full queue, and only the late one was reported.
+Test(call_queue, a_call_that_is_too_late_displaces_no_other)
+{
+  auto q = queue_of(2, 100);
+  q.max_waiting = 3;
+  for (std::uint64_t id = 1; id <= 5; ++id) {
+    auto c = call_of(id, "", start_ms, 10'000);
+    c.demand.is_scorer = id > 2;
+    enqueue(q, c, start_ms);
+    next_start(q, start_ms);
+  }
+  cr_assert_eq(q.waiting.size(), q.max_waiting);
+  const auto late = enqueue(q, call_of(6, "a", start_ms, 150), start_ms);
+  cr_assert(late.refused == (refused_call{ 6, refusal::too_late }));
+  for (const auto id : { 3, 4, 5 }) {
+    cr_assert(q.waiting.contains(static_cast<std::uint64_t>(id)));
+  }
+}
+
 // Guards against capacity that is lost to callers who have left: a call that
 // is cancelled frees its place, whether it waits or runs.
 Test(call_queue, cancelled_calls_free_their_places)
--- a/cactusford/admission/call_queue.cc
+++ b/cactusford/admission/call_queue.cc
@@ -322,6 +322,15 @@
   if (has_room(q, added.demand) && is_within_maximum(q, added.demand)) {
     return result;
   }
+  const auto start =
+    static_cast<double>(now_ms) + expected_wait_ms(q, added, place);
+  if (q.slots > 0 && start > static_cast<double>(latest_start_ms(q, added))) {
+    result.refused = refused_call{ id, refusal::too_late };
+    refuse(q, id);
+    return result;
+  }
+  // Checked last, as a call that is refused must displace no other one: only
+  // one refused call is returned.
   if (q.waiting.size() > q.max_waiting) {
     const auto last = std::max_element(
       q.waiting.begin(), q.waiting.end(), [&](const auto& a, const auto& b) {
@@ -333,15 +342,6 @@
     const auto out = is_displaced ? last->first : id;
     result.refused = refused_call{ out, refusal::no_room };
     refuse(q, out);
-    if (out == id) {
-      return result;
-    }
-  }
-  const auto start =
-    static_cast<double>(now_ms) + expected_wait_ms(q, added, place);
-  if (q.slots > 0 && start > static_cast<double>(latest_start_ms(q, added))) {
-    result.refused = refused_call{ id, refusal::too_late };
-    refuse(q, id);
   }
   return result;
 }
