HTTP server: frees the memory of a large answer once it is written

Cause: `sending = {}` selects the assignment of an initializer list, which keeps the capacity, so each open connection kept up to two buffers of its largest answer (16 MB each). The bound on the total does not count them.

Change: shrink_to_fit. The test failed before: an idle connection still held the 12 MB of its answer.

--- a/cactusford/http/server.cc
+++ b/cactusford/http/server.cc
@@ -42,7 +42,8 @@
 constexpr int socket_send_bytes = 64 << 10;
 
 // Buffers above this capacity are freed once written. Kept, two answers of 16
-// MB would stay in memory for as long as their connection is open.
+// MB would stay in memory for as long as their connection is open. Assigning an
+// empty string keeps the capacity.
 constexpr std::size_t kept_capacity = 64U << 10;
 
 std::array<char, read_size>&
@@ -331,7 +332,7 @@
   }
   sending.clear();
   if (sending.capacity() > kept_capacity) {
-    sending = {};
+    sending.shrink_to_fit();
   }
   if (closed) {
     return;
@@ -356,7 +357,8 @@
 server_connection::release_unsent()
 {
   release_bytes(*owner->buffers, sending.size() + unsent.size());
-  unsent = {};
+  unsent.clear();
+  unsent.shrink_to_fit();
 }
 
 void
--- a/cactusford/http/slow_reader-test.cc
+++ b/cactusford/http/slow_reader-test.cc
@@ -10,6 +10,7 @@
 #include <asio/ip/tcp.hpp>
 #include <asio/write.hpp>
 #include <criterion/criterion.h>
+#include <malloc.h>
 
 #include <optional>
 #include <vector>
@@ -97,6 +98,13 @@
   }
 };
 
+std::size_t
+allocated_bytes()
+{
+  const auto info = mallinfo2();
+  return info.uordblks + info.hblkhd;
+}
+
 const std::string last_request = "GET / HTTP/1.1\r\nConnection: close\r\n\r\n";
 const std::string request_text = "GET / HTTP/1.1\r\n\r\n";
 
@@ -138,6 +146,22 @@
   }
 }
 
+// Guards against connections that keep the memory of their largest answer while
+// they are open, which no total counts.
+Test(slow_reader, frees_the_memory_of_an_answer_once_it_is_read)
+{
+  fixture f;
+  auto s = f.connect(request_text);
+  f.run_until([&] { return f.calls == 1; });
+  const auto before = allocated_bytes();
+  f.run_until([&] {
+    fixture::read_some(s, 1U << 20);
+    return f.buffers->bytes == 0;
+  });
+  cr_assert_eq(f.server.idle_connections(), 1);
+  cr_assert_leq(allocated_bytes() + answer_bytes / 2, before);
+}
+
 // Guards against a caller that sends many requests without reading an answer:
 // all of its answers were held at the same time.
 Test(slow_reader, starts_no_further_request_of_a_caller_that_does_not_read)
