Call queue: a call starts if there was room when it arrived

Cause: a call with less time left than calls usually take starts only in the millisecond of its arrival. When the clock advanced between arrival and start, it was refused with 503 although the service had room; on an entry of 0.09 of a core the process may lose its core in between.

Change: the room at its arrival decides, not the clock.

--- a/cactusford/admission/call_queue-test.cc
+++ b/cactusford/admission/call_queue-test.cc
@@ -383,6 +383,22 @@
   }
 }
 
+// Guards against a call that is refused although servers are free: it has less
+// time left than calls usually take, and the clock advances between its arrival
+// and its start.
+Test(call_queue, a_call_that_arrives_when_there_is_room_starts)
+{
+  auto q = queue_of(2, 100);
+  enqueue(q, call_of(1, "a", start_ms, 50), start_ms);
+  auto later = q;
+  cr_assert(next_start(later, start_ms + 1) == 1);
+  SECTION("but not once it has waited")
+  {
+    take_refused(q, start_ms);
+    cr_assert_not(next_start(q, start_ms + 1).has_value());
+  }
+}
+
 // Guards against capacity that is lost to callers who have left: a call that
 // is cancelled frees its place, whether it waits or runs.
 Test(call_queue, cancelled_calls_free_their_places)
--- a/cactusford/admission/call_queue.cc
+++ b/cactusford/admission/call_queue.cc
@@ -314,12 +314,14 @@
 {
   raise_virtual_time(q, c);
   const auto id = c.id;
-  const auto& added = q.waiting.emplace(id, std::move(c)).first->second;
+  auto& added = q.waiting.emplace(id, std::move(c)).first->second;
   ++q.workspaces[added.demand.workspace].waiting;
   enqueue_result result;
   const auto place = position_of(q, added);
   result.position = place.position;
-  if (has_room(q, added.demand) && is_within_maximum(q, added.demand)) {
+  added.had_room_on_arrival =
+    has_room(q, added.demand) && is_within_maximum(q, added.demand);
+  if (added.had_room_on_arrival) {
     return result;
   }
   const auto start =
@@ -352,9 +354,10 @@
   const queued_call* best = nullptr;
   for (const auto& [id, c] : q.waiting) {
     // A call that has just arrived starts even if it is expected to be late:
-    // the estimate may be wrong, and it takes the time of no other call.
+    // the estimate may be wrong, and it takes the time of no other call. The
+    // clock may have advanced since its arrival.
     const bool is_late =
-      c.arrived_ms < now_ms && latest_start_ms(q, c) < now_ms;
+      !c.had_room_on_arrival && latest_start_ms(q, c) < now_ms;
     if (is_late || !has_room(q, c.demand) || !is_within_maximum(q, c.demand)) {
       continue;
     }
@@ -382,7 +385,8 @@
 take_refused(call_queue& q, std::uint64_t now_ms)
 {
   std::vector<refused_call> out;
-  for (const auto& [id, c] : q.waiting) {
+  for (auto& [id, c] : q.waiting) {
+    c.had_room_on_arrival = false;
     if (wait_until_ms(q, c) < now_ms) {
       out.push_back(
         { id, q.slots == 0 ? refusal::no_server : refusal::too_late });
--- a/cactusford/admission/call_queue.h
+++ b/cactusford/admission/call_queue.h
@@ -44,6 +44,8 @@
   std::uint64_t arrived_ms = 0;
   // An answer after this time is useless.
   std::uint64_t deadline_ms = 0;
+  // Set by `enqueue` until the next `take_refused`.
+  bool had_room_on_arrival = false;
 
   friend bool operator==(const queued_call&, const queued_call&) = default;
 };
