--- a/cactusford/batches/manager_impl.h
+++ b/cactusford/batches/manager_impl.h
@@ -287,6 +287,7 @@
   std::uint64_t last_report_ms = 0;
   score_queue unscored;
   score_limit score_limiter;
+  routes::yielding_routes yielding;
   std::uint64_t next_run = 1;
   bool dispatch_scheduled = false;
   bool leaving = false;
--- a/cactusford/batches/scoring.cc
+++ b/cactusford/batches/scoring.cc
@@ -153,8 +153,8 @@
   f.give_up_ms = http::now_ms() + route->timeout_ms;
   i.score_retry_at_ms = 0;
   ++i.score_tries;
-  const bool yields =
-    deps.score_calls_yield && routes::yields_to_callers(*deps.table(), *route);
+  const bool yields = deps.score_calls_yield &&
+                      routes::yields_to_callers(yielding, deps.table(), *route);
   if (yields) {
     restart_after_idle(score_limiter, http::now_ms());
   }
--- a/cactusford/routes/table-test.cc
+++ b/cactusford/routes/table-test.cc
@@ -63,6 +63,31 @@
   cr_assert_not(yields_to_callers(t, scorer));
 }
 
+// Guards against a scan of all routes for each scorer call, and against an
+// answer that outlives the table it was found in.
+Test(routes, yielding_is_determined_once_for_each_table)
+{
+  const auto table_with = [](std::uint64_t objective_ms) {
+    auto t = std::make_shared<table>();
+    for (const auto* name : { "score", "call" }) {
+      auto r = route_of(name, std::string{ "/" } + name + "/");
+      r.services = { { "plain", 1 } };
+      r.objective_ms = 400;
+      t->routes.push_back(r);
+    }
+    t->routes[1].objective_ms = objective_ms;
+    return t;
+  };
+  yielding_routes cache;
+  const auto t = table_with(150);
+  cr_assert(yields_to_callers(cache, t, t->routes[0]));
+  t->routes[1].objective_ms = 400;
+  cr_assert(yields_to_callers(cache, t, t->routes[0]), "not scanned again");
+  const auto next = table_with(400);
+  cr_assert_not(yields_to_callers(cache, next, next->routes[0]));
+  cr_assert_eq(cache.known.size(), 1);
+}
+
 namespace {
 
 // Two routes of one plain service, without any difference in demand.
--- a/cactusford/routes/table.cc
+++ b/cactusford/routes/table.cc
@@ -126,4 +126,17 @@
   });
 }
 
+bool
+yields_to_callers(yielding_routes& cache, const table_ptr& t, const route& r)
+{
+  if (cache.of != t) {
+    cache = { t, {} };
+  }
+  const auto [found, is_new] = cache.known.try_emplace(&r, false);
+  if (is_new) {
+    found->second = yields_to_callers(*t, r);
+  }
+  return found->second;
+}
+
 } // namespace cactusford::routes
--- a/cactusford/routes/table.h
+++ b/cactusford/routes/table.h
@@ -113,4 +113,16 @@
 bool
 yields_to_callers(const table& t, const route& r);
 
+// Results of `yields_to_callers` for the routes of one table.
+struct yielding_routes
+{
+  table_ptr of;
+  std::map<const route*, bool> known;
+};
+
+// As above, for a route of `t`. Scans the routes of a table once for each route
+// asked for: a table may have 1,400, and each scorer call asks.
+bool
+yields_to_callers(yielding_routes& cache, const table_ptr& t, const route& r);
+
 } // namespace cactusford::routes
