Call queue: scorers do not delay the return of refused callers

Cause: a scorer's call that the queue refused reserved a return time, and waiting scorers' calls counted as backlog. Scorers return after a fixed time and rank behind callers, so callers were told to return up to a third of their remaining time later than there was room.

Change: only callers reserve, and only callers count.

--- a/cactusford/admission/call_queue-test.cc
+++ b/cactusford/admission/call_queue-test.cc
@@ -322,6 +322,19 @@
   }
 }
 
+// Guards against callers who are told to return late because of scorers' calls,
+// which start after theirs.
+Test(call_queue, waiting_scorers_do_not_delay_the_return_of_callers)
+{
+  auto q = queue_of(2, 20);
+  for (std::uint64_t id = 1; id <= 50; ++id) {
+    auto c = call_of(id, "", start_ms, 10'000);
+    c.demand.is_scorer = true;
+    enqueue(q, c, start_ms);
+  }
+  cr_assert_eq(retry_after_ms(q, 2000, start_ms), 100);
+}
+
 // Guards against calls that wait for servers which do not come back.
 Test(call_queue, waits_briefly_for_a_server)
 {
--- a/cactusford/admission/call_queue.cc
+++ b/cactusford/admission/call_queue.cc
@@ -484,7 +484,11 @@
 {
   const auto now = static_cast<double>(now_ms);
   const auto spacing = ms_per_second / return_rate(q);
-  const auto backlog = static_cast<double>(q.waiting.size()) * spacing;
+  const auto callers =
+    std::count_if(q.waiting.begin(), q.waiting.end(), [](const auto& w) {
+      return !w.second.demand.is_scorer;
+    });
+  const auto backlog = static_cast<double>(callers) * spacing;
   const auto at =
     std::max({ q.next_return_ms, now + backlog, now + double(min_retry_ms) });
   const auto round_up = [](double ms) {
--- a/cactusford/admission/call_queue.h
+++ b/cactusford/admission/call_queue.h
@@ -186,7 +186,8 @@
 rate_per_second(const call_queue& q);
 
 // How long a refused caller with this much time left should wait before it
-// returns. Reserves its return time; later refusals get later ones.
+// returns. Reserves its return time; later refusals get later ones. Not for
+// scorers, which rank behind callers and return after a fixed time.
 std::uint64_t
 retry_after_ms(call_queue& q, std::uint64_t remaining_ms, std::uint64_t now_ms);
 
--- a/cactusford/edge/queueing-test.cc
+++ b/cactusford/edge/queueing-test.cc
@@ -54,9 +54,10 @@
     backends::announce(registry, a);
   }
 
-  std::function<void()> start()
+  std::function<void()> start(bool is_scorer = false)
   {
     forward_request r;
+    r.demand.is_scorer = is_scorer;
     r.request = { "POST", "/book/", { { "Host", "h" } }, "b" };
     r.route.services = { { "plain", 1 } };
     constexpr std::uint64_t timeout_ms = 20000;
@@ -149,6 +150,28 @@
   cr_assert_eq(s.received, 2);
 }
 
+// Guards against callers who are told to return late because scorers' calls
+// were refused before, and reserved the earlier return times.
+Test(queueing, refused_scorers_reserve_no_return_time)
+{
+  held_service s{ true };
+  s.add_server();
+  constexpr std::size_t scorers = 10;
+  for (std::size_t i = 0; i < scorers; ++i) {
+    s.start(true);
+  }
+  s.run_until([&] { return s.held.size() == 2; });
+  s.calls.refuse_waiting();
+  cr_assert_eq(s.outcomes.size(), scorers - 2);
+  for (int i = 0; i < 3; ++i) {
+    s.start();
+  }
+  s.run_until([&] { return s.held.size() == 4; });
+  s.calls.refuse_waiting();
+  cr_assert_eq(s.outcomes.size(), scorers - 1);
+  cr_assert_leq(s.outcomes.back().retry_after_ms, 110);
+}
+
 // Guards against a place that stays taken after its caller has left, whether
 // the call waited or ran.
 Test(queueing, cancelled_calls_leave_the_queue)
--- a/cactusford/edge/queueing.cc
+++ b/cactusford/edge/queueing.cc
@@ -163,7 +163,7 @@
   } else {
     admission::on_cancel(q.state, call.queue_id);
   }
-  if (o.what == forward_end::not_run) {
+  if (o.what == forward_end::not_run && !call.input.demand.is_scorer) {
     o.retry_after_ms = admission::retry_after_ms(
       q.state, remaining_ms(call.input.give_up_ms, now), now);
   }
