Call queue: a call that needs a trial leaves the queue

Cause: a call whose first server refused it, and whose request had become suspect meanwhile, kept its room while it waited for a trial. A trial of another instance takes up to ten seconds; two such calls block an entry whose limit is two. Calls that are suspect on arrival are not queued for this reason.

Change: it frees its room when it starts to wait.

--- a/cactusford/edge/forward-test.cc
+++ b/cactusford/edge/forward-test.cc
@@ -12,6 +12,7 @@
 #include <criterion/criterion.h>
 
 #include <algorithm>
+#include <optional>
 
 using namespace cactusford;
 using namespace cactusford::edge;
@@ -326,3 +327,67 @@
     cr_assert_eq(first.runs + second.runs, 3);
   }
 }
+
+// Guards against calls that wait although servers are free: a call that is
+// refused by a full server and then needs a trial kept its room in the queue,
+// for up to the ten seconds of another instance's trial.
+Test(forward, a_call_that_needs_a_trial_leaves_the_queue)
+{
+  asio::io_context io;
+  standins::object_store store{ io };
+  std::vector<http::call> held;
+  const http::server::handler hold = [&](const http::call& c) {
+    held.push_back(c);
+  };
+  http::server first{ io, {}, hold };
+  http::server second{ io, {}, hold };
+  backends::registry registry;
+  for (auto* server : { &first, &second }) {
+    server->listen("127.0.0.1:0");
+    backends::announcement a;
+    a.address = "127.0.0.1:" + std::to_string(server->port());
+    a.id = a.address;
+    a.service = "plain";
+    backends::announce(registry, a);
+  }
+  auto d = standins::json_dialect();
+  http::client http{ io };
+  store::client client{ io, http, d.store, { store.address(), {} } };
+  quarantine::manager quarantine_manager{
+    io, client, registry, { "entry", false }
+  };
+  forwarder calls{ io, http, registry, d, "a", &quarantine_manager };
+  calls.is_queued = [](const std::string&) { return true; };
+  forward_request r;
+  r.request = { "POST", "/look/", { { "Host", "h" } }, "b" };
+  r.route.services = { { "plain", 1 } };
+  constexpr std::uint64_t timeout_ms = 20000;
+  r.give_up_ms = http::now_ms() + timeout_ms;
+  const auto fingerprint = quarantine::fingerprint_of(r.request);
+  std::optional<forward_end> end;
+  calls.start(std::move(r), [&](forward_outcome&& o) { end = o.what; });
+  while (held.empty()) {
+    io.run_one();
+  }
+  cr_assert_eq(calls.queues()[0].queue->running.size(), 1);
+  // Another request runs on the same servers, so a trial has to decide. Nothing
+  // listens on the discard port (9) of the local host.
+  for (const auto* id : { "x", "y", "z" }) {
+    for (const auto& f : { fingerprint, std::string{ "0123456789abcdef" } }) {
+      quarantine_manager.on_connection_lost({ id, 1 }, "127.0.0.1:9", f);
+    }
+  }
+  while (quarantine_manager.counts().crashes < 3) {
+    io.run_one();
+  }
+  held[0].respond({ 503, { { d.headers.not_run, "1" } }, "" });
+  while (held.size() < 2) {
+    io.run_one();
+  }
+  cr_assert(calls.queues()[0].queue->running.empty());
+  held[1].respond({ 200, { { d.headers.signature, "s" } }, "" });
+  while (!end) {
+    io.run_one();
+  }
+  cr_assert(*end == forward_end::answered);
+}
--- a/cactusford/edge/forward.h
+++ b/cactusford/edge/forward.h
@@ -169,6 +169,7 @@
   void schedule_queue_check(service_queue& q);
   void refuse_queued(service_queue& q, const admission::refused_call& r);
   void leave_queue(call_state& call, forward_outcome& o);
+  void release_room(call_state& call);
   void send_next_attempt(const std::shared_ptr<call_state>& call);
   quarantine::decision check_quarantine(const call_state& call);
   bool may_send(const std::shared_ptr<call_state>& call);
--- a/cactusford/edge/queueing.cc
+++ b/cactusford/edge/queueing.cc
@@ -184,6 +184,21 @@
   }
 }
 
+// Ends the call's part in its queue while it waits for a trial or for a run of
+// the same request, which takes up to seconds: other calls could run meanwhile.
+void
+forwarder::release_room(call_state& call)
+{
+  if (call.queue == nullptr || call.has_open_attempt()) {
+    return;
+  }
+  auto& q = *std::exchange(call.queue, nullptr);
+  admission::on_cancel(q.state, call.queue_id);
+  if (!q.waiting.empty()) {
+    asio::post(io_, [this, &q] { start_waiting_calls(q); });
+  }
+}
+
 std::vector<queue_view>
 forwarder::queues() const
 {
--- a/cactusford/edge/suspects.cc
+++ b/cactusford/edge/suspects.cc
@@ -109,6 +109,7 @@
 void
 forwarder::wait_for_unresolved_run(const std::shared_ptr<call_state>& call)
 {
+  release_room(*call);
   call->wait_timer = std::make_unique<asio::steady_timer>(
     io_, std::chrono::milliseconds{ suspect_poll_interval_ms });
   call->wait_timer->async_wait([this, call](asio::error_code ec) {
@@ -121,6 +122,7 @@
 void
 forwarder::start_trial(const std::shared_ptr<call_state>& call)
 {
+  release_room(*call);
   quarantine_->claim_trial(call->fingerprint, [this, call](bool is_granted) {
     if (call->finished) {
       return;
