--- a/cactusford/admission/call_queue-test.cc
+++ b/cactusford/admission/call_queue-test.cc
@@ -322,6 +322,19 @@
   }
 }
 
+// Guards against callers who are told to return late because of scorers' calls,
+// which start after theirs.
+Test(call_queue, waiting_scorers_do_not_delay_the_return_of_callers)
+{
+  auto q = queue_of(2, 20);
+  for (std::uint64_t id = 1; id <= 50; ++id) {
+    auto c = call_of(id, "", start_ms, 10'000);
+    c.demand.is_scorer = true;
+    enqueue(q, c, start_ms);
+  }
+  cr_assert_eq(retry_after_ms(q, 2000, start_ms), 100);
+}
+
 // Guards against calls that wait for servers which do not come back.
 Test(call_queue, waits_briefly_for_a_server)
 {
@@ -363,6 +376,42 @@
   cr_assert_eq(*next_start(q, start_ms), 7, "the urgent call is next");
 }
 
+// Guards against a waiting call that is never answered: a call that came too
+// late displaced it from the full queue, and only the late one was reported.
+Test(call_queue, a_call_that_is_too_late_displaces_no_other)
+{
+  auto q = queue_of(2, 100);
+  q.max_waiting = 3;
+  for (std::uint64_t id = 1; id <= 5; ++id) {
+    auto c = call_of(id, "", start_ms, 10'000);
+    c.demand.is_scorer = id > 2;
+    enqueue(q, c, start_ms);
+    next_start(q, start_ms);
+  }
+  cr_assert_eq(q.waiting.size(), q.max_waiting);
+  const auto late = enqueue(q, call_of(6, "a", start_ms, 150), start_ms);
+  cr_assert(late.refused == (refused_call{ 6, refusal::too_late }));
+  for (const auto id : { 3, 4, 5 }) {
+    cr_assert(q.waiting.contains(static_cast<std::uint64_t>(id)));
+  }
+}
+
+// Guards against a call that is refused although servers are free: it has less
+// time left than calls usually take, and the clock advances between its arrival
+// and its start.
+Test(call_queue, a_call_that_arrives_when_there_is_room_starts)
+{
+  auto q = queue_of(2, 100);
+  enqueue(q, call_of(1, "a", start_ms, 50), start_ms);
+  auto later = q;
+  cr_assert(next_start(later, start_ms + 1) == 1);
+  SECTION("but not once it has waited")
+  {
+    take_refused(q, start_ms);
+    cr_assert_not(next_start(q, start_ms + 1).has_value());
+  }
+}
+
 // Guards against capacity that is lost to callers who have left: a call that
 // is cancelled frees its place, whether it waits or runs.
 Test(call_queue, cancelled_calls_free_their_places)
--- a/cactusford/admission/call_queue.cc
+++ b/cactusford/admission/call_queue.cc
@@ -314,14 +314,25 @@
 {
   raise_virtual_time(q, c);
   const auto id = c.id;
-  const auto& added = q.waiting.emplace(id, std::move(c)).first->second;
+  auto& added = q.waiting.emplace(id, std::move(c)).first->second;
   ++q.workspaces[added.demand.workspace].waiting;
   enqueue_result result;
   const auto place = position_of(q, added);
   result.position = place.position;
-  if (has_room(q, added.demand) && is_within_maximum(q, added.demand)) {
+  added.had_room_on_arrival =
+    has_room(q, added.demand) && is_within_maximum(q, added.demand);
+  if (added.had_room_on_arrival) {
     return result;
   }
+  const auto start =
+    static_cast<double>(now_ms) + expected_wait_ms(q, added, place);
+  if (q.slots > 0 && start > static_cast<double>(latest_start_ms(q, added))) {
+    result.refused = refused_call{ id, refusal::too_late };
+    refuse(q, id);
+    return result;
+  }
+  // Checked last, as a call that is refused must displace no other one: only
+  // one refused call is returned.
   if (q.waiting.size() > q.max_waiting) {
     const auto last = std::max_element(
       q.waiting.begin(), q.waiting.end(), [&](const auto& a, const auto& b) {
@@ -333,15 +344,6 @@
     const auto out = is_displaced ? last->first : id;
     result.refused = refused_call{ out, refusal::no_room };
     refuse(q, out);
-    if (out == id) {
-      return result;
-    }
-  }
-  const auto start =
-    static_cast<double>(now_ms) + expected_wait_ms(q, added, place);
-  if (q.slots > 0 && start > static_cast<double>(latest_start_ms(q, added))) {
-    result.refused = refused_call{ id, refusal::too_late };
-    refuse(q, id);
   }
   return result;
 }
@@ -352,9 +354,10 @@
   const queued_call* best = nullptr;
   for (const auto& [id, c] : q.waiting) {
     // A call that has just arrived starts even if it is expected to be late:
-    // the estimate may be wrong, and it takes the time of no other call.
+    // the estimate may be wrong, and it takes the time of no other call. The
+    // clock may have advanced since its arrival.
     const bool is_late =
-      c.arrived_ms < now_ms && latest_start_ms(q, c) < now_ms;
+      !c.had_room_on_arrival && latest_start_ms(q, c) < now_ms;
     if (is_late || !has_room(q, c.demand) || !is_within_maximum(q, c.demand)) {
       continue;
     }
@@ -382,7 +385,8 @@
 take_refused(call_queue& q, std::uint64_t now_ms)
 {
   std::vector<refused_call> out;
-  for (const auto& [id, c] : q.waiting) {
+  for (auto& [id, c] : q.waiting) {
+    c.had_room_on_arrival = false;
     if (wait_until_ms(q, c) < now_ms) {
       out.push_back(
         { id, q.slots == 0 ? refusal::no_server : refusal::too_late });
@@ -480,7 +484,11 @@
 {
   const auto now = static_cast<double>(now_ms);
   const auto spacing = ms_per_second / return_rate(q);
-  const auto backlog = static_cast<double>(q.waiting.size()) * spacing;
+  const auto callers =
+    std::count_if(q.waiting.begin(), q.waiting.end(), [](const auto& w) {
+      return !w.second.demand.is_scorer;
+    });
+  const auto backlog = static_cast<double>(callers) * spacing;
   const auto at =
     std::max({ q.next_return_ms, now + backlog, now + double(min_retry_ms) });
   const auto round_up = [](double ms) {
--- a/cactusford/admission/call_queue.h
+++ b/cactusford/admission/call_queue.h
@@ -44,6 +44,8 @@
   std::uint64_t arrived_ms = 0;
   // An answer after this time is useless.
   std::uint64_t deadline_ms = 0;
+  // Set by `enqueue` until the next `take_refused`.
+  bool had_room_on_arrival = false;
 
   friend bool operator==(const queued_call&, const queued_call&) = default;
 };
@@ -184,7 +186,8 @@
 rate_per_second(const call_queue& q);
 
 // How long a refused caller with this much time left should wait before it
-// returns. Reserves its return time; later refusals get later ones.
+// returns. Reserves its return time; later refusals get later ones. Not for
+// scorers, which rank behind callers and return after a fixed time.
 std::uint64_t
 retry_after_ms(call_queue& q, std::uint64_t remaining_ms, std::uint64_t now_ms);
 
