Engine shares: counts reported runs once after the reports have paused

After a pause of the reports, an engine's answer counts all runs of the other owners as other load. The next report was compared with the expired one, so runs that both contained were counted twice until the engine's next answer, for up to 1 s. The test fails without the change.

--- a/cactusford/batches/engine_shares-test.cc
+++ b/cactusford/batches/engine_shares-test.cc
@@ -818,3 +818,17 @@
   set_reported_runs(r, { { "e100", 1 } }, start_ms + 20);
   cr_assert_eq(known_runs(e, start_ms + 20), 4);
 }
+
+// Guards against engines that appear full for a second after a pause of the
+// reports: the answer counted all runs of the other owners, as their last
+// report had expired, and the next report counts the same runs again.
+Test(engine_shares, counts_runs_once_after_the_reports_have_paused)
+{
+  auto r = registry_of(engines_of_six(1));
+  auto& e = *backends::find(r, "e100");
+  set_reported_runs(r, { { "e100", 3 } }, start_ms);
+  e.in_flight = 1;
+  backends::note_load(e, { 4, 0, slots }, start_ms + 2000);
+  set_reported_runs(r, { { "e100", 3 } }, start_ms + 2010);
+  cr_assert_eq(known_runs(e, start_ms + 2010), 4);
+}
--- a/cactusford/batches/engine_shares.cc
+++ b/cactusford/batches/engine_shares.cc
@@ -530,7 +530,11 @@
   for (auto& [id, b] : engines.all) {
     const auto found = runs.find(id);
     const auto reported = found == runs.end() ? 0 : found->second;
-    const auto added = reported > b.peer_runs ? reported - b.peer_runs : 0;
+    // An answer that arrived after the last report had expired counted all of
+    // the other owners' runs.
+    const auto before =
+      now_ms - b.peer_runs_at_ms < max_load_age_ms ? b.peer_runs : 0;
+    const auto added = reported > before ? reported - before : 0;
     b.other_load -= std::min(b.other_load, added);
   }
   backends::set_peer_runs(engines, runs, now_ms);
