Check of runs: a run that starts during the check is not silent

The check reads the clock once. It dispatches after it has moved a run, and the runs started then may have later times. The difference was unsigned, so such a run counted as silent for ever: it was stopped and started again elsewhere, and its engine was marked as failed. Found by reading, not seen in a run. The test fails with the former subtraction.

--- a/cactusford/batches/engine_sharing.cc
+++ b/cactusford/batches/engine_sharing.cc
@@ -213,7 +213,7 @@
              other.items.begin(), other.items.end(), [&](const auto& o) {
                return &o != &i && o.stage == item_stage::running &&
                       o.backend == i.backend && o.events_in_run > 0 &&
-                      now - o.last_event_ms <= silence_limit;
+                      silent_time_ms(o.last_event_ms, now) <= silence_limit;
              });
   });
 }
@@ -229,7 +229,7 @@
 {
   run_view view;
   view.has_events = i.events_in_run > 0;
-  view.silent_ms = now - i.last_event_ms;
+  view.silent_ms = silent_time_ms(i.last_event_ms, now);
   view.silence_limit_ms = silence_limit;
   view.engine_runs = known_runs(backend, now);
   view.engine_slots = backend.info.slots;
--- a/cactusford/batches/run_health-test.cc
+++ b/cactusford/batches/run_health-test.cc
@@ -47,6 +47,19 @@
   }
 }
 
+// Guards against a run that is stopped at once, and a healthy engine that is
+// marked as failed: a check that moves one run starts others, at a later time
+// than its own. Their unsigned silence was taken for an endless one.
+Test(run_health, a_run_started_during_the_check_is_active)
+{
+  auto r = run_without_a_slot();
+  r.has_events = false;
+  r.silent_ms = silent_time_ms(20'003, 20'000);
+  cr_assert_eq(health_of(r), run_health::active);
+  cr_assert_not(must_move(r));
+  cr_assert_eq(silent_time_ms(20'000, 20'300), 300);
+}
+
 // Guards against a text that never ends because its stream alone hangs while
 // the others of the engine go on and no slot is free elsewhere.
 Test(run_health, a_waiting_run_moves_in_the_end)
--- a/cactusford/batches/run_health.cc
+++ b/cactusford/batches/run_health.cc
@@ -16,6 +16,12 @@
   return "unknown";
 }
 
+std::uint64_t
+silent_time_ms(std::uint64_t last_event_ms, std::uint64_t now_ms)
+{
+  return now_ms > last_event_ms ? now_ms - last_event_ms : 0;
+}
+
 run_health
 health_of(const run_view& r)
 {
--- a/cactusford/batches/run_health.h
+++ b/cactusford/batches/run_health.h
@@ -25,6 +25,11 @@
 std::string_view
 name_of(run_health h) noexcept;
 
+// Returns how long a run has had no event. The check of all runs starts runs
+// itself, so their times may be later than that of the check: 0 then.
+std::uint64_t
+silent_time_ms(std::uint64_t last_event_ms, std::uint64_t now_ms);
+
 // What is known of a run and of its engine.
 struct run_view
 {
--- a/cactusford/batches/runs.cc
+++ b/cactusford/batches/runs.cc
@@ -1,4 +1,5 @@
 #include "cactusford/batches/manager_impl.h"
+#include "cactusford/batches/run_health.h"
 #include "cactusford/edge/credentials.h"
 #include "cactusford/http/socket.h"
 #include "cactusford/process/line_log.h"
@@ -520,7 +521,7 @@
     if (backend == nullptr) {
       continue;
     }
-    if (now - i.last_event_ms > silence_limit &&
+    if (silent_time_ms(i.last_event_ms, now) > silence_limit &&
         check_silent_run(b, i, *backend, silence_limit, now)) {
       continue;
     }
@@ -530,7 +531,7 @@
         ? 0
         : backends::typical_pace_ms(deps.registry, service, now);
     const bool slow = backends::is_slow(*backend, typical_gap_ms, now) &&
-                      now - i.started_ms > min_run_before_move_ms;
+                      now > i.started_ms + min_run_before_move_ms;
     const auto run = outlook_of(b, i, event_gap_ms);
     const auto cause =
       backend->info.leaving
