Engine shares: a slot withheld later in the same check is not open

The check of runs uses one time, and its dispatch notes withheld slots at a later one. The unsigned difference exceeded the 300 ms after which a slot is open to all. Found by reading, not seen in a run. The test fails without the change.

--- a/cactusford/batches/engine_shares-test.cc
+++ b/cactusford/batches/engine_shares-test.cc
@@ -832,3 +832,15 @@
   set_reported_runs(r, { { "e100", 3 } }, start_ms + 2010);
   cr_assert_eq(known_runs(e, start_ms + 2010), 4);
 }
+
+// Guards against a slot that is taken although its owner needs it: the check of
+// runs dispatches, which notes the slot at a later time than that of the check.
+Test(engine_shares, a_slot_withheld_later_in_the_same_check_is_not_open)
+{
+  lone_owner a;
+  a.receive(report_of("b", {}, 24), start_ms);
+  a.update(start_ms, { 0, 24 });
+  cr_assert_eq(a.start_all(start_ms + 3), 12);
+  cr_assert_not(a.sharing.withheld_since_ms.empty());
+  cr_assert_eq(a.start_all(start_ms), 0);
+}
--- a/cactusford/batches/engine_shares.cc
+++ b/cactusford/batches/engine_shares.cc
@@ -483,7 +483,7 @@
   const bool has_unclaimed_slot =
     known_runs(engine, now_ms) + p->reserved < engine.info.slots;
   return (has_unclaimed_slot && p->is_first) ||
-         now_ms - since > max_withheld_ms;
+         now_ms > since + max_withheld_ms;
 }
 
 void
