--- a/cactusford/batches/run_health-test.cc
+++ b/cactusford/batches/run_health-test.cc
@@ -60,6 +60,18 @@
   cr_assert_eq(silent_time_ms(20'000, 20'300), 300);
 }
 
+// Guards against an engine that hangs and is never marked as failed: it states
+// no slots, so that each of its runs seemed to be one too many.
+Test(run_health, a_lone_run_on_an_engine_of_unknown_size_is_stalled)
+{
+  auto r = run_without_a_slot();
+  r.engine_slots = 0;
+  r.engine_runs = 1;
+  cr_assert_eq(health_of(r), run_health::stalled);
+  r.engine_runs = 2;
+  cr_assert_eq(health_of(r), run_health::waiting);
+}
+
 // Guards against a text that never ends because its stream alone hangs while
 // the others of the engine go on and no slot is free elsewhere.
 Test(run_health, a_waiting_run_moves_in_the_end)
--- a/cactusford/batches/run_health.cc
+++ b/cactusford/batches/run_health.cc
@@ -1,5 +1,7 @@
 #include "cactusford/batches/run_health.h"
 
+#include <algorithm>
+
 namespace cactusford::batches {
 
 std::string_view
@@ -29,8 +31,10 @@
   if (r.silent_ms <= limit) {
     return run_health::active;
   }
+  // An engine that does not state its slots has at least one.
+  const auto slots = std::max<std::uint32_t>(r.engine_slots, 1);
   const bool is_waiting =
-    r.is_shared && (r.engine_runs > r.engine_slots || r.has_active_sibling);
+    r.is_shared && (r.engine_runs > slots || r.has_active_sibling);
   return is_waiting ? run_health::waiting : run_health::stalled;
 }
 
