Engine shares: forgets withheld slots while there is a single owner

The times outlasted the period without other owners. When one came back, its free slots appeared to have been unused since then and were taken at once. The test fails without the change.

--- a/cactusford/batches/engine_shares-test.cc
+++ b/cactusford/batches/engine_shares-test.cc
@@ -844,3 +844,20 @@
   cr_assert_not(a.sharing.withheld_since_ms.empty());
   cr_assert_eq(a.start_all(start_ms), 0);
 }
+
+// Guards against slots that are taken at once from an owner that comes back:
+// the time for which they were withheld before does not count.
+Test(engine_shares, slots_withheld_before_a_single_owner_are_withheld_anew)
+{
+  lone_owner a;
+  a.receive(report_of("b", {}, 24), start_ms);
+  a.update(start_ms, { 0, 24 });
+  cr_assert_eq(a.start_all(start_ms), 12);
+  a.owners = { { "a" } };
+  a.update(start_ms + 900, { 12, 12 });
+  cr_assert_not(a.sharing.is_shared);
+  a.owners.push_back({ "b" });
+  a.receive(report_of("b", {}, 24), start_ms + 1000);
+  a.update(start_ms + 1000, { 12, 12 });
+  cr_assert_eq(a.start_all(start_ms + 1000), 0);
+}
--- a/cactusford/batches/engine_shares.cc
+++ b/cactusford/batches/engine_shares.cc
@@ -449,6 +449,7 @@
     s.division.clear();
     s.permits.clear();
     s.engines.clear();
+    s.withheld_since_ms.clear();
     return false;
   }
   const bool new_engines = update_engines(s.engines, v.engines, v.service);
