Engine shares: short runs do not withhold unused slots

Each run that started within the own share began the 300 ms anew after which another owner's unused slot is open. With three slots an engine and short runs they never passed, so the slots stayed idle as long as their owner could not use them (model not loaded, owner gone). The test fails without the change.

--- a/cactusford/batches/engine_shares-test.cc
+++ b/cactusford/batches/engine_shares-test.cc
@@ -95,7 +95,7 @@
       if (b == nullptr) {
         break;
       }
-      note_run_started(sharing, b->info.id);
+      note_run_started(sharing, *b);
       ++b->in_flight;
       ++started;
     }
@@ -688,7 +688,7 @@
         i.engine.clear();
         break;
       }
-      note_run_started(o.sharing, b->info.id);
+      note_run_started(o.sharing, *b);
       ++b->in_flight;
       i.is_waiting = false;
       i.was_served = false;
@@ -861,3 +861,23 @@
   a.update(start_ms + 1000, { 12, 12 });
   cr_assert_eq(a.start_all(start_ms + 1000), 0);
 }
+
+// Guards against slots that stay idle for as long as their owner cannot use
+// them: each run that started within the own share began the 300 ms anew.
+Test(engine_shares, short_runs_do_not_withhold_unused_slots)
+{
+  lone_owner a;
+  std::uint32_t most = 0;
+  for (std::uint64_t now = start_ms; now < start_ms + 1000; now += 100) {
+    a.receive(report_of("b", {}, 100), now);
+    std::uint32_t running = 0;
+    for (auto& [id, b] : a.engines.all) {
+      b.in_flight -= b.in_flight > 0 ? 1 : 0;
+      running += b.in_flight;
+    }
+    a.update(now, { running, 100 });
+    forget_used_slots(a.sharing, a.engines, now);
+    most = std::max(most, running + a.start_all(now));
+  }
+  cr_assert_gt(most, 12);
+}
--- a/cactusford/batches/engine_shares.cc
+++ b/cactusford/batches/engine_shares.cc
@@ -488,9 +488,14 @@
 }
 
 void
-note_run_started(service_sharing& s, const std::string& engine)
+note_run_started(service_sharing& s, const backends::backend& engine)
 {
-  s.withheld_since_ms.erase(engine);
+  // A run within the own share leaves the withheld slot free. If it started the
+  // time anew, owners with short runs would never use that slot.
+  const auto* p = find_permit(s, engine.info.id);
+  if (p == nullptr || engine.in_flight >= p->own_share) {
+    s.withheld_since_ms.erase(engine.info.id);
+  }
   if (s.own.waiting > 0) {
     --s.own.waiting;
     ++s.own.running;
--- a/cactusford/batches/engine_shares.h
+++ b/cactusford/batches/engine_shares.h
@@ -185,9 +185,10 @@
               const backends::backend& engine,
               std::uint64_t now_ms);
 
-// Called when this owner has started a run on the engine.
+// Called when this owner starts a run on the engine, before it is counted as
+// in flight.
 void
-note_run_started(service_sharing& s, const std::string& engine);
+note_run_started(service_sharing& s, const backends::backend& engine);
 
 // Forgets since when slots were withheld on engines that have none free.
 // Called periodically.
--- a/cactusford/batches/engine_sharing.cc
+++ b/cactusford/batches/engine_sharing.cc
@@ -191,7 +191,7 @@
 
 void
 manager::impl::on_run_started(std::string_view service,
-                              const std::string& engine)
+                              const backends::backend& engine)
 {
   if (auto* s = sharing_of(service)) {
     note_run_started(*s, engine);
--- a/cactusford/batches/manager_impl.h
+++ b/cactusford/batches/manager_impl.h
@@ -151,7 +151,8 @@
   void report_demand_change(std::uint64_t now);
   service_sharing* sharing_of(std::string_view service);
   void restrict_to_share(backends::item_needs& needs, std::uint64_t now);
-  void on_run_started(std::string_view service, const std::string& engine);
+  void on_run_started(std::string_view service,
+                      const backends::backend& engine);
   bool has_active_sibling(const batch_state& b,
                           const item_state& i,
                           std::uint64_t silence_limit,
--- a/cactusford/batches/runs.cc
+++ b/cactusford/batches/runs.cc
@@ -169,7 +169,7 @@
     i.failed_on.clear();
     return false;
   }
-  on_run_started(needs.service, backend->info.id);
+  on_run_started(needs.service, *backend);
   const auto& names = deps.dialect.headers;
   http::request r;
   r.method = "POST";
