--- a/tests/batches_cluster.h
+++ b/tests/batches_cluster.h
@@ -106,6 +106,7 @@
                                      [this] { return largest_entries; },
                                      &quarantine_manager,
                                      [] { return membership::standby_state{}; },
+                                     true, // score_calls_yield
                                      engine_shares });
     watcher = std::make_unique<store::watcher>(
       io,
