--- a/cactusford/batches/engine_shares-test.cc
+++ b/cactusford/batches/engine_shares-test.cc
@@ -95,7 +95,7 @@
       if (b == nullptr) {
         break;
       }
-      note_run_started(sharing, b->info.id);
+      note_run_started(sharing, *b);
       ++b->in_flight;
       ++started;
     }
@@ -738,7 +738,7 @@
         i.engine.clear();
         break;
       }
-      note_run_started(o.sharing, b->info.id);
+      note_run_started(o.sharing, *b);
       ++b->in_flight;
       i.is_waiting = false;
       i.was_served = false;
@@ -868,3 +868,66 @@
   set_reported_runs(r, { { "e100", 1 } }, start_ms + 20);
   cr_assert_eq(known_runs(e, start_ms + 20), 4);
 }
+
+// Guards against engines that appear full for a second after a pause of the
+// reports: the answer counted all runs of the other owners, as their last
+// report had expired, and the next report counts the same runs again.
+Test(engine_shares, counts_runs_once_after_the_reports_have_paused)
+{
+  auto r = registry_of(engines_of_six(1));
+  auto& e = *backends::find(r, "e100");
+  set_reported_runs(r, { { "e100", 3 } }, start_ms);
+  e.in_flight = 1;
+  backends::note_load(e, { 4, 0, slots }, start_ms + 2000);
+  set_reported_runs(r, { { "e100", 3 } }, start_ms + 2010);
+  cr_assert_eq(known_runs(e, start_ms + 2010), 4);
+}
+
+// Guards against a slot that is taken although its owner needs it: the check of
+// runs dispatches, which notes the slot at a later time than that of the check.
+Test(engine_shares, a_slot_withheld_later_in_the_same_check_is_not_open)
+{
+  lone_owner a;
+  a.receive(report_of("b", {}, 24), start_ms);
+  a.update(start_ms, { 0, 24 });
+  cr_assert_eq(a.start_all(start_ms + 3), 12);
+  cr_assert_not(a.sharing.withheld_since_ms.empty());
+  cr_assert_eq(a.start_all(start_ms), 0);
+}
+
+// Guards against slots that are taken at once from an owner that comes back:
+// the time for which they were withheld before does not count.
+Test(engine_shares, slots_withheld_before_a_single_owner_are_withheld_anew)
+{
+  lone_owner a;
+  a.receive(report_of("b", {}, 24), start_ms);
+  a.update(start_ms, { 0, 24 });
+  cr_assert_eq(a.start_all(start_ms), 12);
+  a.owners = { { "a" } };
+  a.update(start_ms + 900, { 12, 12 });
+  cr_assert_not(a.sharing.is_shared);
+  a.owners.push_back({ "b" });
+  a.receive(report_of("b", {}, 24), start_ms + 1000);
+  a.update(start_ms + 1000, { 12, 12 });
+  cr_assert_eq(a.start_all(start_ms + 1000), 0);
+}
+
+// Guards against slots that stay idle for as long as their owner cannot use
+// them: each run that started within the own share began the 300 ms anew.
+Test(engine_shares, short_runs_do_not_withhold_unused_slots)
+{
+  lone_owner a;
+  std::uint32_t most = 0;
+  for (std::uint64_t now = start_ms; now < start_ms + 1000; now += 100) {
+    a.receive(report_of("b", {}, 100), now);
+    std::uint32_t running = 0;
+    for (auto& [id, b] : a.engines.all) {
+      b.in_flight -= b.in_flight > 0 ? 1 : 0;
+      running += b.in_flight;
+    }
+    a.update(now, { running, 100 });
+    forget_used_slots(a.sharing, a.engines, now);
+    most = std::max(most, running + a.start_all(now));
+  }
+  cr_assert_gt(most, 12);
+}
--- a/cactusford/batches/engine_shares.cc
+++ b/cactusford/batches/engine_shares.cc
@@ -460,6 +460,7 @@
     s.division.clear();
     s.permits.clear();
     s.engines.clear();
+    s.withheld_since_ms.clear();
     return false;
   }
   const bool new_engines = update_engines(s.engines, v.engines, v.service);
@@ -494,7 +495,7 @@
   const bool has_unclaimed_slot =
     known_runs(engine, now_ms) + p->reserved < engine.info.slots;
   return (has_unclaimed_slot && p->is_first) ||
-         now_ms - since > max_withheld_ms;
+         now_ms > since + max_withheld_ms;
 }
 
 bool
@@ -520,9 +521,14 @@
 }
 
 void
-note_run_started(service_sharing& s, const std::string& engine)
+note_run_started(service_sharing& s, const backends::backend& engine)
 {
-  s.withheld_since_ms.erase(engine);
+  // A run within the own share leaves the withheld slot free. If it started the
+  // time anew, owners with short runs would never use that slot.
+  const auto* p = find_permit(s, engine.info.id);
+  if (p == nullptr || engine.in_flight >= p->own_share) {
+    s.withheld_since_ms.erase(engine.info.id);
+  }
   if (s.own.waiting > 0) {
     --s.own.waiting;
     ++s.own.running;
@@ -563,7 +569,11 @@
   for (auto& [id, b] : engines.all) {
     const auto found = runs.find(id);
     const auto reported = found == runs.end() ? 0 : found->second;
-    const auto added = reported > b.peer_runs ? reported - b.peer_runs : 0;
+    // An answer that arrived after the last report had expired counted all of
+    // the other owners' runs.
+    const auto before =
+      now_ms - b.peer_runs_at_ms < max_load_age_ms ? b.peer_runs : 0;
+    const auto added = reported > before ? reported - before : 0;
     b.other_load -= std::min(b.other_load, added);
   }
   backends::set_peer_runs(engines, runs, now_ms);
