Quarantine: runs lost to failures of all servers no longer refuse a healthy call

Cause: three rules refused a healthy request beside repeated failures of all servers.

Change: a call that a server answered before is not quarantined for crashes with an idle peer, or for trials lost to them, as long as none of its crashes hit a single server, it has fewer than three other crashes, and idle servers fail at least half as often without it. Further runs are trials. The ninth crash quarantines it. A poison request has no answer, so its limits stay as they are. Simultaneous crashes that several instances report count once even if nothing else ran there; a trial then decides.

--- a/cactusford/quarantine/evidence-test.cc
+++ b/cactusford/quarantine/evidence-test.cc
@@ -29,8 +29,8 @@
   void add(report r)
   {
     r.at_ms = now;
-    add_report(
-      e, r.reporter + "." + std::to_string(next_report++), std::move(r));
+    const auto name = r.reporter + "." + std::to_string(next_report++);
+    add_report(e, name, std::move(r));
   }
 
   // Reports that a backend server crashed a second later while it ran these
@@ -207,6 +207,94 @@
     }
     cr_assert(t.status_of(poison) == request_status::quarantined);
   }
+  SECTION("those of three entries count once, and a trial decides")
+  {
+    history t;
+    t.crash_now("a", { healthy }, "entry-0");
+    t.crash_now("b", { healthy }, "entry-1");
+    t.crash_now("c", { healthy }, "entry-2");
+    cr_assert(t.status_of(healthy) == request_status::on_trial);
+  }
+}
+
+namespace {
+
+// All servers fail every two seconds; the request runs in every other failure.
+// Each run from the third on is a trial that is lost to the failure.
+void
+lose_runs_to_failures(history& s, const fingerprint& f, int runs)
+{
+  for (int i = 0; i < runs; ++i) {
+    const auto round = std::to_string(s.next_report);
+    if (i >= 3) {
+      s.start_trial(f);
+    }
+    s.crash_later("with" + round, { f });
+    s.crash_now("idle" + round, {});
+    s.crash_later("without" + round, {});
+  }
+}
+
+} // namespace
+
+// A healthy request was refused for ten minutes: each of its runs, trials
+// included, was lost to failures of all servers, which also happened while it
+// did not run.
+Test(quarantine,
+     runs_lost_to_failures_of_all_servers_refuse_no_answered_request)
+{
+  history s;
+  s.crash_later("first", { healthy });
+  s.now += second_ms;
+  s.answer(healthy);
+  lose_runs_to_failures(s, healthy, 8);
+  cr_assert(s.status_of(healthy) == request_status::on_trial);
+  s.start_trial(healthy);
+  s.now += second_ms;
+  cr_assert(s.status_of(healthy) == request_status::awaiting_trial);
+  SECTION("three trials that are not lost to a failure are still the limit")
+  {
+    for (int i = 0; i < 3; ++i) {
+      s.start_trial(healthy);
+    }
+    cr_assert(s.status_of(healthy) == request_status::quarantined);
+  }
+  SECTION("the ninth lost run is the last")
+  {
+    lose_runs_to_failures(s, healthy, 1);
+    cr_assert(s.status_of(healthy) == request_status::quarantined);
+    lose_runs_to_failures(s, healthy, 1);
+    cr_assert(s.status_of(healthy, run_kind::item) ==
+              request_status::quarantined);
+  }
+  SECTION("a request that was never answered is quarantined")
+  {
+    history t;
+    lose_runs_to_failures(t, poison, 6);
+    cr_assert(t.status_of(poison) == request_status::quarantined);
+  }
+  SECTION("so is one that also crashed a server by itself")
+  {
+    history t;
+    t.crash_later("first", { poison });
+    t.now += second_ms;
+    t.answer(poison);
+    t.crash_later("alone", { poison });
+    lose_runs_to_failures(t, poison, 5);
+    cr_assert(t.status_of(poison) == request_status::quarantined);
+  }
+  SECTION("so is one without which no server fails")
+  {
+    history t;
+    t.crash_later("first", { poison });
+    t.now += second_ms;
+    t.answer(poison);
+    for (const auto* round : { "a", "b", "c", "d", "e", "f" }) {
+      t.crash_later(std::string{ round } + "1", { poison });
+      t.crash_now(std::string{ round } + "2", {});
+    }
+    cr_assert(t.status_of(poison) == request_status::quarantined);
+  }
 }
 
 // Poison requests that are repeatedly sent together explain each other's
--- a/cactusford/quarantine/evidence.cc
+++ b/cactusford/quarantine/evidence.cc
@@ -15,18 +15,38 @@
   }
 }
 
+// Returns true if crashes with an idle peer are no evidence against the
+// request: a server answered it before, none of its crashes hit a single
+// server, and idle servers also fail without it. A poison request has no
+// answer, and one that a release made poisonous has no such failures while it
+// does not run, or crashes a single server. Does not apply to items, which run
+// without trials.
+bool
+is_beside_failures(const evidence_limits& l, const suspicion& s, run_kind kind)
+{
+  return kind == run_kind::call && s.was_answered && s.with_idle_peer > 0 &&
+         s.lone == 0 && s.crashes + s.explained < l.crashes &&
+         s.crashes + s.explained + s.with_idle_peer <
+           l.total_crashes_beside_failures &&
+         2 * s.failures_without >= s.with_idle_peer;
+}
+
 std::uint32_t
-total_crashes(const suspicion& s)
+total_crashes(const evidence_limits& l, const suspicion& s, run_kind kind)
 {
-  return s.crashes + s.explained + s.with_idle_peer;
+  const auto with_idle_peer =
+    is_beside_failures(l, s, kind) ? 0 : s.with_idle_peer;
+  return s.crashes + s.explained + with_idle_peer;
 }
 
 // Returns false if an idle server crashed together with each of the request's
-// servers: whatever took them down, it was no request.
+// servers: whatever took them down, it was no request. From the limit for all
+// crashes on, trials confirm that.
 bool
-has_own_cause(const suspicion& s)
+may_need_trial(const evidence_limits& l, const suspicion& s, run_kind kind)
 {
-  return s.crashes + s.explained > 0;
+  return s.crashes + s.explained > 0 || (is_beside_failures(l, s, kind) &&
+                                         s.with_idle_peer >= l.total_crashes);
 }
 
 // Returns true if the request has enough crashes to be quarantined.
@@ -37,17 +57,19 @@
   const auto alone = s.contested ? l.crashes_when_contested : l.crashes;
   if (is_item) {
     return s.crashes >= std::max(alone, l.crashes_of_item) ||
-           total_crashes(s) >= l.total_crashes_of_item;
+           total_crashes(l, s, kind) >= l.total_crashes_of_item;
   }
   return s.crashes >= alone ||
          s.crashes + s.explained >= l.crashes_with_others ||
-         total_crashes(s) >= l.total_crashes;
+         total_crashes(l, s, kind) >= l.total_crashes;
 }
 
 bool
 has_used_trials(const evidence_limits& l, const suspicion& s, run_kind kind)
 {
-  return kind == run_kind::call && has_own_cause(s) && s.trials >= l.max_trials;
+  const auto lost = is_beside_failures(l, s, kind) ? s.lost_trials : 0;
+  return kind == run_kind::call && may_need_trial(l, s, kind) &&
+         s.trials - lost >= l.max_trials;
 }
 
 // Returns true if the request may have crashed as many servers as it is allowed
@@ -57,13 +79,13 @@
 bool
 needs_trial(const evidence_limits& l, const suspicion& s, run_kind kind)
 {
-  if (kind == run_kind::item || s.observed < l.crashes || !has_own_cause(s) ||
-      has_used_trials(l, s, kind)) {
+  if (kind == run_kind::item || s.observed < l.crashes ||
+      !may_need_trial(l, s, kind) || has_used_trials(l, s, kind)) {
     return false;
   }
   // A rack that failed during the last run has settled nothing.
   const bool is_last_valid =
-    !s.is_last_with_idle_peer || total_crashes(s) >= l.total_crashes;
+    !s.is_last_with_idle_peer || total_crashes(l, s, kind) >= l.total_crashes;
   const bool is_settled =
     is_last_valid && s.trials >= static_cast<std::uint32_t>(s.cause);
   return !is_settled || !reaches_limit(l, s, kind);
--- a/cactusford/quarantine/suspicion.cc
+++ b/cactusford/quarantine/suspicion.cc
@@ -78,6 +78,30 @@
   return next != times.end() && *next <= at_ms + window_ms;
 }
 
+// Counts the failures between the first and the last of the given crashes that
+// coincide with none of them.
+std::uint32_t
+failures_without(const std::set<std::uint64_t>& idle,
+                 const std::map<incarnation, observed_crash>& own,
+                 std::uint64_t window_ms)
+{
+  std::set<std::uint64_t> own_times;
+  for (const auto& [of, observed] : own) {
+    own_times.insert(observed.at_ms);
+  }
+  std::uint32_t count = 0;
+  std::uint64_t last_ms = 0;
+  const auto end = idle.upper_bound(*own_times.rbegin());
+  for (auto at = idle.lower_bound(*own_times.begin()); at != end; ++at) {
+    const bool is_counted = count > 0 && *at <= last_ms + window_ms;
+    if (!is_counted && !has_time_near(own_times, *at, window_ms)) {
+      ++count;
+      last_ms = *at;
+    }
+  }
+  return count;
+}
+
 // Collects the crashes that each request has had since it was last answered. A
 // crash that several instances report counts once.
 crashes_by_request
@@ -172,7 +196,9 @@
 // several servers at once, so simultaneous crashes count once. Crashes seen by
 // a single instance that sent the request from server to server each count,
 // however fast they follow each other, unless another server crashed at the
-// same time without the request.
+// same time without the request. Those that several instances see count once
+// even if nothing else ran there: a small service may run only this request
+// when all its servers fail.
 std::set<incarnation>
 independent_crashes(const fingerprint& request,
                     const std::map<incarnation, observed_crash>& own,
@@ -193,8 +219,7 @@
     const auto others = classify_simultaneous(all, request, at, window_ms);
     const bool is_already_counted =
       is_same_instant && (others == simultaneous_crashes::without_request ||
-                          (others == simultaneous_crashes::with_others &&
-                           reporter != last_reporter));
+                          reporter != last_reporter);
     if (!is_already_counted) {
       independent.insert(of);
       last_ms = at;
@@ -204,6 +229,30 @@
   return independent;
 }
 
+bool
+has_other_crash(const crashes_by_time& all,
+                const incarnation& of,
+                std::uint64_t at_ms,
+                std::uint64_t window_ms)
+{
+  const auto from = at_ms > window_ms ? at_ms - window_ms : 0;
+  return std::any_of(all.lower_bound(from),
+                     all.upper_bound(at_ms + window_ms),
+                     [&](const auto& each) { return each.second.of != of; });
+}
+
+std::uint32_t
+count_lone(const std::map<incarnation, observed_crash>& own,
+           const crashes_by_time& all,
+           std::uint64_t window_ms)
+{
+  const auto lone = std::count_if(own.begin(), own.end(), [&](const auto& c) {
+    return !c.second.is_with_idle_peer &&
+           !has_other_crash(all, c.first, c.second.at_ms, window_ms);
+  });
+  return static_cast<std::uint32_t>(lone);
+}
+
 struct candidate
 {
   fingerprint request;
@@ -214,6 +263,8 @@
   std::size_t without_idle_peer = 0;
   std::size_t with_idle_peer = 0;
   std::set<incarnation> own;
+  std::uint32_t lone = 0;
+  std::uint32_t failures_without = 0;
   other_cause cause = other_cause::none;
   bool is_decided = false;
 };
@@ -258,6 +309,7 @@
 candidate_of(const fingerprint& request,
              const std::map<incarnation, observed_crash>& crashes,
              const crashes_by_time& sorted,
+             const std::set<std::uint64_t>& idle,
              const evidence_limits& limits)
 {
   candidate c;
@@ -272,6 +324,9 @@
     return crashes.at(i).is_with_idle_peer;
   });
   c.without_idle_peer = c.own.size();
+  c.lone = count_lone(crashes, sorted, limits.same_cause_window_ms);
+  c.failures_without =
+    failures_without(idle, crashes, limits.idle_crash_window_ms);
   c.cause = cause_of(c, sorted, limits.same_cause_window_ms);
   return c;
 }
@@ -303,6 +358,8 @@
   s.crashes = static_cast<std::uint32_t>(c.own.size());
   s.explained = static_cast<std::uint32_t>(c.without_idle_peer - c.own.size());
   s.with_idle_peer = static_cast<std::uint32_t>(c.with_idle_peer);
+  s.lone = c.lone;
+  s.failures_without = c.failures_without;
   s.observed = static_cast<std::uint32_t>(c.crashes->size());
   s.cause = c.cause;
   for (const auto& [of, observed] : *c.crashes) {
@@ -356,8 +413,25 @@
   }
 }
 
+// Returns true if the first crash after the start of a trial coincides with the
+// crash of an idle server.
+bool
+is_lost(const std::map<incarnation, observed_crash>& crashes,
+        std::uint64_t trial_ms)
+{
+  const observed_crash* first = nullptr;
+  for (const auto& [of, observed] : crashes) {
+    if (observed.at_ms > trial_ms &&
+        (first == nullptr || observed.at_ms < first->at_ms)) {
+      first = &observed;
+    }
+  }
+  return first != nullptr && first->is_with_idle_peer;
+}
+
 void
 record_trials(const reports_by_name& reports,
+              const crashes_by_request& crashes,
               std::map<fingerprint, suspicion>& suspicions)
 {
   const auto answers = last_answers(reports);
@@ -369,6 +443,7 @@
     if (found != suspicions.end() && !is_answered) {
       auto& s = found->second;
       ++s.trials;
+      s.lost_trials += is_lost(crashes.at(r.trial), r.at_ms) ? 1 : 0;
       s.last_trial_ms = std::max(s.last_trial_ms, r.at_ms);
     }
   }
@@ -382,9 +457,10 @@
   const auto crashes =
     crashes_since_answer(reports, limits.idle_crash_window_ms);
   const auto sorted = sort_by_time(reports);
+  const auto idle = idle_crash_times(reports);
   std::vector<candidate> all;
   for (const auto& [request, request_crashes] : crashes) {
-    all.push_back(candidate_of(request, request_crashes, sorted, limits));
+    all.push_back(candidate_of(request, request_crashes, sorted, idle, limits));
   }
   std::map<fingerprint, suspicion> suspicions;
   attribute_crashes(all, limits, suspicions);
@@ -393,7 +469,13 @@
       suspicions[c.request] = suspicion_of(c);
     }
   }
-  record_trials(reports, suspicions);
+  for (const auto& [request, at] : last_answers(reports)) {
+    const auto found = suspicions.find(request);
+    if (found != suspicions.end()) {
+      found->second.was_answered = true;
+    }
+  }
+  record_trials(reports, crashes, suspicions);
   return suspicions;
 }
 
--- a/cactusford/quarantine/suspicion.h
+++ b/cactusford/quarantine/suspicion.h
@@ -71,6 +71,10 @@
   std::uint32_t crashes_with_others = 4;
   std::uint32_t total_crashes = 6;
   std::uint32_t total_crashes_of_item = 10;
+  // Limit for a call that a server has answered before and whose other crashes
+  // all happened in repeated failures of several servers. It bounds the crashes
+  // by a call that a release made poisonous and that takes idle servers down.
+  std::uint32_t total_crashes_beside_failures = 9;
   // How long a request stays quarantined. A release that fixes the service
   // takes minutes or more, and each earlier trial may crash a server with all
   // requests that it runs.
@@ -120,6 +124,11 @@
   // crash of an idle server.
   std::uint32_t explained = 0;
   std::uint32_t with_idle_peer = 0;
+  // Crashes without an idle peer during which no other server crashed.
+  std::uint32_t lone = 0;
+  // Crashes of idle servers at other times than the request's own crashes,
+  // between its first and its last one. Simultaneous ones count once.
+  std::uint32_t failures_without = 0;
   // All crashes while the request ran. Simultaneous ones, which count once
   // above, count separately.
   std::uint32_t observed = 0;
@@ -132,6 +141,10 @@
   // Trial runs since the request was last answered, and the time of the last.
   std::uint32_t trials = 0;
   std::uint64_t last_trial_ms = 0;
+  // Those of the trials that ended in a crash together with an idle server.
+  std::uint32_t lost_trials = 0;
+  // A server answered the request before these crashes.
+  bool was_answered = false;
 
   friend bool operator==(const suspicion&, const suspicion&) = default;
 };
