Speeds and shares take effect only where servers differ

Change: the model of speeds is in force once the slower quartile of a service is slower than the faster one by a fifth; before that, and where servers are equal, engines are judged as before. Slots are divided only there: owners collide where they all prefer the same engines. Two older tests of the speeds set up the condition by hand.

--- a/cactusford/backends/registry.cc
+++ b/cactusford/backends/registry.cc
@@ -193,7 +193,18 @@
 pace_of(const registry& r, std::string_view service)
 {
   const auto found = r.paces.find(service);
-  return r.server_speeds && found != r.paces.end() ? &found->second : nullptr;
+  const bool in_force =
+    r.server_speeds && found != r.paces.end() && found->second.is_uneven;
+  return in_force ? &found->second : nullptr;
+}
+
+bool
+has_uneven_service(const registry& r)
+{
+  return r.server_speeds &&
+         std::any_of(r.paces.begin(), r.paces.end(), [](const auto& p) {
+           return p.second.is_uneven;
+         });
 }
 
 std::string_view
@@ -353,7 +364,7 @@
 {
   // The cost of a server counts its load already. Without this, a busy server
   // would be taken for a slow one as well.
-  const auto queueing = r.server_speeds ? queueing_at(load_when_sent) : 1;
+  const auto queueing = has_uneven_service(r) ? queueing_at(load_when_sent) : 1;
   note_success(b,
                static_cast<std::uint64_t>(
                  std::llround(static_cast<double>(took_ms) / queueing)));
--- a/cactusford/backends/registry.h
+++ b/cactusford/backends/registry.h
@@ -218,11 +218,16 @@
 double
 load_of(const backend& b, std::uint64_t now_ms);
 
-// Returns the measured pace of the service, or null if there is none or it is
-// not used.
+// Returns the measured pace of the service, or null if its servers were not
+// measured to differ, or the switch is off. Servers are then told apart by
+// `is_slow`.
 const service_pace*
 pace_of(const registry& r, std::string_view service);
 
+// Returns true if the servers of some service were measured to differ.
+bool
+has_uneven_service(const registry& r);
+
 // Time between stream events on a healthy engine of the service: the lower
 // quartile over all engines with a recent value. 0 if there are none.
 double
--- a/cactusford/backends/run_moves.cc
+++ b/cactusford/backends/run_moves.cc
@@ -52,11 +52,11 @@
             std::uint64_t last_event_ms,
             std::uint64_t now_ms)
 {
+  note_pace(b,
+            static_cast<double>(now_ms - last_event_ms) /
+              static_cast<double>(events),
+            now_ms);
   if (!r.server_speeds) {
-    note_pace(b,
-              static_cast<double>(now_ms - last_event_ms) /
-                static_cast<double>(events),
-              now_ms);
     return;
   }
   auto& pace = r.paces[b.info.service];
--- a/cactusford/backends/speed-test.cc
+++ b/cactusford/backends/speed-test.cc
@@ -49,6 +49,7 @@
   for (std::size_t i = 0; i < count; ++i) {
     announce(r, engine(i));
   }
+  r.paces["drafts"].is_uneven = true;
   return r;
 }
 
@@ -565,6 +566,7 @@
 Test(speed, switched_off_decides_as_before)
 {
   auto r = engines(43);
+  r.paces.clear();
   r.server_speeds = false;
   std::mt19937_64 random{ 1 };
   std::uint64_t now = start_ms;
@@ -715,6 +717,31 @@
   }
 }
 
+// Guards against a change where servers are alike: speeds take effect only once
+// the servers of a service were measured to differ.
+Test(speed, takes_effect_only_where_servers_differ)
+{
+  auto r = engines(8);
+  r.paces.clear();
+  std::uint64_t now = start_ms;
+  SECTION("equal servers, one of them in trouble")
+  {
+    auto equal = r;
+    feed(equal, { 40, 41, 42, 40, 39, 40, 41, 42 }, now, 60);
+    feed(equal, { 40, 41, 42, 40, 39, 40, 41, 160 }, now, 8);
+    cr_expect_null(pace_of(equal, "drafts"));
+    cr_expect_eq(servers_in_trouble(equal, now), 0);
+    const auto typical = typical_pace_ms(equal, "drafts", now);
+    cr_expect(is_slow(*find(equal, engine_id(7)), typical, now));
+  }
+  SECTION("a third of the servers is faster")
+  {
+    feed(r, { 40, 40, 40, 40, 40, 30, 30, 30 }, now, 60);
+    cr_expect_not_null(pace_of(r, "drafts"));
+    cr_expect(has_uneven_service(r));
+  }
+}
+
 // Without samples, or with stale ones, no engine is in trouble, and a recovered
 // one is tried again.
 Test(speed, trouble_expires_without_samples)
--- a/cactusford/backends/speed.cc
+++ b/cactusford/backends/speed.cc
@@ -63,6 +63,11 @@
 // difference, servers are chosen by load alone.
 constexpr double indistinct = 0.12;
 
+// The slower quartile of a service of unequal servers is slower than the faster
+// quartile by more than this.
+constexpr double uneven_ratio = 1.2;
+constexpr std::size_t min_compared_servers = 4;
+
 // One unit of load lengthens gaps by the rise of the slowdown curve, and delays
 // the first event by the prompts of the other runs, which the curve does not
 // show. With less than 0.75, bursts crowded the fast engines.
@@ -321,6 +326,11 @@
   }
   // Slow servers yield their samples last: measured servers without a known
   // factor count as slower than all others.
+  if (known.size() >= min_compared_servers) {
+    const auto fast = element_at(known, known.size() / 4);
+    const auto slow = element_at(known, known.size() * 3 / 4);
+    p.is_uneven = p.is_uneven || slow > uneven_ratio * fast;
+  }
   p.fast_factor = *std::min_element(known.begin(), known.end()) / scale;
   const auto quartile = std::max(measured, known.size()) * 3 / 4;
   if (known.size() >= min_known_servers && quartile < known.size()) {
--- a/cactusford/backends/speed.h
+++ b/cactusford/backends/speed.h
@@ -49,6 +49,9 @@
   double slow_factor = 0;
   // Factor of the fastest server.
   double fast_factor = 1;
+  // The servers were measured to differ in speed. Stays true, as they differ by
+  // their hardware.
+  bool is_uneven = false;
   // Trouble of the median server; the whole service may be slow for a while.
   double trouble = 1;
   // Moving average of the load of the measured servers.
--- a/cactusford/batches/engine_shares.cc
+++ b/cactusford/batches/engine_shares.cc
@@ -453,7 +453,7 @@
     s.withheld_since_ms.clear();
   }
   auto owners = owners_of(s, v, now_ms);
-  s.is_shared = owners.size() > 1;
+  s.is_shared = v.is_needed && owners.size() > 1;
   if (!s.is_shared) {
     s.owners.clear();
     s.others.clear();
--- a/cactusford/batches/engine_shares.h
+++ b/cactusford/batches/engine_shares.h
@@ -164,6 +164,8 @@
   const std::vector<listed_owner>& owners;
   const peer_engine_usage& reports;
   const backends::registry& engines;
+  // False: the division is not in force.
+  bool is_needed = true;
 };
 
 // For this long after its own demand has risen because of a new batch, an owner
--- a/cactusford/batches/engine_sharing.cc
+++ b/cactusford/batches/engine_sharing.cc
@@ -133,7 +133,9 @@
   }
 }
 
-// Updates which slots of the engine services this owner may use.
+// Updates which slots of the engine services this owner may use. Slots are
+// divided only where engines differ in speed: all owners then prefer the same
+// ones, while equal engines are chosen by load and spread by themselves.
 void
 manager::impl::update_sharing(std::uint64_t now)
 {
@@ -157,7 +159,8 @@
                       use == uses.end() ? own_use{} : use->second,
                       listed == owners.end() ? no_owners : listed->second,
                       peer_usage,
-                      deps.registry },
+                      deps.registry,
+                      backends::pace_of(deps.registry, service) != nullptr },
                     now);
     forget_used_slots(s, deps.registry, now);
     if (is_new_division && deps.engine_shares &&
--- a/cactusford/batches/runs.cc
+++ b/cactusford/batches/runs.cc
@@ -527,7 +527,7 @@
     }
     const auto& service = backend->info.service;
     const auto typical_gap_ms =
-      deps.registry.server_speeds
+      backends::pace_of(deps.registry, service) != nullptr
         ? 0
         : backends::typical_pace_ms(deps.registry, service, now);
     const bool slow = backends::is_slow(*backend, typical_gap_ms, now) &&
