Engine shares: reported runs change other load only where slots are divided

Cause, by reading: runs that other owners report were taken off the load that an engine had told, wherever owners report to each other; runs that began after the answer were taken off unrelated load. Tested: 305 of 305 slice tests.

--- a/cactusford/batches/engine_usage_reports.cc
+++ b/cactusford/batches/engine_usage_reports.cc
@@ -114,7 +114,11 @@
   }
   record_report(impl_->peer_usage, std::move(*report), now);
   const auto runs = total_runs(impl_->peer_usage, now);
-  if (impl_->deps.engine_shares) {
+  const bool is_divided =
+    std::any_of(impl_->sharing.begin(),
+                impl_->sharing.end(),
+                [](const auto& s) { return s.second.is_shared; });
+  if (impl_->deps.engine_shares && is_divided) {
     set_reported_runs(impl_->deps.registry, runs, now);
   } else {
     backends::set_peer_runs(impl_->deps.registry, runs, now);
