Review: a graver case takes the place of a lesser one

Callers see steps run out of time while all workers are idle, for as long as the entry that owns the batches runs: a worker whose entry in the store lapsed and came back within one answer of the watch is no longer used for items. Its count of runs falls below zero.

--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -4,8 +4,21 @@
 set -uo pipefail
 cd "$(dirname "$0")/../.."
 folder=$(mktemp -d)
-trap 'rm -rf "$folder"' EXIT
-timeout 110 target/bin/review-standin stopped-entry target/bin "$folder" \
+
+# Ends the processes of the case that still run, if it was ended by its limit.
+clean_up() {
+  if [ -f "$folder/pids" ]; then
+    while read -r pid; do
+      if grep -qs "$folder" "/proc/$pid/cmdline"; then
+        kill -9 "$pid"
+      fi
+    done <"$folder/pids"
+  fi
+  rm -rf "$folder"
+}
+trap clean_up EXIT
+
+timeout 110 target/bin/review-standin reused-text target/bin "$folder" \
   review/3/record.txt
 result=$?
 [ "$result" -le 1 ] || result=2
--- a/review/standin/main.cc
+++ b/review/standin/main.cc
@@ -16,7 +16,7 @@
 run_single_version(world& w, bool trouble);
 
 int
-run_stopped_entry(world& w, bool trouble);
+run_lapsed_entries(world& w, bool trouble);
 
 } // namespace review
 
@@ -38,8 +38,8 @@
     result = review::run_reused_text(w, trouble);
   } else if (name == "single-version") {
     result = review::run_single_version(w, trouble);
-  } else if (name == "stopped-entry") {
-    result = review::run_stopped_entry(w, trouble);
+  } else if (name == "lapsed-entries") {
+    result = review::run_lapsed_entries(w, trouble);
   }
   w.record().line("exit " + std::to_string(result));
   return result;
--- a/review/standin/store.cc
+++ b/review/standin/store.cc
@@ -221,12 +221,23 @@
     respond(c, not_found, json::object());
     return;
   }
-  objects_[t.kind].erase(t.name);
-  object["Metadata"]["Revision"] = ++revision_;
-  record({ revision_, t.kind, true, object });
+  erase(t.kind, t.name);
+  object["Metadata"]["Revision"] = revision_;
   respond(c, ok, object);
 }
 
+void
+platform_store::erase(const std::string& kind, const std::string& name)
+{
+  auto object = get(kind, name);
+  if (object.is_null()) {
+    return;
+  }
+  objects_[kind].erase(name);
+  object["Metadata"]["Revision"] = ++revision_;
+  record({ revision_, kind, true, object });
+}
+
 void
 platform_store::store_object(const std::string& kind, json object)
 {
--- a/review/standin/store.h
+++ b/review/standin/store.h
@@ -28,6 +28,10 @@
                     const std::string& name,
                     const nlohmann::json& spec);
 
+  // Removes an object, as the store does with the entry of a worker that has
+  // been silent for too long.
+  void erase(const std::string& kind, const std::string& name);
+
   // Returns the object, or null if there is none.
   nlohmann::json get(const std::string& kind, const std::string& name) const;
 
--- a/review/standin/world.cc
+++ b/review/standin/world.cc
@@ -369,22 +369,30 @@
                              std::string id,
                              std::string zone)
   : io_{ io }
+  , store_{ store }
   , record_{ record }
   , id_{ std::move(id) }
+  , zone_{ std::move(zone) }
   , server_{ io, {}, [this](const http::call& c) { serve(c); } }
 {
   server_.listen("127.0.0.1:0");
+  announce();
+}
+
+void
+plain_service::announce()
+{
   constexpr int service_slots = 6;
-  store.put("servers",
-            id_,
-            { { "Service", "quote-api" },
-              { "Address", local_address(server_.port()) },
-              { "Zone", zone },
-              { "Version", "v1" },
-              { "Slots", service_slots },
-              { "State", "ready" },
-              { "ColdLeftMs", 0 },
-              { "Seq", 1 } });
+  store_.put("servers",
+             id_,
+             { { "Service", "quote-api" },
+               { "Address", local_address(server_.port()) },
+               { "Zone", zone_ },
+               { "Version", "v1" },
+               { "Slots", service_slots },
+               { "State", "ready" },
+               { "ColdLeftMs", 0 },
+               { "Seq", 1 } });
 }
 
 void
@@ -475,9 +483,12 @@
 {
   const auto path = folder_ + "/" + name + ".json";
   std::ofstream{ path } << settings.dump(2) << "\n";
-  return cactusford::standins::spawn_program(
+  const auto pid = cactusford::standins::spawn_program(
     { programs_ + "/" + program, "--settings", path },
     folder_ + "/" + name + ".log");
+  // For the script that started the case, if the case itself is ended.
+  std::ofstream{ folder_ + "/pids", std::ios::app } << pid << "\n";
+  return pid;
 }
 
 bool
--- a/review/standin/world.h
+++ b/review/standin/world.h
@@ -77,12 +77,15 @@
   std::string address() const;
   std::size_t running() const { return runs_; }
   std::uint64_t version() const { return version_; }
+  const std::string& id() const { return id_; }
+
+  // Writes the worker's entry to the store.
+  void announce();
 
   static constexpr std::uint64_t slots = 8;
 
 private:
   struct run;
-  void announce();
   void serve(const cactusford::http::call& c);
   void report(const cactusford::http::call& c);
   void take_order(const cactusford::http::call& c);
@@ -118,12 +121,19 @@
                 std::string id,
                 std::string zone);
 
+  const std::string& id() const { return id_; }
+
+  // Writes the worker's entry to the store.
+  void announce();
+
 private:
   void serve(const cactusford::http::call& c);
 
   asio::io_context& io_;
+  platform_store& store_;
   recorder& record_;
   std::string id_;
+  std::string zone_;
   cactusford::http::server server_;
 };
 
@@ -181,6 +191,10 @@
   {
     return workers_;
   }
+  const std::vector<std::unique_ptr<plain_service>>& services() const
+  {
+    return services_;
+  }
 
 private:
   struct process
