Batches: a text carries its own mark of being complete

Cause: texts kept from an ended batch were taken for complete if their item had a result. An item that was given up has one too, and keeps the part of its text that it had. The owner's log of the case shows the item finished with done=0 and three events, then no run for the second batch but its scorer's call. It did not tell where the text came from; item_text_reused now does.

The mark is part of the text, set when an engine has ended the stream in an orderly way and cleared by a further event.

Related paths: texts handed over at a shutdown took the stage for the mark (the stage was right there, they now use the mark); items marked as finished because another owner listed them kept partial texts that were taken for complete too (fixed by the mark); saved progress is resumed, never taken for complete (sound); items that wait again after ownership was lost are resumed (sound); a response that ends with its connection counts only after an orderly end (sound).

--- a/cactusford/batches/event_reader.cc
+++ b/cactusford/batches/event_reader.cc
@@ -104,6 +104,7 @@
   t.text += e.data;
   t.last_event = e.id;
   ++t.events;
+  t.complete = false;
   return true;
 }
 
--- a/cactusford/batches/event_reader.h
+++ b/cactusford/batches/event_reader.h
@@ -56,6 +56,8 @@
   // an event.
   std::uint64_t version = 0;
   std::vector<std::uint64_t> versions;
+  // The engine has ended the stream in an orderly way after the last event.
+  bool complete = false;
 
   friend bool operator==(const item_text&, const item_text&) = default;
 };
--- a/cactusford/batches/handing_over.cc
+++ b/cactusford/batches/handing_over.cc
@@ -54,7 +54,7 @@
       continue;
     }
     h.texts[id] = i.text;
-    if (i.stage == item_stage::scoring) {
+    if (i.text.complete) {
       h.complete.push_back(id);
     }
   }
@@ -349,7 +349,8 @@
     const auto text = h.texts.find(id);
     if (i.stage == item_stage::waiting && text != h.texts.end()) {
       i.text = text->second;
-      if (complete.contains(id)) {
+      i.text.complete = complete.contains(id);
+      if (i.text.complete) {
         on_text_complete(b, i);
       }
     }
--- a/cactusford/batches/manager_impl.h
+++ b/cactusford/batches/manager_impl.h
@@ -338,7 +338,8 @@
   // back from the store.
   std::unordered_map<std::string, std::shared_ptr<detail::pending_submission>>
     accepting;
-  std::unordered_map<std::string, detail::reusable_text> reusable_texts;
+  // Texts of items whose batches have ended, by item.
+  std::unordered_map<std::string, item_text> reusable_texts;
   // When the owner at an address last answered, on the steady clock.
   bool is_standby = true;
   std::uint64_t standby_since_ms = 0;
--- a/cactusford/batches/runs.cc
+++ b/cactusford/batches/runs.cc
@@ -470,6 +470,7 @@
                  b.submission.items[at].length_hint,
                  http::now_ms() - i->started_ms);
     }
+    i->text.complete = true;
     on_text_complete(b, *i);
     return;
   }
--- a/cactusford/batches/scoring.cc
+++ b/cactusford/batches/scoring.cc
@@ -318,7 +318,7 @@
     if (found == reusable_texts.end() || i.stage != item_stage::waiting) {
       continue;
     }
-    const auto& text = found->second.text;
+    const auto& text = found->second;
     const bool fresh = std::all_of(
       text.versions.begin(), text.versions.end(), [&](std::uint64_t v) {
         return v >= b.submission.min_version;
@@ -327,7 +327,12 @@
       continue;
     }
     i.text = text;
-    if (found->second.complete) {
+    process::log_line(timeline::event{ "item_text_reused" }
+                        .with("request", item.id)
+                        .with("batch", b.stored.id)
+                        .with("events", text.events)
+                        .with("complete", text.complete ? 1U : 0U));
+    if (text.complete) {
       on_text_complete(b, i);
     }
   }
@@ -343,10 +348,8 @@
     reusable_texts.clear();
   }
   for (const auto& i : b.items) {
-    const bool complete =
-      i.stage == item_stage::scoring || i.stage == item_stage::finished;
     if (i.text.events > 0) {
-      reusable_texts[b.submission.items[i.index].id] = { i.text, complete };
+      reusable_texts[b.submission.items[i.index].id] = i.text;
     }
   }
 }
--- a/cactusford/batches/state.h
+++ b/cactusford/batches/state.h
@@ -69,13 +69,6 @@
   std::uint64_t until_ms = 0;
 };
 
-// Text of an item whose batch has ended, for reuse in a later batch.
-struct reusable_text
-{
-  item_text text;
-  bool complete = false;
-};
-
 struct batch_state
 {
   // Stores the submission and creates the states of its items.
--- a/standins/stream_engine.cc
+++ b/standins/stream_engine.cc
@@ -73,6 +73,10 @@
     });
     return;
   }
+  if (fails_resumed_runs && last_event > 0) {
+    c.respond({ 500, { { "Id", item } }, "" });
+    return;
+  }
   ++streaming;
   c.on_disconnect([this] { --streaming; });
   http::headers fields{ { "Id", item },
--- a/standins/stream_engine.h
+++ b/standins/stream_engine.h
@@ -28,6 +28,8 @@
   // Aborts the connection in the middle of this event, unless the latest run
   // was resumed; 0 means never.
   std::uint64_t abort_inside_event = 0;
+  // Answers resumed runs with status 500.
+  bool fails_resumed_runs = false;
   // Crashes the engine, which aborts all its runs.
   void crash();
 
--- a/tests/batches_cluster.h
+++ b/tests/batches_cluster.h
@@ -325,14 +325,16 @@
   }
 
   // Returns a page of results from a position onward, or nothing if refused.
-  std::optional<json> read(entry& e, std::size_t after = 0)
+  std::optional<json> read(entry& e,
+                           std::size_t after = 0,
+                           std::string_view id = batch_id)
   {
     std::optional<json> page;
     bool done = false;
     http::request r{ "GET",
                      "/b/",
                      { { "Host", "h" },
-                       { "Id", std::string{ batch_id } },
+                       { "Id", std::string{ id } },
                        { "Workspace", workspace },
                        { "After", std::to_string(after) } },
                      "" };
@@ -350,11 +352,11 @@
   }
 
   // Reads until the results of all items are listed.
-  json read_all(entry& e, std::size_t total)
+  json read_all(entry& e, std::size_t total, std::string_view id = batch_id)
   {
     json all = json::array();
     while (all.size() < total) {
-      const auto page = read(e, all.size());
+      const auto page = read(e, all.size(), id);
       if (page) {
         for (const auto& r : page->at("results")) {
           all.push_back(r);
