Registry: requests are counted with the incarnation that runs them

Cause: the number of requests in flight was part of a server's entry. An entry that expired and returned within one answer of the watch was created anew with a count of 0; the runs continued, as the incarnation was the same, and their ends brought the unsigned count below 0. An engine with four thousand million runs gets none. The log showed in_flight=0 for engines that ran items, but not that they had left the list; backend_unlisted and backend_listed now show it.

begin_run and end_run are the only places that change the count. It outlasts the entry by its incarnation, as speed and warm-up state do.

Related paths: calls of callers, scorers' calls and second attempts had the same fault through close_attempt (test added); so had drop (entries of other writers) and lists (replace_all), and an entry whose start time becomes known later kept the count of runs that nobody would end. Runs reported to other owners are counted from the items (sound); the limit of scorers' calls and the call queue count what they hold themselves (sound).

A property test plays random lists, restarts and ends. recorded_choices drops the requests of servers that are not listed before each step: its digest was recorded while they were forgotten, and is unchanged so.

--- a/cactusford/backends/recorded_choices-test.cc
+++ b/cactusford/backends/recorded_choices-test.cc
@@ -53,6 +53,8 @@
 void
 change_something(registry& r, sequence& s, std::uint64_t now_ms)
 {
+  // No requests run on servers that are not listed.
+  r.unlisted_runs.clear();
   announce(r, random_announcement(s));
   auto* b = find(r, "server-" + std::to_string(s.next(servers)));
   if (b == nullptr) {
--- a/cactusford/backends/registry-test.cc
+++ b/cactusford/backends/registry-test.cc
@@ -3,6 +3,9 @@
 #include "cactusford/testing/section.h"
 
 #include <criterion/criterion.h>
+#include <rapidcheck.h>
+
+#include <algorithm>
 
 using namespace cactusford;
 using namespace cactusford::backends;
@@ -297,3 +300,53 @@
   cr_assert_not_null(find(r, "a"));
   cr_assert_not_null(find(r, "b"));
 }
+
+// Guards against counting the end of a request for a server that does not count
+// its start, or the other way round.
+Test(registry, counts_requests_with_the_incarnation_that_runs_them)
+{
+  const bool ok = rc::check("each request ends where it began", [] {
+    registry r;
+    // The open requests by incarnation, as they were begun and ended.
+    std::vector<incarnation> open;
+    std::uint64_t started_ms = 1;
+    std::uint64_t now = 1000;
+    const auto steps =
+      *rc::gen::container<std::vector<int>>(rc::gen::inRange(0, 9));
+    for (const auto step : steps) {
+      now += 100;
+      auto* b = find(r, "a");
+      if (step < 3 && b != nullptr) {
+        begin_run(*b);
+        open.push_back(incarnation_of(*b));
+      } else if (step < 5 && !open.empty()) {
+        const auto at = open.begin() + *rc::gen::inRange<long>(
+                                         0, static_cast<long>(open.size()));
+        end_run(r, *at);
+        open.erase(at);
+      } else if (step == 5) {
+        withdraw(r, "a", now);
+      } else if (step == 6) {
+        drop(r, "a");
+      } else if (step == 7) {
+        replace_all(r, { engine_started_at(started_ms, 1) }, now);
+      } else if (step == 8) {
+        started_ms += *rc::gen::inRange(0, 2);
+        announce(r, engine_started_at(started_ms, 1), now);
+      }
+      if (const auto* listed = find(r, "a")) {
+        const auto expected =
+          std::count(open.begin(), open.end(), incarnation_of(*listed));
+        RC_ASSERT(static_cast<long>(listed->in_flight) == expected);
+      }
+    }
+    for (const auto& i : open) {
+      end_run(r, i);
+    }
+    RC_ASSERT(r.unlisted_runs.empty());
+    if (const auto* listed = find(r, "a")) {
+      RC_ASSERT(listed->in_flight == 0U);
+    }
+  });
+  cr_assert(ok);
+}
--- a/cactusford/backends/registry.cc
+++ b/cactusford/backends/registry.cc
@@ -196,6 +196,24 @@
   }
 }
 
+// Keeps the number of requests that run on an incarnation that is no longer
+// listed.
+void
+remember_runs(registry& r, const backend& b)
+{
+  if (b.in_flight > 0) {
+    r.unlisted_runs[incarnation_of(b)] = b.in_flight;
+  }
+}
+
+void
+restore_runs(registry& r, backend& b)
+{
+  if (auto past = r.unlisted_runs.extract(incarnation_of(b))) {
+    b.in_flight = past.mapped();
+  }
+}
+
 // How a plain call compares servers before their cost. A cold server is used
 // before the call would wait for a slot of a warm one.
 enum class call_preference
@@ -365,6 +383,11 @@
     return announce_result::past_incarnation;
   }
   const bool is_new = known != 0 && a.started_ms > known;
+  const bool is_changed = is_known && a.started_ms != known;
+  if (is_changed) {
+    remember_runs(r, b);
+    b.in_flight = 0;
+  }
   if (is_new) {
     const auto speed = b.speed;
     auto warm_up = std::move(b.warm_up);
@@ -385,6 +408,9 @@
   if (!is_known) {
     restore_warm_up(r, b);
   }
+  if (!is_known || is_changed) {
+    restore_runs(r, b);
+  }
   // A list repeats announcements that say nothing new: their server is cold for
   // a shorter time than they state.
   if (!is_repeated || cause != cold_cause::none) {
@@ -400,6 +426,7 @@
   if (const auto* b = find(r, id)) {
     remember_speed(r, *b, b->speed.sampled_at_ms.front());
     remember_warm_up(r, *b);
+    remember_runs(r, *b);
     r.all.erase(id);
   }
 }
@@ -461,6 +488,7 @@
     if (b.missing_since_ms != 0) {
       remember_speed(r, b, b.missing_since_ms);
       remember_warm_up(r, b);
+      remember_runs(r, b);
     }
     return b.missing_since_ms != 0;
   });
@@ -487,6 +515,25 @@
   return b != nullptr && b->info.started_ms == i.started_ms ? b : nullptr;
 }
 
+void
+begin_run(backend& b)
+{
+  ++b.in_flight;
+}
+
+void
+end_run(registry& r, const incarnation& i)
+{
+  if (auto* b = find(r, i)) {
+    --b->in_flight;
+    return;
+  }
+  const auto past = r.unlisted_runs.find(i);
+  if (past != r.unlisted_runs.end() && --past->second == 0) {
+    r.unlisted_runs.erase(past);
+  }
+}
+
 void
 note_success(backend& b, std::uint64_t took_ms)
 {
--- a/cactusford/backends/registry.h
+++ b/cactusford/backends/registry.h
@@ -7,6 +7,7 @@
 #include "cactusford/backends/warm_up.h"
 #include "cactusford/data_centres/view.h"
 
+#include <compare>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -57,14 +58,15 @@
   std::string id;
   std::uint64_t started_ms = 0;
 
-  friend bool operator==(const incarnation&, const incarnation&) = default;
+  friend auto operator<=>(const incarnation&, const incarnation&) = default;
 };
 
 // State that this instance tracks for the current incarnation of a server.
 struct backend
 {
   announcement info;
-  // Requests sent by this instance that are still running on the server.
+  // Requests sent by this instance that are still running on the server; see
+  // `begin_run`.
   std::uint32_t in_flight = 0;
   // Load from other instances: runs that they reported, and the rest of the
   // load that the server last reported.
@@ -140,6 +142,9 @@
   // By server id: requests that this instance sent to servers that have left
   // the list, as they may be listed again within the second that counts.
   std::map<std::string, warm_up_state> past_warm_ups;
+  // Requests that are still running on servers that have left the list, by the
+  // incarnation that runs them.
+  std::map<incarnation, std::uint32_t> unlisted_runs;
   // Not yet logged.
   std::vector<cold_change> cold_changes;
   // A complete list was applied. Servers that appear later have just started.
@@ -211,6 +216,15 @@
 backend*
 find(registry& r, const incarnation& i);
 
+// Counts a request that is sent to the server. Its end is counted with the
+// incarnation that ran it, which may have left the list by then, or have left
+// and returned.
+void
+begin_run(backend& b);
+
+void
+end_run(registry& r, const incarnation& i);
+
 // Records that a request to the server succeeded or failed.
 void
 note_success(backend& b, std::uint64_t took_ms);
--- a/cactusford/batches/runs.cc
+++ b/cactusford/batches/runs.cc
@@ -251,7 +251,7 @@
       .with("version", backend->info.versions[b.submission.model])
       .with("resumed_at", i.text.last_event)
       .with("try", i.tries));
-  ++backend->in_flight;
+  backends::begin_run(*backend);
   backends::note_sent(deps.registry, *backend, now);
   http::exchange_options o;
   o.timeout_ms = run_limit_ms;
@@ -450,8 +450,8 @@
   }
   auto& b = *find_batch(id);
   auto* backend = backends::find(deps.registry, i->backend);
+  backends::end_run(deps.registry, i->backend);
   if (backend != nullptr) {
-    --backend->in_flight;
     note_run_failure(*i, *backend, end);
   }
   i->pending = {};
@@ -508,9 +508,7 @@
 {
   i.pending.cancel();
   i.pending = {};
-  if (auto* backend = backends::find(deps.registry, i.backend)) {
-    --backend->in_flight;
-  }
+  backends::end_run(deps.registry, i.backend);
   i.stage = item_stage::waiting;
 }
 
--- a/cactusford/edge/edge.cc
+++ b/cactusford/edge/edge.cc
@@ -96,6 +96,18 @@
   }
 }
 
+// Requests continue on a server that is not listed.
+void
+log_running_requests(std::string_view event, const backends::backend* b)
+{
+  if (b != nullptr && b->in_flight > 0) {
+    process::log_line(timeline::event{ event }
+                        .with("backend", b->info.id)
+                        .with("started_ms", b->info.started_ms)
+                        .with("in_flight", b->in_flight));
+  }
+}
+
 // Rounds up, as a caller that retries too early would be refused again.
 std::string
 round_up_to_seconds(std::uint64_t ms)
@@ -847,6 +859,8 @@
 edge_process::on_backend(store::change&& c)
 {
   if (c.deleted) {
+    log_running_requests("backend_unlisted",
+                         backends::find(registry, c.value.name));
     backends::withdraw(registry, c.value.name, http::now_ms());
     return;
   }
@@ -857,8 +871,12 @@
   }
   a->revision = c.value.revision;
   const backends::incarnation of{ a->id, a->started_ms };
+  const bool was_listed = backends::find(registry, of.id) != nullptr;
   const auto what = backends::announce(registry, std::move(*a), http::now_ms());
   log_incarnation_change({ of, what });
+  if (!was_listed) {
+    log_running_requests("backend_listed", backends::find(registry, of));
+  }
   log_cold_servers(registry);
 }
 
--- a/cactusford/edge/forward-test.cc
+++ b/cactusford/edge/forward-test.cc
@@ -391,3 +391,42 @@
   }
   cr_assert(*end == forward_end::answered);
 }
+
+// Guards against counting a call for ever on a server whose entry expires and
+// returns before the call has ended.
+Test(forward, counts_a_call_once_while_the_entry_of_its_server_returns)
+{
+  asio::io_context io;
+  slow_backend server{ io };
+  backends::registry registry;
+  backends::announcement a;
+  a.address = "127.0.0.1:" + std::to_string(server.server.port());
+  a.id = "late";
+  a.started_ms = 1;
+  a.service = "lookups";
+  backends::announce(registry, a);
+  const auto d = standins::json_dialect();
+  http::client http{ io };
+  forwarder calls{ io, http, registry, d, "a" };
+  forward_request r;
+  r.request = { "POST", "/look/", { { "Host", "h" } }, "b" };
+  r.route.kind = routes::call_kind::idempotent;
+  r.route.services = { { "lookups", 1 } };
+  r.route.max_attempts = 1;
+  constexpr std::uint64_t timeout_ms = 20000;
+  r.give_up_ms = http::now_ms() + timeout_ms;
+  bool answered = false;
+  calls.start(std::move(r), [&](forward_outcome&& o) {
+    answered = o.what == forward_end::answered;
+  });
+  while (server.runs == 0) {
+    io.run_one();
+  }
+  backends::withdraw(registry, "late", http::now_ms());
+  backends::announce(registry, a);
+  cr_assert_eq(backends::find(registry, "late")->in_flight, 1);
+  while (!answered) {
+    io.run_one();
+  }
+  cr_assert_eq(backends::find(registry, "late")->in_flight, 0);
+}
--- a/cactusford/edge/forward.cc
+++ b/cactusford/edge/forward.cc
@@ -218,11 +218,8 @@
   if (running != running_attempts_.end() && --running->second == 0) {
     running_attempts_.erase(running);
   }
-  auto* b = backends::find(registry_, a.backend);
-  if (b != nullptr) {
-    --b->in_flight;
-  }
-  return b;
+  backends::end_run(registry_, a.backend);
+  return backends::find(registry_, a.backend);
 }
 
 backends::call_needs
@@ -345,7 +342,7 @@
       .with("connected", http_.has_idle(b.info.address) ? 1U : 0U)
       .with("left_ms",
             call->input.give_up_ms > now ? call->input.give_up_ms - now : 0));
-  ++b.in_flight;
+  backends::begin_run(b);
   backends::note_sent(registry_, b, now);
   call->attempts.back().load = backends::load_of(b, now);
   call->attempts.back().network_ms =
