Batches: events are checked against the versions that their route allows

Trainers saw results with two versions on routes that require a single one (review/2).

Cause: the version was kept with the text and set by the head of a response. The line of an event that announces other weights was appended like any other. The sidecars order a version that is two ahead while items run, and the runs go on under it. item_version_changed tells which version met which text.

The version belongs to the run, and a text has those of its events. An event is checked before it is appended; a run that may not continue its text is ended. The text is kept and continues on an engine that still has its version, or starts over if none has; an item that waits for one does not hold up the rest of its batch. So that items are answered whatever the pace of versions, owners tell the relays which engines have runs of a single version, and a sidecar delays a load until those have ended that started before it was due: 60 s at most. Live callers are not refused, as they would be by an order that waits, and do not delay a load.

Related paths: a head with another version dropped the text (now kept); texts that are loaded, handed over or reused were not checked against the route (now are); a route that becomes SingleVersion while its items run (checked at the start and the end of each run); text of weights that are too old was appended and dropped again with what was sound (now checked first). Live streams and the product's own rollouts list no versions of this kind; the latter were not changed.

The tests are new and were not run against the code before.

--- a/cactusford/backends/registry.cc
+++ b/cactusford/backends/registry.cc
@@ -777,6 +777,21 @@
          eligibility_of(r, b, needs.homes, now_ms) == eligibility::warming_up;
 }
 
+std::uint64_t
+newest_version(const registry& r,
+               std::string_view service,
+               std::string_view model)
+{
+  std::uint64_t newest = 0;
+  for (const auto& [id, b] : r.all) {
+    const auto found = b.info.versions.find(std::string{ model });
+    if (b.info.service == service && found != b.info.versions.end()) {
+      newest = std::max(newest, found->second);
+    }
+  }
+  return newest;
+}
+
 bool
 can_serve(const registry& r, const item_needs& needs, std::uint64_t now_ms)
 {
--- a/cactusford/backends/registry.h
+++ b/cactusford/backends/registry.h
@@ -385,6 +385,13 @@
                       const item_needs& needs,
                       std::uint64_t now_ms);
 
+// Returns the newest weight version of the model that an engine of the service
+// has loaded; 0 if none is known.
+std::uint64_t
+newest_version(const registry& r,
+               std::string_view service,
+               std::string_view model);
+
 // Returns true if some engine that may get work has weights that the item
 // accepts, whether or not it has a free slot.
 bool
--- a/cactusford/batches/engine_usage_reports.cc
+++ b/cactusford/batches/engine_usage_reports.cc
@@ -37,6 +37,26 @@
   return runs;
 }
 
+// Returns the runs on routes whose results must have a single version.
+pinned_engines
+manager::impl::own_pins(std::uint64_t now) const
+{
+  pinned_engines pins;
+  for (const auto& [id, b] : batches) {
+    if (!b->owned || !version_rule_of(*b).single_version) {
+      continue;
+    }
+    for (const auto& i : b->items) {
+      if (i.stage == item_stage::running) {
+        merge(pins[i.backend.id],
+              { { b->submission.model, now - i.started_ms } },
+              0);
+      }
+    }
+  }
+  return pins;
+}
+
 // Returns the addresses of the owners of open batches. An owner that reported a
 // demand in the last 8 s may have a batch that is not listed yet.
 std::set<std::string>
@@ -61,7 +81,14 @@
   if (!at_once && now - last_report_ms < report_interval_ms) {
     return;
   }
-  const auto recipients = other_owners(now);
+  auto recipients = other_owners(now);
+  // The relays pass pins on to the sidecars. After the last run has ended, one
+  // report without pins replaces the previous one.
+  auto pinned = own_pins(now);
+  if (!pinned.empty() || has_reported_pins) {
+    const auto relays = deps.relays();
+    recipients.insert(relays.begin(), relays.end());
+  }
   auto runs = own_runs();
   auto demand = deps.engine_shares ? own_demand(now) : demand_by_service{};
   const bool is_unchanged = runs == reported_runs &&
@@ -77,6 +104,7 @@
   last_report_ms = now;
   reported_runs = std::move(runs);
   reported_demand = std::move(demand);
+  has_reported_pins = !pinned.empty();
   http::request r;
   r.method = "POST";
   r.target = peer_engine_usage_path;
@@ -85,6 +113,7 @@
   if (deps.engine_shares) {
     report.demand = reported_demand;
   }
+  report.pinned = std::move(pinned);
   r.body = encode(report).dump();
   http::exchange_options o;
   o.timeout_ms = report_timeout_ms;
@@ -96,6 +125,19 @@
   }
 }
 
+pinned_models
+manager::pins_of(const std::string& engine) const
+{
+  const auto now = http::now_ms();
+  auto all = reported_pins(impl_->peer_usage, engine, now);
+  const auto own = impl_->own_pins(now);
+  const auto found = own.find(engine);
+  if (found != own.end()) {
+    merge(all, found->second, 0);
+  }
+  return all;
+}
+
 void
 manager::on_engine_usage(const http::call& peer)
 {
--- a/cactusford/batches/engine_use-test.cc
+++ b/cactusford/batches/engine_use-test.cc
@@ -181,3 +181,32 @@
     cr_assert_null(find_report(usage, "a", now + 9801));
   }
 }
+
+// Guards against a relay that forgets the runs of one owner when it hears from
+// another, or goes on with those of an owner that has stopped.
+Test(engine_use, keeps_the_oldest_pinned_run_of_each_model)
+{
+  using nlohmann::json;
+  constexpr std::uint64_t now = 10'000;
+  peer_engine_usage usage;
+  engine_usage_report first{ "a", {} };
+  first.pinned = { { "e1", { { "m", 700 } } }, { "e2", { { "m", 10 } } } };
+  cr_assert(*decode_engine_usage_report(encode(first)) == first);
+  engine_usage_report second{ "b", {} };
+  second.pinned = { { "e1", { { "m", 200 }, { "n", 5 } } } };
+  record_report(usage, first, now);
+  record_report(usage, second, now + 100);
+  cr_assert(reported_pins(usage, "e1", now + 100) ==
+            pinned_models({ { "m", 800 }, { "n", 5 } }));
+  cr_assert(reported_pins(usage, "e3", now + 100).empty());
+  cr_assert(reported_pins(usage, "e2", now + 2000).empty());
+  SECTION("malformed pins are rejected")
+  {
+    for (const auto& bad :
+         { json(3), json{ { "e", 1 } }, json{ { "e", { { "m", -1 } } } } }) {
+      json j{ { "instance", "a" }, { "runs", json::object() } };
+      j["pinned"] = bad;
+      cr_assert_not(decode_engine_usage_report(j).has_value());
+    }
+  }
+}
--- a/cactusford/batches/engine_use.cc
+++ b/cactusford/batches/engine_use.cc
@@ -65,6 +65,9 @@
   }
   nlohmann::json j{ { "instance", report.instance },
                     { "runs", std::move(runs) } };
+  if (!report.pinned.empty()) {
+    j["pinned"] = encode_pins(report.pinned);
+  }
   if (report.demand) {
     auto& demand = j["demand"] = nlohmann::json::object();
     for (const auto& [service, d] : *report.demand) {
@@ -91,6 +94,9 @@
       }
       report.runs[engine] = static_cast<std::uint32_t>(n);
     }
+    if (store::has_field(j, "pinned")) {
+      report.pinned = decode_pins(store::field(j, "pinned"));
+    }
     if (store::has_field(j, "demand")) {
       report.demand = decode_demand(store::field(j, "demand"));
     }
@@ -140,9 +146,9 @@
       record_demand(h, 0, now_ms);
     }
   }
-  usage.by_instance[report.instance] = { std::move(report.runs),
-                                         std::move(demand),
-                                         now_ms };
+  usage.by_instance[report.instance] = {
+    std::move(report.runs), std::move(demand), std::move(report.pinned), now_ms
+  };
   std::erase_if(usage.by_instance, [now_ms](const auto& e) {
     return now_ms - e.second.at_ms > report_max_age_ms;
   });
@@ -154,6 +160,22 @@
   std::erase_if(usage.demands, [](const auto& e) { return e.second.empty(); });
 }
 
+pinned_models
+reported_pins(const peer_engine_usage& usage,
+              const std::string& engine,
+              std::uint64_t now_ms)
+{
+  pinned_models all;
+  for (const auto& [instance, received] : usage.by_instance) {
+    const auto age_ms = now_ms - received.at_ms;
+    const auto found = received.pinned.find(engine);
+    if (found != received.pinned.end() && age_ms <= report_max_age_ms) {
+      merge(all, found->second, age_ms);
+    }
+  }
+  return all;
+}
+
 const peer_engine_usage::received_report*
 find_report(const peer_engine_usage& usage,
             const std::string& instance,
--- a/cactusford/batches/engine_use.h
+++ b/cactusford/batches/engine_use.h
@@ -11,6 +11,7 @@
 // `engine_shares.h`).
 #pragma once
 
+#include "cactusford/batches/version_pins.h"
 #include "cactusford/store/fields.h"
 
 #include <nlohmann/json.hpp>
@@ -50,6 +51,8 @@
   engine_runs runs;
   // Absent in the reports of earlier builds.
   std::optional<demand_by_service> demand = std::nullopt;
+  // Also sent to the relays, unlike the rest.
+  pinned_engines pinned = {};
 
   friend bool operator==(const engine_usage_report&,
                          const engine_usage_report&) = default;
@@ -91,6 +94,7 @@
   {
     engine_runs runs;
     demand_by_service demand;
+    pinned_engines pinned;
     std::uint64_t at_ms = 0;
 
     friend bool operator==(const received_report&,
@@ -104,6 +108,12 @@
                          const peer_engine_usage&) = default;
 };
 
+// Returns what the recent reports of other instances say of one engine.
+pinned_models
+reported_pins(const peer_engine_usage& usage,
+              const std::string& engine,
+              std::uint64_t now_ms);
+
 void
 record_report(peer_engine_usage& usage,
               engine_usage_report report,
--- a/cactusford/batches/event_reader-test.cc
+++ b/cactusford/batches/event_reader-test.cc
@@ -71,3 +71,21 @@
   r.feed("data: a\n\n");
   cr_assert(r.is_malformed());
 }
+
+Test(event_reader, a_rule_allows_versions)
+{
+  const version_rule any{ 4, false };
+  const version_rule single{ 4, true };
+  item_text t;
+  cr_assert(is_admissible(t, single));
+  cr_assert(may_continue(t, 4, single));
+  cr_assert_not(may_continue(t, 3, any));
+  t.versions = { 4 };
+  cr_assert(may_continue(t, 4, single));
+  cr_assert_not(may_continue(t, 5, single));
+  cr_assert(may_continue(t, 5, any));
+  t.versions = { 4, 5 };
+  cr_assert(is_admissible(t, any));
+  cr_assert_not(is_admissible(t, single));
+  cr_assert_not(is_admissible(t, { 5, false }));
+}
--- a/cactusford/batches/event_reader.cc
+++ b/cactusford/batches/event_reader.cc
@@ -108,4 +108,24 @@
   return true;
 }
 
+bool
+is_admissible(const item_text& t, const version_rule& rule)
+{
+  return std::all_of(t.versions.begin(), t.versions.end(), [&](auto version) {
+    return may_continue(t, version, rule);
+  });
+}
+
+bool
+may_continue(const item_text& t,
+             std::uint64_t version,
+             const version_rule& rule)
+{
+  const bool is_same =
+    std::all_of(t.versions.begin(), t.versions.end(), [&](auto known) {
+      return known == version;
+    });
+  return version >= rule.min_version && (is_same || !rule.single_version);
+}
+
 } // namespace cactusford::batches
--- a/cactusford/batches/event_reader.h
+++ b/cactusford/batches/event_reader.h
@@ -52,7 +52,7 @@
   std::uint64_t last_event = 0;
   std::uint64_t events = 0;
   std::string text;
-  // The current weight version of the run, and all versions that have produced
+  // The weight version of the last event, and all versions that have produced
   // an event.
   std::uint64_t version = 0;
   std::vector<std::uint64_t> versions;
@@ -67,4 +67,24 @@
 bool
 append(item_text& t, const stream_event& e);
 
+// Which weight versions may generate a text.
+struct version_rule
+{
+  std::uint64_t min_version = 0;
+  // One version must generate all events.
+  bool single_version = false;
+
+  friend bool operator==(const version_rule&, const version_rule&) = default;
+};
+
+// Returns true if the rule allows the versions of the text.
+bool
+is_admissible(const item_text& t, const version_rule& rule);
+
+// Returns true if the rule allows an event of this version behind the text.
+bool
+may_continue(const item_text& t,
+             std::uint64_t version,
+             const version_rule& rule);
+
 } // namespace cactusford::batches
--- a/cactusford/batches/handing_over.cc
+++ b/cactusford/batches/handing_over.cc
@@ -347,7 +347,8 @@
       i.stage = item_stage::finished;
     }
     const auto text = h.texts.find(id);
-    if (i.stage == item_stage::waiting && text != h.texts.end()) {
+    if (i.stage == item_stage::waiting && text != h.texts.end() &&
+        is_admissible(text->second, version_rule_of(b))) {
       i.text = text->second;
       i.text.complete = complete.contains(id);
       if (i.text.complete) {
--- a/cactusford/batches/manager.h
+++ b/cactusford/batches/manager.h
@@ -4,6 +4,7 @@
 
 #include "cactusford/batches/event_reader.h"
 #include "cactusford/batches/ledger.h"
+#include "cactusford/batches/version_pins.h"
 #include "cactusford/edge/forward.h"
 #include "cactusford/http/server.h"
 #include "cactusford/membership/directory.h"
@@ -83,6 +84,10 @@
   };
   // Time from SIGTERM to the exit of the process.
   std::uint64_t grace_ms = 0;
+  // Returns the addresses of the other instances that relay for sidecars.
+  std::function<std::vector<std::string>()> relays = [] {
+    return std::vector<std::string>{};
+  };
 };
 
 // What the manager did about engines that several owners use.
@@ -141,6 +146,10 @@
   // Called when another instance reports how many runs it has on each engine.
   void on_engine_usage(const http::call& peer);
 
+  // Returns the runs on the engine that need its loaded weight versions, as far
+  // as this instance has them or was told.
+  pinned_models pins_of(const std::string& engine) const;
+
   // Returns false if another instance should run the batches that this one
   // owns.
   bool can_own() const;
--- a/cactusford/batches/manager_impl.h
+++ b/cactusford/batches/manager_impl.h
@@ -196,6 +196,7 @@
 
   // Engine usage reports between owners
   engine_runs own_runs() const;
+  pinned_engines own_pins(std::uint64_t now) const;
   std::set<std::string> other_owners(std::uint64_t now) const;
   void report_engine_usage(std::uint64_t now, bool at_once = false);
 
@@ -241,6 +242,9 @@
                                    double event_gap_ms) const;
   double gap_of_run_ms(const item_state& i, double typical_ms) const;
   void dispatch();
+  backends::backend* choose_engine(const backends::item_needs& needs,
+                                   bool single_version,
+                                   std::uint64_t now);
   bool start_run(batch_state& b,
                  item_state& i,
                  std::uint32_t urgency,
@@ -254,6 +258,8 @@
                    std::size_t at,
                    std::uint64_t run,
                    const http::head& h);
+  version_rule version_rule_of(const batch_state& b) const;
+  void on_version_changed(batch_state& b, item_state& i);
   void on_body(const std::string& id,
                std::size_t at,
                std::uint64_t run,
@@ -363,6 +369,7 @@
   token_pace pace;
   peer_engine_usage peer_usage;
   engine_runs reported_runs;
+  bool has_reported_pins = false;
   demand_by_service reported_demand;
   // By engine service.
   std::map<std::string, service_sharing, std::less<>> sharing;
--- a/cactusford/batches/progress_store.cc
+++ b/cactusford/batches/progress_store.cc
@@ -107,7 +107,8 @@
         for (auto& i : b->items) {
           const auto found = saved.find(b->submission.items[i.index].id);
           if (i.stage == item_stage::waiting && found != saved.end() &&
-              found->second.events > i.text.events) {
+              found->second.events > i.text.events &&
+              is_admissible(found->second, self->version_rule_of(*b))) {
             i.text = found->second;
             ++used;
           }
--- a/cactusford/batches/state.h
+++ b/cactusford/batches/state.h
@@ -49,6 +49,8 @@
   event_reader reader{ "" };
   int status = 0;
   bool not_run = false;
+  // The weight version that generates the next event of the run.
+  std::uint64_t version = 0;
   std::uint64_t started_ms = 0;
   std::uint64_t first_event_ms = 0;
   std::uint64_t last_event_ms = 0;
--- a/cactusford/edge/edge.cc
+++ b/cactusford/edge/edge.cc
@@ -232,7 +232,7 @@
   void set_up_relay_messages();
   std::optional<std::size_t> entry_count() const;
   void use_entry_count(std::size_t entries);
-  nlohmann::json answer_rank(const std::string& sidecar) const;
+  nlohmann::json answer_sidecar(const sidecar_message& sidecar) const;
   membership::member own_member() const;
   std::vector<membership::member> known_entries() const;
   membership::reply_limits reply_limits() const;
@@ -332,7 +332,8 @@
                      [this] {
                        return membership::departures(entries, http::now_ms());
                      },
-                     s.grace_ms } }
+                     s.grace_ms,
+                     [this] { return runtime.settings.peers; } } }
   , configuration{ runtime.io,
                    store,
                    { wire.kinds.configuration,
@@ -649,15 +650,23 @@
 // Only relays listed in the settings assign ranks, as all instances know the
 // same list.
 nlohmann::json
-edge_process::answer_rank(const std::string& sidecar) const
+edge_process::answer_sidecar(const sidecar_message& sidecar) const
 {
   const auto& s = runtime.settings;
   if (!s.peer_rank) {
     return {};
   }
-  const auto local_rank = membership::rank_of(sidecars, sidecar);
-  return encode_rank(
-    rank_among_all(local_rank, *s.peer_rank, s.peers.size() + 1));
+  const auto local_rank = membership::rank_of(sidecars, sidecar.instance);
+  sidecar_reply reply;
+  reply.rank = rank_among_all(local_rank, *s.peer_rank, s.peers.size() + 1);
+  const auto engine =
+    std::find_if(registry.all.begin(), registry.all.end(), [&](const auto& e) {
+      return e.second.info.address == sidecar.engine;
+    });
+  if (engine != registry.all.end()) {
+    reply.pinned = batch_manager.pins_of(engine->first);
+  }
+  return encode(reply);
 }
 
 // Returns how many entries there are, as far as a relay can tell. Entries
@@ -710,8 +719,8 @@
   store.piggyback.answer = [this](const nlohmann::json& message) {
     const auto now = http::now_ms();
     if (const auto sidecar = sidecar_from(message)) {
-      membership::record(sidecars, { *sidecar, "", 1 }, now);
-      return answer_rank(*sidecar);
+      membership::record(sidecars, { sidecar->instance, "", 1 }, now);
+      return answer_sidecar(*sidecar);
     }
     for (const auto& m : membership::members_from(message)) {
       membership::record(entries, m, now);
--- a/cactusford/edge/piggyback-test.cc
+++ b/cactusford/edge/piggyback-test.cc
@@ -23,9 +23,18 @@
 
 Test(piggyback, reads_back_what_it_encodes)
 {
-  cr_assert_eq(*sidecar_from(encode_sidecar("side-1")), "side-1");
-  cr_assert_eq(*rank_from(encode_rank(7)), 7);
+  const sidecar_message named{ "side-1", "10.0.0.1:80" };
+  const sidecar_message earlier{ "side-1", "" };
+  cr_assert(*sidecar_from(encode(named)) == named);
+  cr_assert(*sidecar_from(encode(earlier)) == earlier);
+  const sidecar_reply plain{ 7, {} };
+  const sidecar_reply pinned{ 7, { { "m", 250 } } };
+  cr_assert(*sidecar_reply_from(encode(plain)) == plain);
+  cr_assert(*sidecar_reply_from(encode(pinned)) == pinned);
   cr_assert_not(sidecar_from(json::array()), "a message of an entry");
-  cr_assert_not(rank_from({ { "rank", -1 } }));
-  cr_assert_not(rank_from("text"));
+  cr_assert_not(sidecar_reply_from({ { "rank", -1 } }));
+  cr_assert_not(sidecar_reply_from({ { "rank", 1 }, { "pinned", 3 } }));
+  cr_assert_not(
+    sidecar_reply_from({ { "rank", 1 }, { "pinned", { { "m", -1 } } } }));
+  cr_assert_not(sidecar_reply_from("text"));
 }
--- a/cactusford/edge/piggyback.cc
+++ b/cactusford/edge/piggyback.cc
@@ -5,16 +5,26 @@
 namespace cactusford::edge {
 
 nlohmann::json
-encode_sidecar(const std::string& instance)
+encode(const sidecar_message& message)
 {
-  return { { "sidecar", instance } };
+  nlohmann::json j{ { "sidecar", message.instance } };
+  if (!message.engine.empty()) {
+    j["engine"] = message.engine;
+  }
+  return j;
 }
 
-std::optional<std::string>
+std::optional<sidecar_message>
 sidecar_from(const nlohmann::json& message)
 {
-  return store::try_decode(
-    [&] { return store::string_field(message, "sidecar"); });
+  return store::try_decode([&] {
+    sidecar_message m;
+    m.instance = store::string_field(message, "sidecar");
+    if (store::has_field(message, "engine")) {
+      m.engine = store::string_field(message, "engine");
+    }
+    return m;
+  });
 }
 
 std::uint32_t
@@ -26,18 +36,26 @@
 }
 
 nlohmann::json
-encode_rank(std::uint32_t rank)
+encode(const sidecar_reply& reply)
 {
-  return { { "rank", rank } };
+  nlohmann::json j{ { "rank", reply.rank } };
+  if (!reply.pinned.empty()) {
+    j["pinned"] = reply.pinned;
+  }
+  return j;
 }
 
-std::optional<std::uint32_t>
-rank_from(const nlohmann::json& reply)
+std::optional<sidecar_reply>
+sidecar_reply_from(const nlohmann::json& reply)
 {
-  const auto rank =
-    store::try_decode([&] { return store::uint_field(reply, "rank"); });
-  return rank ? std::optional{ static_cast<std::uint32_t>(*rank) }
-              : std::nullopt;
+  return store::try_decode([&] {
+    sidecar_reply r;
+    r.rank = static_cast<std::uint32_t>(store::uint_field(reply, "rank"));
+    if (store::has_field(reply, "pinned")) {
+      r.pinned = batches::decode_pins({ { "", reply.at("pinned") } })[""];
+    }
+    return r;
+  });
 }
 
 } // namespace cactusford::edge
--- a/cactusford/edge/side.cc
+++ b/cactusford/edge/side.cc
@@ -39,10 +39,13 @@
   // they share watches through the relays.
   store::client store{ runtime.io, http, d.store, { s.store, s.peers, true } };
   orders::loader loader{ runtime.io, http, d, { s.instance, s.engine } };
-  store.piggyback.outgoing = [&s] { return encode_sidecar(s.instance); };
+  store.piggyback.outgoing = [&s] {
+    return encode(sidecar_message{ s.instance, s.engine });
+  };
   store.piggyback.incoming = [&loader](const nlohmann::json& reply) {
-    if (const auto rank = rank_from(reply)) {
-      loader.set_position({ *rank });
+    if (const auto r = sidecar_reply_from(reply)) {
+      loader.set_position({ r->rank });
+      loader.set_pinned(r->pinned);
     }
   };
   const auto on_version_object = [&](const store::object& o) {
--- a/cactusford/orders/load_plan-test.cc
+++ b/cactusford/orders/load_plan-test.cc
@@ -280,3 +280,27 @@
   }
   cr_assert_geq(ranks.size(), 5);
 }
+
+// Guards against a load that cuts off runs which need the loaded version, and
+// against runs that put off a load for ever.
+Test(load_plan, waits_for_runs_that_started_before_the_load_was_due)
+{
+  constexpr std::uint64_t due_ms = 10'000;
+  const due_load earlier{ due_ms, due_ms - 500, due_ms + 4000, false };
+  cr_assert(is_held(earlier, due_ms + 5000));
+  SECTION("but not for later ones")
+  {
+    const due_load later{ due_ms, due_ms + 500, due_ms + 4000, false };
+    cr_assert_not(is_held(later, due_ms + 5000));
+    cr_assert_not(is_held({ due_ms, 0, due_ms + 4000, false }, due_ms + 5000));
+  }
+  SECTION("not on the word of a relay that has become silent")
+  {
+    cr_assert_not(is_held(earlier, due_ms + 8000));
+  }
+  SECTION("and no longer than a run may last")
+  {
+    const due_load wrong{ due_ms, due_ms - 500, due_ms + 60'000, false };
+    cr_assert_not(is_held(wrong, due_ms + 60'001));
+  }
+}
--- a/cactusford/orders/load_plan.cc
+++ b/cactusford/orders/load_plan.cc
@@ -38,6 +38,13 @@
 // far behind to serve the newest step.
 constexpr double max_idle_wait = 0.4;
 
+// A sidecar hears from its relay about once a second. Pins of a relay that is
+// gone expire.
+constexpr std::uint64_t max_pin_age_ms = 3000;
+
+// No run lasts longer.
+constexpr std::uint64_t max_hold_ms = 60000;
+
 // Smoothing factor for the period, as steps that end late lengthen single
 // intervals.
 constexpr double period_smoothing = 0.3;
@@ -190,6 +197,14 @@
   return static_cast<std::uint64_t>(part * static_cast<double>(last.period_ms));
 }
 
+bool
+is_held(const due_load& load, std::uint64_t now_ms)
+{
+  return load.pinned_since_ms != 0 && load.pinned_since_ms < load.since_ms &&
+         now_ms - load.pinned_at_ms <= max_pin_age_ms &&
+         now_ms - load.since_ms < max_hold_ms;
+}
+
 bool
 waits_for_idle(load_timing t, const publication& last, std::uint64_t now_ms)
 {
--- a/cactusford/orders/load_plan.h
+++ b/cactusford/orders/load_plan.h
@@ -145,6 +145,24 @@
               const engine_position& position,
               const load_pacing& pacing = {});
 
+// A load that is due, and the runs that need the weights that it replaces.
+struct due_load
+{
+  // When it became due.
+  std::uint64_t since_ms = 0;
+  // When the oldest of these runs started, or 0, and when that was stated.
+  std::uint64_t pinned_since_ms = 0;
+  std::uint64_t pinned_at_ms = 0;
+  bool is_logged = false;
+
+  friend bool operator==(const due_load&, const due_load&) = default;
+};
+
+// Returns true if the load waits for runs that started before it was due. Runs
+// that start later do not delay it, so it waits no longer than a run lasts.
+bool
+is_held(const due_load& load, std::uint64_t now_ms);
+
 // True if a due load should still wait until the engine is idle.
 bool
 waits_for_idle(load_timing t, const publication& last, std::uint64_t now_ms);
--- a/cactusford/orders/loader.cc
+++ b/cactusford/orders/loader.cc
@@ -63,6 +63,16 @@
     timeline::event{ "engine_place" }.with("rank", std::uint64_t{ p.rank }));
 }
 
+void
+loader::set_pinned(const std::map<std::string, std::uint64_t>& ages_ms)
+{
+  pinned_at_ms_ = http::now_ms();
+  pinned_since_ms_.clear();
+  for (const auto& [model, age_ms] : ages_ms) {
+    pinned_since_ms_[model] = pinned_at_ms_ - std::min(pinned_at_ms_, age_ms);
+  }
+}
+
 void
 loader::start()
 {
@@ -141,6 +151,7 @@
                         .with("orders", r.orders));
     started_ms_ = r.started_ms;
     loaded_versions_.clear();
+    due_loads_.clear();
   }
   return true;
 }
@@ -151,6 +162,7 @@
   for (const auto& [model, version] : r.versions) {
     auto& before = loaded_versions_[model];
     if (version != before && before != 0) {
+      due_loads_.erase(model);
       const auto took = http::now_ms() - order_sent_ms_;
       if (model == ordered_model_) {
         record_load(pacing_, took);
@@ -206,7 +218,8 @@
       last.since_ms + load_delay_ms(when, last, position_, pacing_);
     if (due > now) {
       next = std::min(next, due - now);
-    } else if (!is_idle && waits_for_idle(when, last, now)) {
+    } else if (!is_idle && (waits_for_idle(when, last, now) ||
+                            is_load_held(model, last, now))) {
       next = std::min(next, busy_poll_interval_ms);
     } else {
       send_order(r, model, last.version);
@@ -216,6 +229,28 @@
   return next;
 }
 
+// Returns true if runs that need the loaded version delay a load that is due.
+bool
+loader::is_load_held(const std::string& model,
+                     const publication& last,
+                     std::uint64_t now)
+{
+  auto& load =
+    due_loads_.try_emplace(model, due_load{ now, 0, 0 }).first->second;
+  const auto pinned = pinned_since_ms_.find(model);
+  load.pinned_since_ms = pinned == pinned_since_ms_.end() ? 0 : pinned->second;
+  load.pinned_at_ms = pinned_at_ms_;
+  const bool is_held = orders::is_held(load, now);
+  if (is_held && !load.is_logged) {
+    load.is_logged = true;
+    process::log_line(timeline::event{ "load_held" }
+                        .with("model", model)
+                        .with("version", last.version)
+                        .with("oldest_run_ms", now - load.pinned_since_ms));
+  }
+  return is_held;
+}
+
 void
 loader::send_order(const edge::engine_report& r,
                    const std::string& model,
--- a/cactusford/orders/loader.h
+++ b/cactusford/orders/loader.h
@@ -36,6 +36,10 @@
   // Sets the position among all engines, as assigned by a relay.
   void set_position(const engine_position& p);
 
+  // Sets the ages of the oldest runs that need the engine's weights, by model,
+  // as stated by a relay.
+  void set_pinned(const std::map<std::string, std::uint64_t>& ages_ms);
+
   // Starts polling the engine.
   void start();
 
@@ -52,6 +56,9 @@
   void on_report(const edge::engine_report& r);
   void update_loaded_versions(const edge::engine_report& r);
   std::uint64_t send_due_order(const edge::engine_report& r);
+  bool is_load_held(const std::string& model,
+                    const publication& last,
+                    std::uint64_t now);
   void send_order(const edge::engine_report& r,
                   const std::string& model,
                   std::uint64_t version);
@@ -69,6 +76,12 @@
   // again.
   std::uint64_t fence_ = 0;
   std::uint64_t started_ms_ = 0;
+  // Loads that are due, by model.
+  std::map<std::string, due_load> due_loads_;
+  // Start times of the oldest runs that need the engine's weights, by model,
+  // and when a relay stated them.
+  std::map<std::string, std::uint64_t> pinned_since_ms_;
+  std::uint64_t pinned_at_ms_ = 0;
   // Versions in the last report of this incarnation, and when the last order
   // was sent.
   std::map<std::string, std::uint64_t> loaded_versions_;
--- a/standins/order_engine.cc
+++ b/standins/order_engine.cc
@@ -32,6 +32,7 @@
     r.started_ms = store::uint_field(j, "started_ms");
     r.orders = store::uint_field(j, "orders");
     r.busy = store::bool_field(j, "busy");
+    r.running = static_cast<std::uint32_t>(store::uint_field(j, "running"));
     for (const auto& [model, v] : store::field(j, "versions").items()) {
       r.versions[model] = v.get<std::uint64_t>();
     }
@@ -93,6 +94,7 @@
   edge::engine_report r;
   r.started_ms = started_ms;
   r.versions[model] = version;
+  r.running = running;
   r.orders = orders;
   return r;
 }
--- a/standins/order_engine.h
+++ b/standins/order_engine.h
@@ -34,6 +34,8 @@
   // Number of orders accepted since the start.
   std::uint64_t orders = 0;
   std::uint64_t started_ms = 1000;
+  // Number of runs in progress.
+  std::uint32_t running = 0;
   // Sent once in place of the next report, as a report that was delayed.
   std::optional<edge::engine_report> late_report;
   // The next order is neither carried out nor answered.
--- a/standins/stream_engine.cc
+++ b/standins/stream_engine.cc
@@ -51,7 +51,9 @@
     c.respond({ 200, { { "Id", item }, { "Signature", "sig-" + item } }, "" });
     return;
   }
-  if (http::find(r.fields, "Expect").value_or(id_) != id_) {
+  const auto only_version = http::find_number(r.fields, "Only-Version");
+  if (http::find(r.fields, "Expect").value_or(id_) != id_ ||
+      only_version.value_or(version) != version) {
     c.respond({ 421, {}, "" });
     return;
   }
@@ -85,7 +87,7 @@
     fields.push_back({ "Cold-Ms", std::to_string(cold_until_ms - now) });
   }
   c.begin(200, fields);
-  stream(c, item, last_event + 1);
+  stream(c, item, last_event + 1, version);
 }
 
 void
@@ -98,30 +100,35 @@
 void
 stream_engine::stream(const http::call& c,
                       const std::string& item,
-                      std::uint64_t next_event)
+                      std::uint64_t next_event,
+                      std::uint64_t run_version)
 {
   auto timer = std::make_shared<asio::steady_timer>(
     io_, std::chrono::milliseconds{ gap_ms });
-  timer->async_wait([this, timer, c, item, next_event](asio::error_code ec) {
-    if (ec || !c.is_open()) {
-      return;
-    }
-    if (next_event > events) {
-      --streaming;
-      c.finish();
-      return;
-    }
-    const bool is_first_run = runs.back().resumed_at == 0;
-    if (next_event == abort_inside_event && is_first_run) {
-      c.write("id: " + std::to_string(next_event) + "\nda");
-      --streaming;
-      c.abort();
-      return;
-    }
-    c.write("id: " + std::to_string(next_event) +
-            "\ndata: " + event_data(item, next_event) + "\n\n");
-    stream(c, item, next_event + 1);
-  });
+  timer->async_wait(
+    [this, timer, c, item, next_event, run_version](asio::error_code ec) {
+      if (ec || !c.is_open()) {
+        return;
+      }
+      if (next_event > events) {
+        --streaming;
+        c.finish();
+        return;
+      }
+      const bool is_first_run = runs.back().resumed_at == 0;
+      if (next_event == abort_inside_event && is_first_run) {
+        c.write("id: " + std::to_string(next_event) + "\nda");
+        --streaming;
+        c.abort();
+        return;
+      }
+      const auto change = run_version == version
+                            ? std::string{}
+                            : "version: " + std::to_string(version) + "\n";
+      c.write(change + "id: " + std::to_string(next_event) +
+              "\ndata: " + event_data(item, next_event) + "\n\n");
+      stream(c, item, next_event + 1, version);
+    });
 }
 
 } // namespace cactusford::standins
--- a/standins/stream_engine.h
+++ b/standins/stream_engine.h
@@ -24,6 +24,7 @@
   // Number of events per item, and the time between two events.
   std::uint64_t events = 5;
   std::uint64_t gap_ms = 5;
+  // A change applies to the runs in progress too, which announce it.
   std::uint64_t version = 1;
   // Aborts the connection in the middle of this event, unless the latest run
   // was resumed; 0 means never.
@@ -70,7 +71,8 @@
   void serve(const http::call& c);
   void stream(const http::call& c,
               const std::string& item,
-              std::uint64_t next_event);
+              std::uint64_t next_event,
+              std::uint64_t run_version);
 
   asio::io_context& io_;
   std::string id_;
--- a/tests/loader-test.cc
+++ b/tests/loader-test.cc
@@ -90,3 +90,20 @@
   fixture.run_until([&] { return fixture.engine.version == 3; });
   cr_assert_eq(fixture.refused(), 0);
 }
+
+// Guards against a load under runs that need the loaded weights, as a relay has
+// told the sidecar.
+Test(loader, loads_after_the_runs_that_need_the_loaded_weights)
+{
+  loader_fixture fixture;
+  fixture.engine.running = 1;
+  fixture.loader.set_position({ 0 });
+  fixture.loader.set_pinned({ { "m", 400 } });
+  fixture.loader.on_published({ "m", 3 }, 10);
+  fixture.loader.start();
+  const auto start = http::now_ms();
+  fixture.run_until([&] { return http::now_ms() > start + 1200; });
+  cr_assert(fixture.engine.received_orders.empty());
+  fixture.loader.set_pinned({});
+  fixture.run_until([&] { return fixture.engine.version == 3; });
+}
