Quarantine: items under which servers crashed are run again

Operators of a similar system saw an item that was never placed again after a burst of crashes. Here it was shown by a test: after the fifth crash is_quarantined held an item back for ten minutes at each owner, and a scorer's call was held back after the third, and its item with it.

An item is never refused. From the fifth crash on it waits 0.5 s, and twice as long with each further one, up to 2 s. Its next run also waits for the probe of its last server, without which runs were one crash ahead of the evidence. A scorer's call has three trials, 2, 4 and 8 s after its last crash; more would send a request that crashes servers more than three times after its third crash.

Related paths: takeovers use the same evidence, and new owners get the same pauses; attempts count answers with status 500 only (sound); the suspects of the scorers' queue run one at a time, and one that is held back does not block it (sound).

The tests an_item_needs_more_crashes_than_a_call and a_poison_item_waits required that an item is held back.

--- a/cactusford/batches/manager_impl.h
+++ b/cactusford/batches/manager_impl.h
@@ -252,7 +252,7 @@
   std::uint64_t silence_of(const item_state& i,
                            const backends::backend& backend,
                            std::uint64_t now) const;
-  bool is_quarantined(const batch_state& b, const item_state& i);
+  bool is_paused(const batch_state& b, item_state& i);
   void report_to_quarantine(const item_state& i, http::exchange_outcome end);
   void on_run_head(const std::string& id,
                    std::size_t at,
--- a/cactusford/batches/runs.cc
+++ b/cactusford/batches/runs.cc
@@ -6,6 +6,7 @@
 #include "cactusford/edge/credentials.h"
 #include "cactusford/http/socket.h"
 #include "cactusford/process/line_log.h"
+#include "cactusford/timeline/clock.h"
 
 #include <asio/post.hpp>
 
@@ -24,9 +25,8 @@
 // that would be suspected wrongly.
 constexpr std::uint64_t healthy_run_ms = 500;
 
-// How often to check whether a quarantined item may run again. The check sends
-// no request.
-constexpr std::uint64_t quarantine_check_ms = 1000;
+// How often an item checks whether the server of its last run has been probed.
+constexpr std::uint64_t probe_wait_ms = 20;
 
 // Timeout for a single run of an item, longer than any run that engines allow.
 constexpr std::uint64_t run_limit_ms = 60000;
@@ -210,8 +210,7 @@
       { b.stored.host, "POST", item.path, b.stored.workspace, item.body });
   }
   const auto now = http::now_ms();
-  if (is_quarantined(b, i)) {
-    i.not_before_ms = now + quarantine_check_ms;
+  if (is_paused(b, i)) {
     return true;
   }
   restrict_to_share(needs, now);
@@ -299,29 +298,36 @@
   return true;
 }
 
-// Returns true if the item is quarantined. An item that crashes the engines it
-// runs on would otherwise move to the next engine at once and destroy the text
-// of eight other items each time. It cannot be given up before its batch allows
-// that: it waits and its group stays incomplete, while the other items
-// continue.
+// Returns true if the item waits because engines crashed under it. Otherwise it
+// would move to the next engine at once and destroy the text of eight other
+// items each time that one crashes.
 bool
-manager::impl::is_quarantined(const batch_state& b, const item_state& i)
+manager::impl::is_paused(const batch_state& b, item_state& i)
 {
   if (deps.quarantine_manager == nullptr) {
     return false;
   }
   const auto decision =
     deps.quarantine_manager->evaluate(i.work, quarantine::run_kind::item);
-  if (decision.status != quarantine::request_status::quarantined) {
+  // Whether the last run ended in another crash is known after the probe.
+  if (quarantine::has_crashes(decision) &&
+      deps.quarantine_manager->is_probing(i.work)) {
+    i.not_before_ms = http::now_ms() + probe_wait_ms;
+    return true;
+  }
+  if (decision.status != quarantine::request_status::paused) {
     return false;
   }
-  deps.quarantine_manager->note_refused();
-  process::log_line(timeline::event{ "item_quarantined" }
+  const auto wall = timeline::wall_ms();
+  const auto pause_ms = decision.until_ms - std::min(decision.until_ms, wall);
+  i.not_before_ms = http::now_ms() + pause_ms;
+  process::log_line(timeline::event{ "item_paused" }
                       .with("request", b.submission.items[i.index].id)
                       .with("work", i.work)
                       .with("batch", b.stored.id)
                       .with("ends", decision.crashes)
-                      .with("until_ms", decision.until_ms));
+                      .with("explained", decision.explained)
+                      .with("pause_ms", pause_ms));
   return true;
 }
 
--- a/cactusford/batches/scoring.cc
+++ b/cactusford/batches/scoring.cc
@@ -93,7 +93,7 @@
   const auto work =
     quarantine::fingerprint_of(request_of(*b->submission.items[t.at].scorer));
   const auto decision =
-    deps.quarantine_manager->evaluate(work, quarantine::run_kind::call);
+    deps.quarantine_manager->evaluate(work, quarantine::run_kind::scorer_call);
   return quarantine::has_crashes(decision) &&
          decision.status != quarantine::request_status::quarantined;
 }
--- a/cactusford/edge/suspects.cc
+++ b/cactusford/edge/suspects.cc
@@ -17,7 +17,9 @@
   return quarantine_ == nullptr
            ? quarantine::decision{}
            : quarantine_->evaluate(call.fingerprint,
-                                   quarantine::run_kind::call);
+                                   call.input.demand.is_scorer
+                                     ? quarantine::run_kind::scorer_call
+                                     : quarantine::run_kind::call);
 }
 
 // Refuses a poison request, unless one of its attempts is still open and will
@@ -96,6 +98,8 @@
       return false;
     case quarantine::request_status::quarantined:
       return false;
+    case quarantine::request_status::paused:
+      return true;
   }
   return true;
 }
--- a/cactusford/quarantine/evidence-test.cc
+++ b/cactusford/quarantine/evidence-test.cc
@@ -264,8 +264,9 @@
     lose_runs_to_failures(s, healthy, 1);
     cr_assert(s.status_of(healthy) == request_status::quarantined);
     lose_runs_to_failures(s, healthy, 1);
-    cr_assert(s.status_of(healthy, run_kind::item) ==
+    cr_assert(s.status_of(healthy, run_kind::scorer_call) ==
               request_status::quarantined);
+    cr_assert(s.status_of(healthy, run_kind::item) == request_status::paused);
   }
   SECTION("a request that was never answered is quarantined")
   {
@@ -366,7 +367,9 @@
   }
 }
 
-Test(quarantine, an_item_needs_more_crashes_than_a_call)
+// Guards against an item that is never run again because servers crashed under
+// it: its trainer is owed the result.
+Test(quarantine, an_item_pauses_after_crashes_and_is_never_refused)
 {
   history s;
   for (const auto* backend : { "a", "b", "c", "d" }) {
@@ -374,8 +377,64 @@
   }
   cr_assert(s.status_of(poison) == request_status::quarantined);
   cr_assert(s.status_of(poison, run_kind::item) == request_status::suspected);
-  s.crash_later("e", { poison });
-  cr_assert(s.status_of(poison, run_kind::item) == request_status::quarantined);
+  SECTION("the fifth crash delays it")
+  {
+    s.crash_later("e", { poison });
+    cr_assert(s.status_of(poison, run_kind::item) == request_status::paused);
+    s.now += s.e.limits.item_pause_ms;
+    cr_assert(s.status_of(poison, run_kind::item) == request_status::suspected);
+  }
+  SECTION("further ones delay it longer, up to the maximum")
+  {
+    for (int i = 0; i < 20; ++i) {
+      s.crash_later("f" + std::to_string(i), { poison });
+    }
+    s.now += s.e.limits.max_item_pause_ms - 1;
+    cr_assert(s.status_of(poison, run_kind::item) == request_status::paused);
+    s.now += 1;
+    cr_assert(s.status_of(poison, run_kind::item) == request_status::suspected);
+  }
+  SECTION("a crash dated ahead by another instance does not extend the pause")
+  {
+    s.now -= 2 * s.e.limits.max_item_pause_ms;
+    cr_assert(s.status_of(poison, run_kind::item) == request_status::suspected);
+  }
+}
+
+// Guards against a sound scorer's call that is not made again for minutes,
+// which keeps its item from being listed, and against a poison one that is.
+Test(quarantine, a_scorer_call_is_tried_again_after_growing_pauses)
+{
+  history s;
+  for (const auto* backend : { "a", "b", "c" }) {
+    s.crash_later(backend, { poison });
+  }
+  const auto status = [&] {
+    return s.status_of(poison, run_kind::scorer_call);
+  };
+  auto pause_ms = s.e.limits.scorer_pause_ms;
+  for (std::uint32_t trial = 0; trial < s.e.limits.max_trials; ++trial) {
+    cr_assert(status() == request_status::quarantined);
+    s.now += pause_ms - 1;
+    cr_assert(status() == request_status::quarantined);
+    s.now += 1;
+    cr_assert(status() == request_status::on_trial);
+    s.start_trial(poison);
+    const bool is_last = trial + 1 == s.e.limits.max_trials;
+    cr_assert(status() == (is_last ? request_status::quarantined
+                                   : request_status::awaiting_trial));
+    if (trial == 1) {
+      auto answered = s;
+      answered.now += 1;
+      answered.answer(poison);
+      cr_assert(answered.status_of(poison, run_kind::scorer_call) ==
+                request_status::clear);
+    }
+    s.crash_later("t" + std::to_string(trial), { poison });
+    pause_ms *= 2;
+  }
+  s.now += pause_ms;
+  cr_assert(status() == request_status::quarantined, "no trials are left");
 }
 
 Test(quarantine, expires_in_steps)
--- a/cactusford/quarantine/evidence.cc
+++ b/cactusford/quarantine/evidence.cc
@@ -19,23 +19,21 @@
 // request: a server answered it before, none of its crashes hit a single
 // server, and idle servers also fail without it. A poison request has no
 // answer, and one that a release made poisonous has no such failures while it
-// does not run, or crashes a single server. Does not apply to items, which run
-// without trials.
+// does not run, or crashes a single server.
 bool
-is_beside_failures(const evidence_limits& l, const suspicion& s, run_kind kind)
+is_beside_failures(const evidence_limits& l, const suspicion& s)
 {
-  return kind == run_kind::call && s.was_answered && s.with_idle_peer > 0 &&
-         s.lone == 0 && s.crashes + s.explained < l.crashes &&
+  return s.was_answered && s.with_idle_peer > 0 && s.lone == 0 &&
+         s.crashes + s.explained < l.crashes &&
          s.crashes + s.explained + s.with_idle_peer <
            l.total_crashes_beside_failures &&
          2 * s.failures_without >= s.with_idle_peer;
 }
 
 std::uint32_t
-total_crashes(const evidence_limits& l, const suspicion& s, run_kind kind)
+total_crashes(const evidence_limits& l, const suspicion& s)
 {
-  const auto with_idle_peer =
-    is_beside_failures(l, s, kind) ? 0 : s.with_idle_peer;
+  const auto with_idle_peer = is_beside_failures(l, s) ? 0 : s.with_idle_peer;
   return s.crashes + s.explained + with_idle_peer;
 }
 
@@ -43,33 +41,27 @@
 // servers: whatever took them down, it was no request. From the limit for all
 // crashes on, trials confirm that.
 bool
-may_need_trial(const evidence_limits& l, const suspicion& s, run_kind kind)
+may_need_trial(const evidence_limits& l, const suspicion& s)
 {
-  return s.crashes + s.explained > 0 || (is_beside_failures(l, s, kind) &&
-                                         s.with_idle_peer >= l.total_crashes);
+  return s.crashes + s.explained > 0 ||
+         (is_beside_failures(l, s) && s.with_idle_peer >= l.total_crashes);
 }
 
 // Returns true if the request has enough crashes to be quarantined.
 bool
-reaches_limit(const evidence_limits& l, const suspicion& s, run_kind kind)
+reaches_limit(const evidence_limits& l, const suspicion& s)
 {
-  const bool is_item = kind == run_kind::item;
   const auto alone = s.contested ? l.crashes_when_contested : l.crashes;
-  if (is_item) {
-    return s.crashes >= std::max(alone, l.crashes_of_item) ||
-           total_crashes(l, s, kind) >= l.total_crashes_of_item;
-  }
   return s.crashes >= alone ||
          s.crashes + s.explained >= l.crashes_with_others ||
-         total_crashes(l, s, kind) >= l.total_crashes;
+         total_crashes(l, s) >= l.total_crashes;
 }
 
 bool
-has_used_trials(const evidence_limits& l, const suspicion& s, run_kind kind)
+has_used_trials(const evidence_limits& l, const suspicion& s)
 {
-  const auto lost = is_beside_failures(l, s, kind) ? s.lost_trials : 0;
-  return kind == run_kind::call && may_need_trial(l, s, kind) &&
-         s.trials - lost >= l.max_trials;
+  const auto lost = is_beside_failures(l, s) ? s.lost_trials : 0;
+  return may_need_trial(l, s) && s.trials - lost >= l.max_trials;
 }
 
 // Returns true if the request may have crashed as many servers as it is allowed
@@ -77,18 +69,18 @@
 // one instance at a time makes such a run: instances that each sent the request
 // before they knew of the other's crash took down more servers than allowed.
 bool
-needs_trial(const evidence_limits& l, const suspicion& s, run_kind kind)
+needs_trial(const evidence_limits& l, const suspicion& s)
 {
-  if (kind == run_kind::item || s.observed < l.crashes ||
-      !may_need_trial(l, s, kind) || has_used_trials(l, s, kind)) {
+  if (s.observed < l.crashes || !may_need_trial(l, s) ||
+      has_used_trials(l, s)) {
     return false;
   }
   // A rack that failed during the last run has settled nothing.
   const bool is_last_valid =
-    !s.is_last_with_idle_peer || total_crashes(l, s, kind) >= l.total_crashes;
+    !s.is_last_with_idle_peer || total_crashes(l, s) >= l.total_crashes;
   const bool is_settled =
     is_last_valid && s.trials >= static_cast<std::uint32_t>(s.cause);
-  return !is_settled || !reaches_limit(l, s, kind);
+  return !is_settled || !reaches_limit(l, s);
 }
 
 bool
@@ -100,6 +92,38 @@
          now_ms < s.last_trial_ms + l.trial_ms;
 }
 
+std::uint64_t
+doubled(std::uint64_t pause_ms, std::uint32_t times, std::uint64_t max_ms)
+{
+  constexpr std::uint32_t max_doublings = 10;
+  return std::min(pause_ms << std::min(times, max_doublings), max_ms);
+}
+
+// Returns when an item may run again. Engines that crash one after another for
+// causes of their own get a growing pause in which to recover.
+std::uint64_t
+item_pause_end_ms(const evidence_limits& l,
+                  const suspicion& s,
+                  std::uint64_t now_ms)
+{
+  // A time ahead of this instance's clock is that of another instance.
+  if (s.observed < l.crashes_of_item || s.last_crash_ms > now_ms) {
+    return 0;
+  }
+  const auto excess = s.observed - l.crashes_of_item;
+  return s.last_crash_ms +
+         doubled(l.item_pause_ms, excess, l.max_item_pause_ms);
+}
+
+// Returns when the next trial of a scorer's call may start. The pause lets a
+// series of unrelated crashes end before the trials are used up.
+std::uint64_t
+scorer_pause_end_ms(const evidence_limits& l, const suspicion& s)
+{
+  return s.last_crash_ms +
+         doubled(l.scorer_pause_ms, s.trials, l.quarantine_ms);
+}
+
 } // namespace
 
 void
@@ -157,14 +181,31 @@
   d.explained = s.explained + s.with_idle_peer;
   d.last_crash_ms = s.last_crash_ms;
   d.trials = s.trials;
+  if (kind == run_kind::item) {
+    const auto until = item_pause_end_ms(e.limits, s, now_ms);
+    const bool is_paused = now_ms < until;
+    d.until_ms = is_paused ? until : 0;
+    d.status = is_paused       ? request_status::paused
+               : s.crashes > 0 ? request_status::suspected
+                               : request_status::clear;
+    return d;
+  }
   const bool is_running = is_trial_running(e.limits, s, now_ms);
-  if (needs_trial(e.limits, s, kind)) {
-    d.status =
-      is_running ? request_status::awaiting_trial : request_status::on_trial;
+  const bool has_trial_left = kind == run_kind::scorer_call &&
+                              reaches_limit(e.limits, s) &&
+                              !has_used_trials(e.limits, s);
+  if (needs_trial(e.limits, s) || has_trial_left) {
+    const auto until = kind == run_kind::scorer_call && !is_running
+                         ? scorer_pause_end_ms(e.limits, s)
+                         : 0;
+    const bool is_paused = now_ms < until && s.last_crash_ms <= now_ms;
+    d.until_ms = is_paused ? until : 0;
+    d.status = is_paused    ? request_status::quarantined
+               : is_running ? request_status::awaiting_trial
+                            : request_status::on_trial;
     return d;
   }
-  if (!reaches_limit(e.limits, s, kind) &&
-      !has_used_trials(e.limits, s, kind)) {
+  if (!reaches_limit(e.limits, s) && !has_used_trials(e.limits, s)) {
     d.status =
       s.crashes > 0 ? request_status::suspected : request_status::clear;
     return d;
--- a/cactusford/quarantine/evidence.h
+++ b/cactusford/quarantine/evidence.h
@@ -7,11 +7,15 @@
 
 namespace cactusford::quarantine {
 
-// Kinds of runs that differ in how many crashes quarantine a request.
+// Kinds of runs that differ in what crashes mean for a request.
 enum class run_kind
 {
   call,
-  // A generation: it runs for seconds next to others on the same engine.
+  // The scorer's call for an item. Its item stays incomplete without an answer,
+  // so it is tried again after a pause as long as trials are left.
+  scorer_call,
+  // A generation: it runs for seconds next to others on the same engine. Its
+  // trainer is owed the result, so it is delayed after crashes, never refused.
   item,
 };
 
@@ -50,6 +54,8 @@
   awaiting_trial,
   // The request is not sent to any backend server.
   quarantined,
+  // An item that runs again after a pause.
+  paused,
 };
 
 struct decision
@@ -58,7 +64,7 @@
   std::uint32_t crashes = 0;
   // Further crashes, which are attributed to another request or cause.
   std::uint32_t explained = 0;
-  // For `quarantined`: when the request may be tried again.
+  // For `quarantined` and `paused`: when the request may be tried again.
   std::uint64_t until_ms = 0;
   // The evidence that a trial would add to. Instances that decide on the same
   // evidence compete for the same trial.
--- a/cactusford/quarantine/suspicion.h
+++ b/cactusford/quarantine/suspicion.h
@@ -57,10 +57,9 @@
   // crashes with another one needs one more crash to tell the two apart.
   std::uint32_t crashes = 3;
   std::uint32_t crashes_when_contested = 4;
-  // An item runs for a second or more, so engines that crash one after another
-  // for other causes hit the same item far more often than the same call. Only
-  // the owner of an item runs it and learns of all its crashes at once, so the
-  // limit of five is reached before another instance could add a crash.
+  // From this number of observed crashes on, an item waits before its next run.
+  // It runs for a second or more, so engines that crash one after another hit
+  // the same item far more often than the same call.
   std::uint32_t crashes_of_item = 5;
   // Limits that include crashes attributed to another request or cause. Such
   // crashes are weaker evidence, but after this many without a response the
@@ -70,7 +69,12 @@
   // time, both crashes count.
   std::uint32_t crashes_with_others = 4;
   std::uint32_t total_crashes = 6;
-  std::uint32_t total_crashes_of_item = 10;
+  // The pause doubles with each further crash.
+  std::uint64_t item_pause_ms = 500;
+  std::uint64_t max_item_pause_ms = 2000;
+  // Pause before the first trial of a scorer's call; it doubles with each
+  // trial.
+  std::uint64_t scorer_pause_ms = 2000;
   // Limit for a call that a server has answered before and whose other crashes
   // all happened in repeated failures of several servers. It bounds the crashes
   // by a call that a release made poisonous and that takes idle servers down.
