HTTP client: bounds on responses without an end

Servers in trouble may send bytes until the caller closes. client::fetch dropped what went past its bound and read on until the timeout; streams of items, interim responses and responses to other requests had no bound but time, and an event without an end was collected in memory.

An exchange has a bound on its body and one on all bytes. Past it the connection is closed and the exchange ends as malformed: an idempotent call is repeated, the outcome of any other is unknown, an item continues elsewhere, a sidecar polls its engine again. While the memory for responses is used up, those over 2 MiB are cut. An event is 64 KiB at most, and one without data is malformed; a text is 900 KiB at most, as a longer one could not be listed.

--- a/cactusford/batches/event_reader.cc
+++ b/cactusford/batches/event_reader.cc
@@ -10,6 +10,9 @@
 
 constexpr std::string_view separator = "\n\n";
 
+// An event contains a few tokens.
+constexpr std::size_t max_event_bytes = 64U << 10;
+
 std::string_view
 without_carriage_return(std::string_view line)
 {
@@ -49,6 +52,10 @@
     start = end + separator.size();
   }
   buffer_.erase(0, start);
+  if (buffer_.size() > max_event_bytes) {
+    malformed_ = true;
+    buffer_.clear();
+  }
   return events;
 }
 
@@ -81,7 +88,7 @@
       e.version = http::parse_number(value);
     }
   }
-  malformed_ = malformed_ || !has_id;
+  malformed_ = malformed_ || !has_id || !has_data;
   return e;
 }
 
--- a/cactusford/batches/event_reader.h
+++ b/cactusford/batches/event_reader.h
@@ -35,7 +35,8 @@
   // True if the buffer holds the beginning of an incomplete event.
   bool has_partial() const { return !buffer_.empty(); }
 
-  // True if an event without an id or with a malformed line was read.
+  // True if an event without an id, with a malformed line or without an end was
+  // read.
   bool is_malformed() const { return malformed_; }
 
 private:
--- a/cactusford/batches/manager_impl.h
+++ b/cactusford/batches/manager_impl.h
@@ -260,6 +260,7 @@
                    const http::head& h);
   version_rule version_rule_of(const batch_state& b) const;
   void on_version_changed(batch_state& b, item_state& i);
+  void on_broken_events(batch_state& b, item_state& i, std::uint64_t event);
   void on_body(const std::string& id,
                std::size_t at,
                std::uint64_t run,
--- a/cactusford/batches/runs.cc
+++ b/cactusford/batches/runs.cc
@@ -31,6 +31,13 @@
 // Timeout for a single run of an item, longer than any run that engines allow.
 constexpr std::uint64_t run_limit_ms = 60000;
 
+// Longest text of an item. A longer one could not be listed, as the store
+// limits a value to a megabyte.
+constexpr std::size_t max_text_bytes = 900U << 10;
+
+// Longest stream of one run, with its framing.
+constexpr std::size_t max_stream_bytes = 4U << 20;
+
 constexpr std::uint32_t least_urgent_run = 9;
 
 // An engine that is further behind the published version loads it soon.
@@ -282,6 +289,7 @@
   o.timeout_ms = run_limit_ms;
   o.echo = { names.request_id, item.id };
   o.reset_on_abandon = true;
+  o.max_body_bytes = max_stream_bytes;
   http::exchange_callbacks events;
   const auto self = shared_from_this();
   events.on_head =
@@ -445,6 +453,23 @@
              is_old ? "old_weights" : "version_changed");
 }
 
+// Stops a run whose stream is not one that an engine sends.
+void
+manager::impl::on_broken_events(batch_state& b,
+                                item_state& i,
+                                std::uint64_t event)
+{
+  process::log_line(timeline::event{ "item_events_broken" }
+                      .with("request", b.submission.items[i.index].id)
+                      .with("batch", b.stored.id)
+                      .with("expected", i.text.last_event + 1)
+                      .with("got", event)
+                      .with("text_bytes", i.text.text.size()));
+  stop_run(i);
+  i.failed_on = i.backend.id;
+  retry_item(b, i, failed_pause_ms, "broken_events");
+}
+
 void
 manager::impl::on_body(const std::string& id,
                        std::size_t at,
@@ -459,6 +484,10 @@
   auto& b = *find_batch(id);
   const auto now = http::now_ms();
   auto events = i->reader.feed(data);
+  if (i->reader.is_malformed()) {
+    on_broken_events(b, *i, events.empty() ? 0 : events.front().id);
+    return;
+  }
   if (events.empty()) {
     return;
   }
@@ -475,18 +504,16 @@
       on_version_changed(b, *i);
       return;
     }
-    if (i->reader.is_malformed() || !append(i->text, e)) {
-      process::log_line(timeline::event{ "item_events_broken" }
-                          .with("request", b.submission.items[at].id)
-                          .with("batch", id)
-                          .with("expected", i->text.last_event + 1)
-                          .with("got", e.id));
-      stop_run(*i);
-      i->failed_on = i->backend.id;
-      retry_item(b, *i, failed_pause_ms, "broken_events");
+    if (!append(i->text, e)) {
+      on_broken_events(b, *i, e.id);
       return;
     }
   }
+  if (i->text.text.size() > max_text_bytes) {
+    on_broken_events(b, *i, i->text.last_event);
+    i->text = {};
+    return;
+  }
   if (backend != nullptr) {
     note_answer(*backend);
     note_run_events(*i, *backend, events.size(), now);
--- a/cactusford/edge/forward-test.cc
+++ b/cactusford/edge/forward-test.cc
@@ -4,6 +4,7 @@
 
 #include "cactusford/http/server.h"
 #include "cactusford/http/socket.h"
+#include "standins/flooding_server.h"
 #include "standins/object_store.h"
 
 #include <asio/buffer.hpp>
@@ -430,3 +431,66 @@
   }
   cr_assert_eq(backends::find(registry, "late")->in_flight, 0);
 }
+
+// Guards against a server whose response has no end holding a call until its
+// deadline.
+Test(forward, repeats_a_call_whose_response_has_no_end)
+{
+  asio::io_context io;
+  standins::flooding_server faulty{
+    io,
+    "HTTP/1.1 200 OK\r\nSignature: s\r\nContent-Length: 99999999999\r\n\r\n",
+    "x"
+  };
+  slow_backend sound{ io };
+  backends::registry registry;
+  const auto add = [&](const std::string& address) {
+    backends::announcement a;
+    a.id = address;
+    a.address = address;
+    a.service = "lookups";
+    backends::announce(registry, a);
+  };
+  add(faulty.address());
+  const auto d = standins::json_dialect();
+  http::client http{ io };
+  forwarder calls{ io, http, registry, d, "a" };
+  const auto sound_address = "127.0.0.1:" + std::to_string(sound.server.port());
+  const auto call = [&](routes::call_kind kind, bool adds_sound_server) {
+    forward_request r;
+    r.request = { "POST", "/look/", { { "Host", "h" } }, "b" };
+    r.route.kind = kind;
+    r.route.services = { { "lookups", 1 } };
+    r.route.max_attempts = 2;
+    constexpr std::uint64_t timeout_ms = 20000;
+    r.give_up_ms = http::now_ms() + timeout_ms;
+    std::optional<forward_end> end;
+    calls.start(std::move(r), [&](forward_outcome&& o) {
+      end = o.what;
+      if (o.what == forward_end::answered) {
+        cr_assert(o.answer.body.empty());
+      }
+    });
+    while (!end) {
+      io.run_one();
+      if (faulty.requests() > 0 && adds_sound_server) {
+        add(sound_address);
+        adds_sound_server = false;
+      }
+    }
+    return *end;
+  };
+  SECTION("an idempotent one is answered by another server")
+  {
+    cr_assert(call(routes::call_kind::idempotent, true) ==
+              forward_end::answered);
+    cr_assert_eq(sound.runs, 1);
+  }
+  SECTION("the outcome of any other one is unknown")
+  {
+    backends::drop(registry, sound_address);
+    cr_assert(call(routes::call_kind::non_idempotent, false) ==
+              forward_end::unknown);
+    cr_assert_eq(sound.runs, 1);
+  }
+}
--- a/cactusford/edge/forward.cc
+++ b/cactusford/edge/forward.cc
@@ -360,14 +360,14 @@
   call->attempts[index].connect_timeout_ms = o.connect_timeout_ms;
   o.echo = { dialect_.headers.request_id, call->input.id };
   o.reset_on_abandon = true;
+  o.max_body_bytes = max_answer_bytes;
   call->attempts[index].exchange = http_.fetch(
     b.info.address,
     prepare(*call, b),
     o,
     [this, call, index](http::exchange_outcome end, http::response&& r) {
       on_attempt_ended(call, index, end, std::move(r));
-    },
-    max_answer_bytes);
+    });
   if (call->is_repeatable()) {
     schedule_second_attempt(call);
   }
--- a/cactusford/http/client.cc
+++ b/cactusford/http/client.cc
@@ -1,6 +1,7 @@
 #include "cactusford/http/client.h"
 
 #include "cactusford/http/socket.h"
+#include "cactusford/process/line_log.h"
 
 #include <asio/buffer.hpp>
 #include <asio/post.hpp>
@@ -45,6 +46,10 @@
   std::size_t counted = 0;
 };
 
+// While the memory for responses is used up, longer ones are cut off. Lists of
+// the store are shorter.
+constexpr std::size_t max_body_bytes_when_full = 2U << 20;
+
 constexpr std::size_t read_size = 16U << 10;
 
 // One buffer for all reads of the thread, because each read is consumed before
@@ -119,8 +124,10 @@
   void on_data(std::string_view bytes);
   void on_read_error(const asio::error_code& ec);
   bool on_head(head&& h);
+  bool on_body(std::string_view data);
   bool on_end();
   void finish(exchange_outcome state);
+  void log_oversized() const;
   void close();
 
   std::shared_ptr<client::impl> pool;
@@ -137,6 +144,10 @@
   // The complete response has been read, and the parser is paused at its end.
   bool response_complete = false;
   bool closed = false;
+  // Bytes of the body, and all bytes, that arrived for the current request.
+  std::size_t body_bytes = 0;
+  std::size_t received_bytes = 0;
+  bool is_oversized = false;
   bool is_body_close_delimited = false;
   std::uint64_t idle_ms = 0;
   std::uint64_t idle_until = 0;
@@ -230,13 +241,7 @@
   , socket{ pool->io }
   , parser{ parser_kind::response,
             { [this](head&& h) { return on_head(std::move(h)); },
-              [this](std::string_view data) {
-                if (current && !skips_response && current->callbacks.on_body) {
-                  const auto e = current;
-                  e->callbacks.on_body(data);
-                }
-                return !closed;
-              },
+              [this](std::string_view data) { return on_body(data); },
               [this] { return on_end(); } } }
 {
   ++pool->count;
@@ -291,6 +296,8 @@
 connection::start(std::shared_ptr<exchange> e)
 {
   current = e;
+  body_bytes = 0;
+  received_bytes = 0;
   e->conn = weak_from_this();
   e->sent = true;
   reset_on_close = e->options.reset_on_abandon;
@@ -347,10 +354,18 @@
     close();
     return;
   }
-  const auto consumed = parser.feed(bytes);
+  received_bytes += bytes.size();
+  is_oversized =
+    received_bytes > current->options.max_body_bytes + max_overhead_bytes;
+  const auto consumed = is_oversized ? 0 : parser.feed(bytes);
   if (closed) {
     return;
   }
+  if (is_oversized) {
+    log_oversized();
+    finish(exchange_outcome::malformed);
+    return;
+  }
   if (response_complete) {
     response_complete = false;
     parser.resume();
@@ -416,6 +431,35 @@
   return !closed;
 }
 
+bool
+connection::on_body(std::string_view data)
+{
+  if (!current || skips_response) {
+    return !closed;
+  }
+  body_bytes += data.size();
+  const bool is_cut_for_memory =
+    body_bytes > max_body_bytes_when_full && !may_take_call(*pool->buffers);
+  if (body_bytes > current->options.max_body_bytes || is_cut_for_memory) {
+    is_oversized = true;
+    return false;
+  }
+  if (current->callbacks.on_body) {
+    const auto e = current;
+    e->callbacks.on_body(data);
+  }
+  return !closed;
+}
+
+void
+connection::log_oversized() const
+{
+  process::log_line(timeline::event{ "response_too_long" }
+                      .with("address", address)
+                      .with("body_bytes", body_bytes)
+                      .with("received_bytes", received_bytes));
+}
+
 bool
 connection::on_end()
 {
@@ -551,8 +595,7 @@
 client::fetch(const std::string& address,
               const request& r,
               exchange_options options,
-              response_handler done,
-              std::size_t max_bytes)
+              response_handler done)
 {
   auto collected = std::make_shared<collected_response>(impl_->buffers);
   exchange_callbacks callbacks;
@@ -560,18 +603,14 @@
     collected->value.status = h.status;
     collected->value.fields = h.fields;
   };
-  callbacks.on_body = [collected, max_bytes](std::string_view data) {
-    if (collected->value.body.size() <= max_bytes) {
-      collected->append(data);
-    }
+  callbacks.on_body = [collected](std::string_view data) {
+    collected->append(data);
+  };
+  callbacks.on_end = [collected,
+                      done = std::move(done)](exchange_outcome state) {
+    collected->release();
+    done(state, std::move(collected->value));
   };
-  callbacks.on_end =
-    [collected, max_bytes, done = std::move(done)](exchange_outcome state) {
-      const bool oversized = collected->value.body.size() > max_bytes;
-      collected->release();
-      done(oversized ? exchange_outcome::malformed : state,
-           std::move(collected->value));
-    };
   return send(address, r, std::move(options), std::move(callbacks));
 }
 
--- a/cactusford/http/client.h
+++ b/cactusford/http/client.h
@@ -43,8 +43,12 @@
   std::function<void(exchange_outcome)> on_end;
 };
 
+// Maximum size of the body of a response.
+constexpr std::size_t default_max_body_bytes = 16U << 20;
+
 struct exchange_options
 {
+  // Time for the whole exchange.
   std::uint64_t timeout_ms = 10000;
   std::uint64_t connect_timeout_ms = 500;
   // A response that has this header with a different value belongs to another
@@ -55,8 +59,15 @@
   // store, which should still arrive: a repeated write would have to wait until
   // the store is reachable again.
   bool reset_on_abandon = false;
+  // A longer body ends the exchange as malformed and closes the connection. So
+  // do heads, framing and responses to other requests that together are longer
+  // than this by more than `max_overhead_bytes`.
+  std::size_t max_body_bytes = default_max_body_bytes;
 };
 
+// Allows for chunks of a few bytes each in a body of common size.
+constexpr std::size_t max_overhead_bytes = 1U << 20;
+
 // Limits of the connection pool.
 struct pool_limits
 {
@@ -109,14 +120,12 @@
                        exchange_options options,
                        exchange_callbacks callbacks);
 
-  // Sends a request and collects the complete response. A body longer than
-  // `max_bytes` is reported as malformed.
+  // Sends a request and collects the complete response.
   using response_handler = std::function<void(exchange_outcome, response&&)>;
   pending_request fetch(const std::string& address,
                         const request& r,
                         exchange_options options,
-                        response_handler done,
-                        std::size_t max_bytes = 16U << 20);
+                        response_handler done);
 
   // From now on counts the bytes that `fetch` collects, from their arrival
   // until the response is handed over or the request is cancelled.
--- a/cactusford/http/exchange-test.cc
+++ b/cactusford/http/exchange-test.cc
@@ -3,6 +3,7 @@
 #include "cactusford/http/server.h"
 
 #include "cactusford/testing/section.h"
+#include "standins/flooding_server.h"
 
 #include <asio/buffer.hpp>
 #include <asio/ip/tcp.hpp>
@@ -10,6 +11,7 @@
 #include <criterion/criterion.h>
 
 #include <deque>
+#include <optional>
 
 using namespace cactusford;
 using namespace cactusford::http;
@@ -380,3 +382,106 @@
   }
   cr_assert_eq(server.active_requests(), 0);
 }
+
+namespace {
+
+struct endless_response
+{
+  const char* what;
+  const char* prefix;
+  const char* filler;
+};
+
+constexpr const char* ok_line = "HTTP/1.1 200 OK\r\n";
+
+const endless_response endless_responses[] = {
+  { "a status line", "HTTP/1.1 200 ", "O" },
+  { "bytes that are not HTTP", "\x01\x02", "\x03" },
+  { "a header's value", "HTTP/1.1 200 OK\r\nA: ", "b" },
+  { "headers", ok_line, "A: b\r\n" },
+  { "interim responses", "", "HTTP/1.1 100 Continue\r\n\r\n" },
+  { "responses to other requests",
+    "",
+    "HTTP/1.1 200 OK\r\nId: other\r\nContent-Length: 1\r\n\r\nx" },
+  { "a body with a length",
+    "HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: 999999999999\r\n\r\n",
+    "x" },
+  { "a body that ends with the connection",
+    "HTTP/1.1 200 OK\r\nId: a\r\n\r\n",
+    "x" },
+  { "chunks",
+    "HTTP/1.1 200 OK\r\nId: a\r\nTransfer-Encoding: chunked\r\n\r\n",
+    "4\r\nabcd\r\n" },
+  { "chunk extensions",
+    "HTTP/1.1 200 OK\r\nId: a\r\nTransfer-Encoding: chunked\r\n\r\n1;",
+    "e" },
+};
+
+} // namespace
+
+// Guards against reading a faulty server's response until memory or time run
+// out.
+Test(exchange, ends_with_a_bound_on_each_endless_response)
+{
+  constexpr std::size_t max_body_bytes = 64U << 10;
+  // What the sockets of both sides hold.
+  constexpr std::uint64_t socket_bytes = 16U << 20;
+  for (const auto& each : endless_responses) {
+    SECTION(each.what)
+    {
+      asio::io_context io;
+      standins::flooding_server server{ io, each.prefix, each.filler };
+      http::client client{ io };
+      std::optional<exchange_outcome> end;
+      std::size_t body_bytes = 0;
+      exchange_options o;
+      o.timeout_ms = 20000;
+      o.echo = { "Id", "a" };
+      o.max_body_bytes = max_body_bytes;
+      client.fetch(
+        server.address(), get("a"), o, [&](exchange_outcome e, response&& r) {
+          end = e;
+          body_bytes = r.body.size();
+        });
+      while (!end || server.closed() == 0) {
+        io.run_one();
+      }
+      cr_assert(*end == exchange_outcome::malformed);
+      cr_assert_leq(body_bytes, max_body_bytes);
+      cr_assert_leq(server.max_sent(),
+                    max_body_bytes + max_overhead_bytes + socket_bytes);
+      cr_assert_not(client.has_idle(server.address()));
+    }
+  }
+}
+
+// Guards against responses that together exceed the instance's memory, each
+// within its own bound.
+Test(exchange, cuts_long_responses_while_their_memory_is_used_up)
+{
+  asio::io_context io;
+  standins::flooding_server server{
+    io, "HTTP/1.1 200 OK\r\nContent-Length: 999999999999\r\n\r\n", "x"
+  };
+  http::client client{ io };
+  auto buffers = std::make_shared<buffer_budget>();
+  buffers->limit_bytes = 16U << 20;
+  client.count_collected(buffers);
+  constexpr int calls = 8;
+  int ended = 0;
+  for (int i = 0; i < calls; ++i) {
+    exchange_options o;
+    o.timeout_ms = 20000;
+    client.fetch(
+      server.address(), get("a"), o, [&](exchange_outcome e, response&&) {
+        cr_assert(e == exchange_outcome::malformed);
+        ++ended;
+      });
+  }
+  while (ended < calls) {
+    io.run_one();
+  }
+  // Each connection may add one read.
+  constexpr std::uint64_t reads = calls * (16U << 10);
+  cr_assert_leq(buffers->peak_bytes, buffers->limit_bytes + reads);
+}
--- a/cactusford/orders/loader.cc
+++ b/cactusford/orders/loader.cc
@@ -9,6 +9,9 @@
 
 namespace {
 
+// Reports list the models and the runs of one engine.
+constexpr std::size_t max_answer_bytes = 1U << 20;
+
 // Polling while idle detects an engine that has restarted with older weights.
 // While a load is due or in progress, the engine is polled more often.
 constexpr std::uint64_t idle_poll_interval_ms = 2000;
@@ -99,6 +102,7 @@
   is_request_open_ = true;
   http::exchange_options o;
   o.timeout_ms = report_timeout_ms;
+  o.max_body_bytes = max_answer_bytes;
   http_.fetch(settings_.engine,
               dialect_.report_request(),
               o,
@@ -266,6 +270,7 @@
   o.backend = r.backend;
   http::exchange_options options;
   options.timeout_ms = order_timeout_ms;
+  options.max_body_bytes = max_answer_bytes;
   is_request_open_ = true;
   order_sent_ms_ = http::now_ms();
   ordered_model_ = model;
--- a/tests/loader-test.cc
+++ b/tests/loader-test.cc
@@ -2,6 +2,7 @@
 #include "cactusford/http/socket.h"
 #include "cactusford/orders/loader.h"
 #include "cactusford/testing/section.h"
+#include "standins/flooding_server.h"
 #include "standins/object_store.h"
 #include "standins/order_engine.h"
 
@@ -107,3 +108,29 @@
   fixture.loader.set_pinned({});
   fixture.run_until([&] { return fixture.engine.version == 3; });
 }
+
+// Guards against a sidecar that reads an endless report or answer to an order
+// until its memory is used up.
+Test(loader, closes_the_connection_of_an_endless_report)
+{
+  for (const auto* prefix : { "HTTP/1.1 200 OK\r\nA: ",
+                              "HTTP/1.1 200 OK\r\nTransfer-Encoding: "
+                              "chunked\r\n\r\nffffffff\r\n" }) {
+    asio::io_context io;
+    standins::flooding_server engine{ io, prefix, "x" };
+    http::client http{ io };
+    const auto dialect = loader_fixture::dialect_with_orders();
+    orders::loader loader{
+      io, http, dialect, { "side-a-1", engine.address() }
+    };
+    loader.start();
+    const auto limit = http::now_ms() + hang_ms;
+    while (engine.closed() < 2) {
+      cr_assert_lt(http::now_ms(), limit, "the sidecar stopped polling");
+      io.run_one_for(std::chrono::milliseconds{ 10 });
+    }
+    // The bound on a report and what the sockets of both sides hold.
+    constexpr std::uint64_t max_bytes = (2U << 20) + (16U << 20);
+    cr_assert_leq(engine.max_sent(), max_bytes);
+  }
+}
