Stand-ins: a crashed engine keeps its port

Cause, from the line log of a trial that showed it once in 138 runs beside the other process tests (7.0 s in all): the entry still lists engines that crashed, and tries them before the live one, which is right, as any of them may be back. Their ports had been released, and the system gave one to a server of another test that ran at the same time. The run went there (engine-4, which had crashed 4 s before) and was held for 1.1 s until that server ended; a server that stays silent holds it longer.

Change: after a crash the stand-in stays bound to its port without listening, so connections are refused, as they are on a machine whose process has ended. The test and its bound are unchanged. On the users' platform a run carries the id of the server that it is for, and another server refuses it.

crash() may be called twice, as items_on_crashing_engines_complete does.

--- a/standins/stream_engine.cc
+++ b/standins/stream_engine.cc
@@ -20,6 +20,7 @@
   : io_{ io }
   , id_{ std::move(id) }
   , server_{ io, {}, [this](const http::call& c) { serve(c); } }
+  , refusing_port_{ io }
 {
   server_.listen("127.0.0.1:0");
 }
@@ -93,8 +94,22 @@
 void
 stream_engine::crash()
 {
+  if (has_crashed) {
+    return;
+  }
   has_crashed = true;
+  const auto port = server_.port();
   server_.close();
+  using asio::ip::tcp;
+  using reuse = asio::socket_base::reuse_address;
+  const tcp::endpoint at{ asio::ip::address_v4::loopback(), port };
+  refusing_port_.open(at.protocol());
+  // Connections that are still closing do not prevent this bind, and it
+  // prevents any other.
+  refusing_port_.set_option(reuse{ true });
+  asio::error_code ignored;
+  refusing_port_.bind(at, ignored);
+  refusing_port_.set_option(reuse{ false });
 }
 
 void
--- a/standins/stream_engine.h
+++ b/standins/stream_engine.h
@@ -5,6 +5,7 @@
 #include "cactusford/http/server.h"
 
 #include <asio/io_context.hpp>
+#include <asio/ip/tcp.hpp>
 
 #include <cstdint>
 #include <functional>
@@ -31,7 +32,9 @@
   std::uint64_t abort_inside_event = 0;
   // Answers resumed runs with status 500.
   bool fails_resumed_runs = false;
-  // Crashes the engine, which aborts all its runs.
+  // Crashes the engine, which aborts all its runs. Its port stays refused: it
+  // must not be given to a server of another test, which would get the runs of
+  // entries that still list this engine.
   void crash();
 
   // A run with this body crashes the engine; an empty string means none.
@@ -77,6 +80,7 @@
   asio::io_context& io_;
   std::string id_;
   http::server server_;
+  asio::ip::tcp::acceptor refusing_port_;
 };
 
 } // namespace cactusford::standins
