Sidecar: bounds on responses without an end

What callers would see: none has been reported. By test: one server that never ends a head or a body fills the memory of cactusford-sidecar, and one that sends a byte now and then keeps a call past its deadline and a worker for good.

Cause: the client of the backend server used cpp-httplib, whose time limit holds for each read, which bounds neither heads nor bodies, and which looks whether a generation was cancelled only when a part of the body arrives.

Change: http/blocking_exchange runs one exchange of http::client on the calling thread, with its bounds on bytes and time.

The line reader of generations dropped lines that are no event and read on without end; the stream's bound covers it.

Measured: both tests of engine_client failed before, one with std::bad_alloc under a limit of 4 GB, one by its timeout of 60 s.

--- a/cactusford/engine/client.cc
+++ b/cactusford/engine/client.cc
@@ -1,45 +1,46 @@
 #include "cactusford/engine/client.h"
 
+#include "cactusford/http/blocking_exchange.h"
 #include "cactusford/link/link.h"
 
-#include <httplib.h>
 #include <nlohmann/json.hpp>
 
-#include <chrono>
+#include <utility>
 
 namespace cactusford::engine {
 
 namespace {
 
+using http::exchange_outcome;
 using nlohmann::json;
-using std::chrono::milliseconds;
 
-constexpr milliseconds connect_timeout{ 500 };
-constexpr milliseconds token_timeout{ 30000 };
-constexpr milliseconds order_timeout{ 30000 };
+// Longest silence of an engine that generates, and the longest generation,
+// beyond what any caller waits for.
+constexpr std::uint64_t token_timeout_ms = 30000;
+constexpr std::uint64_t generation_timeout_ms = 1000000;
+constexpr std::uint64_t order_timeout_ms = 30000;
+constexpr std::uint64_t read_timeout_ms = 2000;
 constexpr std::size_t max_line = 1U << 20;
+// Longest answer of a service: one message to the entry, less its framing.
+constexpr std::size_t framing_bytes = 64U << 10;
+constexpr std::size_t max_answer_bytes =
+  link::limits{}.max_message - framing_bytes;
+// Longest answer to an order or to a question for versions.
+constexpr std::size_t max_control_bytes = 64U << 10;
 constexpr int ok = 200;
 constexpr int conflict = 409;
 constexpr int too_many = 429;
 constexpr int unavailable = 503;
 
-bool
-is_not_sent(const httplib::Result& r)
-{
-  return r.error() == httplib::Error::Connection ||
-         r.error() == httplib::Error::ConnectionTimeout ||
-         r.error() == httplib::Error::BindIPAddress;
-}
-
 // Splits the event stream into data lines and parses them as JSON.
 class event_reader
 {
 public:
   // Returns false if a line is too long or not JSON.
   template<typename F>
-  bool feed(const char* data, std::size_t size, F on_event)
+  bool feed(std::string_view data, F on_event)
   {
-    text_.append(data, size);
+    text_ += data;
     std::size_t at = 0;
     for (auto end = text_.find('\n', at); end != std::string::npos;
          end = text_.find('\n', at)) {
@@ -62,34 +63,21 @@
   std::string text_;
 };
 
-} // namespace
-
-struct client::state
+http::request
+post_json(const std::string& target, const json& body)
 {
-  std::string ip;
-  int port = 0;
+  return {
+    "POST", target, { { "Content-Type", "application/json" } }, body.dump()
+  };
+}
 
-  httplib::Client connect(milliseconds timeout) const
-  {
-    httplib::Client c{ ip, port };
-    c.set_connection_timeout(connect_timeout);
-    c.set_read_timeout(timeout);
-    c.set_write_timeout(timeout);
-    c.set_tcp_nodelay(true);
-    return c;
-  }
-};
+} // namespace
 
-client::client(const std::string& address)
-  : state_{ std::make_unique<state>() }
+client::client(std::string address)
+  : address_{ std::move(address) }
 {
-  const auto a = link::address_from(address);
-  state_->ip = a.ip;
-  state_->port = a.port;
 }
 
-client::~client() = default;
-
 generation_result
 client::generate(const generation_request& g,
                  const std::atomic<bool>& cancelled,
@@ -117,36 +105,33 @@
                 j.value("text", std::string{}),
                 j.value("weight_version", std::uint64_t{ 0 }) });
   };
-  httplib::Request request;
-  request.method = "POST";
-  request.path = "/v1/completions";
-  request.body = body.dump();
-  request.set_header("Content-Type", "application/json");
-  request.response_handler = [&](const httplib::Response& r) {
-    status = r.status;
-    return true;
+  http::blocking_callbacks callbacks;
+  callbacks.on_head = [&](const http::head& h) { status = h.status; };
+  callbacks.on_body = [&](std::string_view data) {
+    malformed = malformed || (status == ok && !reader.feed(data, on_event));
   };
-  request.content_receiver =
-    [&](const char* data, std::size_t size, std::uint64_t, std::uint64_t) {
-      if (cancelled) {
-        return false;
-      }
-      malformed = status == ok && !reader.feed(data, size, on_event);
-      return !malformed;
-    };
-  auto c = state_->connect(token_timeout);
-  const auto response = c.send(request);
+  callbacks.is_abandoned = [&] { return cancelled || malformed; };
+  http::blocking_options options;
+  options.exchange.timeout_ms = generation_timeout_ms;
+  options.max_silence_ms = token_timeout_ms;
+  const auto outcome = http::run_exchange(address_,
+                                          post_json("/v1/completions", body),
+                                          std::move(options),
+                                          std::move(callbacks));
+  const bool is_complete = outcome == exchange_outcome::complete;
   if (cancelled) {
     end.error = { error_kind::cancelled, "the caller gave up" };
-  } else if (!response && is_not_sent(response)) {
+  } else if (outcome == exchange_outcome::not_sent) {
     end.error = { error_kind::no_backend, "the engine does not answer", 500 };
-  } else if (response && (status == too_many || status == unavailable)) {
+  } else if (is_complete && (status == too_many || status == unavailable)) {
     end.error = { error_kind::overloaded, "the engine refused it", 200 };
-  } else if (response && status != ok) {
+  } else if (is_complete && status != ok) {
     end.error = { error_kind::backend_failed,
                   "engine status " + std::to_string(status) };
-  } else if (!response || malformed || end.finish_reason.empty()) {
-    end.error = { error_kind::stream_cut, "the engine's stream was cut" };
+  } else if (!is_complete || malformed || end.finish_reason.empty()) {
+    end.error = { error_kind::stream_cut,
+                  "the engine's stream ended as " +
+                    std::string{ name_of(outcome) } };
   }
   return end;
 }
@@ -154,27 +139,31 @@
 result<service_answer>
 client::call(const service_request& r, std::uint32_t deadline_ms)
 {
-  auto c = state_->connect(milliseconds{ deadline_ms });
-  httplib::Request request;
-  request.method = r.method;
-  request.path = r.path;
-  request.body = r.body;
-  request.set_header("X-Request-Id", r.request_id);
+  http::request request{
+    r.method, r.path, { { "X-Request-Id", r.request_id } }, r.body
+  };
   if (!r.content_type.empty()) {
-    request.set_header("Content-Type", r.content_type);
+    http::set(request.fields, "Content-Type", r.content_type);
   }
-  const auto response = c.send(request);
-  if (!response && is_not_sent(response)) {
+  http::blocking_options options;
+  options.exchange.timeout_ms = deadline_ms;
+  options.exchange.max_body_bytes = max_answer_bytes;
+  auto answer =
+    http::fetch_and_wait(address_, std::move(request), std::move(options));
+  if (answer.outcome == exchange_outcome::not_sent) {
     return { {},
              { error_kind::no_backend, "the service does not answer", 500 } };
   }
-  if (!response) {
+  if (answer.outcome != exchange_outcome::complete) {
     return { {},
-             { error_kind::outcome_unknown, "the service's answer is lost" } };
+             { error_kind::outcome_unknown,
+               "the service's answer is " +
+                 std::string{ name_of(answer.outcome) } } };
   }
-  return { { static_cast<std::uint32_t>(response->status),
-             response->get_header_value("Content-Type"),
-             response->body },
+  const auto type = http::find(answer.value.fields, "Content-Type");
+  return { { static_cast<std::uint32_t>(answer.value.status),
+             std::string{ type.value_or("") },
+             std::move(answer.value.body) },
            {} };
 }
 
@@ -186,17 +175,22 @@
                    { "fence", o.fence } };
   const auto* path =
     o.kind == order_kind::stage ? "/orders/stage" : "/orders/swap";
-  const auto response =
-    state_->connect(order_timeout).Post(path, body.dump(), "application/json");
-  if (!response) {
-    return { error_kind::outcome_unknown, "the answer to the order is lost" };
+  http::blocking_options options;
+  options.exchange.timeout_ms = order_timeout_ms;
+  options.exchange.max_body_bytes = max_control_bytes;
+  const auto answer =
+    http::fetch_and_wait(address_, post_json(path, body), std::move(options));
+  if (answer.outcome != exchange_outcome::complete) {
+    return { error_kind::outcome_unknown,
+             "the answer to the order is " +
+               std::string{ name_of(answer.outcome) } };
   }
-  if (response->status == conflict) {
+  if (answer.value.status == conflict) {
     return { error_kind::fenced, "the engine has seen a newer order" };
   }
-  if (response->status != ok) {
+  if (answer.value.status != ok) {
     return { error_kind::backend_failed,
-             "engine status " + std::to_string(response->status) };
+             "engine status " + std::to_string(answer.value.status) };
   }
   return {};
 }
@@ -204,12 +198,18 @@
 result<versions>
 client::read_versions(const std::string& model)
 {
-  const auto path = "/versions?model=" + model;
-  const auto response = state_->connect(milliseconds{ 2000 }).Get(path);
-  if (!response || response->status != ok) {
+  http::blocking_options options;
+  options.exchange.timeout_ms = read_timeout_ms;
+  options.exchange.max_body_bytes = max_control_bytes;
+  const auto answer =
+    http::fetch_and_wait(address_,
+                         { "GET", "/versions?model=" + model, {}, "" },
+                         std::move(options));
+  if (answer.outcome != exchange_outcome::complete ||
+      answer.value.status != ok) {
     return { {}, { error_kind::backend_failed, "versions cannot be read" } };
   }
-  const auto j = json::parse(response->body, nullptr, false);
+  const auto j = json::parse(answer.value.body, nullptr, false);
   if (j.is_discarded()) {
     return { {}, { error_kind::backend_failed, "versions are not JSON" } };
   }
--- a/cactusford/engine/client.h
+++ b/cactusford/engine/client.h
@@ -7,7 +7,6 @@
 #include <atomic>
 #include <cstdint>
 #include <functional>
-#include <memory>
 #include <string>
 
 namespace cactusford::engine {
@@ -97,18 +96,17 @@
 {
 public:
   // `address` is "ip:port".
-  explicit client(const std::string& address);
-  ~client();
+  explicit client(std::string address);
 
   // Streams tokens until the generation ends, fails or is cancelled. A stream
-  // without a finish reason is an error (stream_cut).
+  // without a finish reason, or without an end, is an error (stream_cut).
   generation_result generate(
     const generation_request& g,
     const std::atomic<bool>& cancelled,
     const std::function<void(const token_chunk&)>& on_tokens);
 
   // Sends a request to a service. Errors: no_backend (the request was not
-  // sent), outcome_unknown.
+  // sent), outcome_unknown (also if the answer is longer than a message).
   result<service_answer> call(const service_request& r,
                               std::uint32_t deadline_ms);
 
@@ -119,8 +117,7 @@
   result<versions> read_versions(const std::string& model);
 
 private:
-  struct state;
-  std::unique_ptr<state> state_;
+  std::string address_;
 };
 
 } // namespace cactusford::engine
--- a/standins/flooding_server.cc
+++ b/standins/flooding_server.cc
@@ -1,6 +1,7 @@
 #include "standins/flooding_server.h"
 
 #include <asio/buffer.hpp>
+#include <asio/steady_timer.hpp>
 #include <asio/write.hpp>
 
 #include <algorithm>
@@ -30,10 +31,12 @@
 {
   explicit connection(asio::ip::tcp::socket s)
     : socket{ std::move(s) }
+    , timer{ socket.get_executor() }
   {
   }
 
   asio::ip::tcp::socket socket;
+  asio::steady_timer timer;
   std::array<char, 4096> request{};
   bool has_begun = false;
   std::uint64_t sent = 0;
@@ -41,10 +44,12 @@
 
 flooding_server::flooding_server(asio::io_context& io,
                                  std::string prefix,
-                                 std::string filler)
+                                 std::string filler,
+                                 std::chrono::milliseconds pause)
   : acceptor_{ io, { asio::ip::make_address_v4("127.0.0.1"), 0 } }
   , prefix_{ std::move(prefix) }
-  , filler_{ block_of(filler) }
+  , filler_{ pause.count() > 0 ? std::move(filler) : block_of(filler) }
+  , pause_{ pause }
 {
   accept();
 }
@@ -89,6 +94,10 @@
                       max_sent_ = std::max(max_sent_, c->sent);
                       if (ec) {
                         ++closed_;
+                      } else if (pause_.count() > 0) {
+                        c->timer.expires_after(pause_);
+                        c->timer.async_wait(
+                          [this, c](asio::error_code) { send(c); });
                       } else {
                         send(c);
                       }
--- a/standins/flooding_server.h
+++ b/standins/flooding_server.h
@@ -5,6 +5,7 @@
 #include <asio/io_context.hpp>
 #include <asio/ip/tcp.hpp>
 
+#include <chrono>
 #include <cstdint>
 #include <memory>
 #include <string>
@@ -14,8 +15,12 @@
 class flooding_server
 {
 public:
-  // Sends `prefix` once and then `filler` without end.
-  flooding_server(asio::io_context& io, std::string prefix, std::string filler);
+  // Sends `prefix` once and then `filler` without end: as fast as it is read,
+  // or once after each pause.
+  flooding_server(asio::io_context& io,
+                  std::string prefix,
+                  std::string filler,
+                  std::chrono::milliseconds pause = {});
 
   std::string address() const;
 
@@ -35,6 +40,7 @@
   asio::ip::tcp::acceptor acceptor_;
   std::string prefix_;
   std::string filler_;
+  std::chrono::milliseconds pause_;
   std::size_t requests_ = 0;
   std::size_t closed_ = 0;
   std::uint64_t max_sent_ = 0;
