Object store client: bounds on responses without an end

Change: its calls are exchanges on the calling thread too. An answer ends after as much silence as before, 30 s later at most, and with 64 MiB.

Measured: platform_client/ends_with_a_bound_on_each_endless_response failed before (out of memory under a limit of 4 GB); the test of a silent store passed before and after.

--- /dev/null
+++ b/cactusford/platform/client-test.cc
@@ -0,0 +1,71 @@
+// The client of the object store against a store that never ends a response.
+#include "cactusford/platform/client.h"
+
+#include "cactusford/http/clock.h"
+#include "cactusford/testing/section.h"
+#include "standins/flooding_server.h"
+
+#include <criterion/criterion.h>
+
+#include <thread>
+
+using namespace cactusford;
+using namespace cactusford::platform;
+
+namespace {
+
+struct endless_response
+{
+  const char* what;
+  const char* prefix;
+  const char* filler;
+};
+
+const endless_response endless_responses[] = {
+  { "a header's value", "HTTP/1.1 200 OK\r\nA: ", "b" },
+  { "headers", "HTTP/1.1 200 OK\r\n", "A: b\r\n" },
+  { "a body", "HTTP/1.1 200 OK\r\n\r\n", "x" },
+};
+
+} // namespace
+
+// Guards against a process that reads one answer of the store until its memory
+// is full.
+Test(platform_client, ends_with_a_bound_on_each_endless_response, .timeout = 60)
+{
+  // The longest list with its overhead, and what the sockets of both sides
+  // hold.
+  constexpr std::uint64_t max_bytes = (65U << 20) + (16U << 20);
+  for (const auto& each : endless_responses) {
+    SECTION(each.what)
+    {
+      asio::io_context io;
+      standins::flooding_server server{ io, each.prefix, each.filler };
+      std::thread serving{ [&] { io.run(); } };
+      client c{ server.address() };
+      cr_assert(c.get("pool", "x").error.kind ==
+                error_kind::platform_unavailable);
+      cr_assert(c.changes(0, 0).error.kind == error_kind::platform_unavailable);
+      cr_assert(c.put({ "pool", "x", 0, "{}", "r1", false }).error.kind ==
+                error_kind::platform_unavailable);
+      io.stop();
+      serving.join();
+      cr_assert_leq(server.max_sent(), max_bytes);
+    }
+  }
+}
+
+// Guards against a call that waits for a store that has stopped to send.
+Test(platform_client, ends_in_time_while_the_store_is_silent, .timeout = 60)
+{
+  asio::io_context io;
+  const std::chrono::milliseconds pause{ 60000 };
+  standins::flooding_server server{ io, "HTTP/1.1 200 OK\r\n", "A", pause };
+  std::thread serving{ [&] { io.run(); } };
+  client c{ server.address(), 300 };
+  const auto started_ms = http::now_ms();
+  cr_assert(c.get("pool", "x").error.kind == error_kind::platform_unavailable);
+  cr_assert_lt(http::now_ms() - started_ms, 2000);
+  io.stop();
+  serving.join();
+}
--- a/cactusford/platform/client.cc
+++ b/cactusford/platform/client.cc
@@ -1,9 +1,8 @@
 #include "cactusford/platform/client.h"
 
-#include "cactusford/link/link.h"
+#include "cactusford/http/blocking_exchange.h"
 #include "cactusford/timeline/event.h"
 
-#include <httplib.h>
 #include <nlohmann/json.hpp>
 
 #include <atomic>
@@ -18,6 +17,10 @@
 constexpr int not_found = 404;
 constexpr int conflict = 409;
 constexpr std::uint32_t watch_margin_ms = 2000;
+// A list of all objects may take longer than one answer is waited for, as long
+// as its bytes arrive.
+constexpr std::uint64_t transfer_ms = 30000;
+constexpr std::size_t max_list_bytes = 64U << 20;
 
 object
 object_from(const json& j)
@@ -48,24 +51,25 @@
 
 struct client::state
 {
-  std::string ip;
-  int port = 0;
+  std::string address;
   std::uint32_t timeout_ms = 0;
   std::atomic<std::uint64_t> calls{ 0 };
   // Highest version of each object that this client has read by name.
   std::mutex mutex;
   std::map<std::string, std::uint64_t> newest_versions;
 
-  std::unique_ptr<httplib::Client> connect(std::uint32_t extra_ms) const
+  // Returns the answer, or one with status 0 if none has arrived.
+  http::response send(http::request r, std::uint64_t wait_ms) const
   {
-    auto c = std::make_unique<httplib::Client>(ip, port);
-    const auto read_timeout =
-      std::chrono::milliseconds{ timeout_ms + extra_ms };
-    c->set_connection_timeout(std::chrono::milliseconds{ timeout_ms });
-    c->set_read_timeout(read_timeout);
-    c->set_write_timeout(read_timeout);
-    c->set_tcp_nodelay(true);
-    return c;
+    http::blocking_options options;
+    options.max_silence_ms = timeout_ms + wait_ms;
+    options.exchange.timeout_ms = options.max_silence_ms + transfer_ms;
+    options.exchange.connect_timeout_ms = timeout_ms;
+    options.exchange.max_body_bytes = max_list_bytes;
+    auto answer = http::fetch_and_wait(address, std::move(r), options);
+    return answer.outcome == http::exchange_outcome::complete
+             ? std::move(answer.value)
+             : http::response{};
   }
 
   // Returns true if the object is older than one read before. A lagging replica
@@ -86,9 +90,7 @@
 client::client(std::string address, std::uint32_t timeout_ms)
   : state_{ std::make_unique<state>() }
 {
-  const auto a = link::address_from(address);
-  state_->ip = a.ip;
-  state_->port = a.port;
+  state_->address = std::move(address);
   state_->timeout_ms = timeout_ms;
 }
 
@@ -98,14 +100,15 @@
 client::get(const std::string& kind, const std::string& name)
 {
   ++state_->calls;
-  const auto response = state_->connect(0)->Get(object_path(kind, name));
-  if (!response || (response->status != ok && response->status != not_found)) {
+  const auto response =
+    state_->send({ "GET", object_path(kind, name), {}, "" }, 0);
+  if (response.status != ok && response.status != not_found) {
     return { {}, unavailable("get " + kind + "/" + name) };
   }
-  if (response->status == not_found) {
+  if (response.status == not_found) {
     return { {}, { error_kind::not_found, kind + "/" + name } };
   }
-  const auto body = json::parse(response->body, nullptr, false);
+  const auto body = json::parse(response.body, nullptr, false);
   if (body.is_discarded()) {
     return { {}, unavailable("the answer is not JSON") };
   }
@@ -127,12 +130,12 @@
   const auto path = "/v1/changes?since=" + std::to_string(since) +
                     "&wait_ms=" + std::to_string(wait_ms) +
                     "&exclude=lease,ledger";
-  const auto response =
-    state_->connect(wait_ms + (wait_ms > 0 ? watch_margin_ms : 0))->Get(path);
-  if (!response || response->status != ok) {
+  const auto response = state_->send(
+    { "GET", path, {}, "" }, wait_ms + (wait_ms > 0 ? watch_margin_ms : 0));
+  if (response.status != ok) {
     return { {}, unavailable("changes") };
   }
-  const auto body = json::parse(response->body, nullptr, false);
+  const auto body = json::parse(response.body, nullptr, false);
   if (body.is_discarded()) {
     return { {}, unavailable("the answer is not JSON") };
   }
@@ -158,16 +161,20 @@
                    { "spec", w.spec },
                    { "request_id", w.request_id },
                    { "deleted", w.remove } };
-  const auto response = state_->connect(0)->Put(
-    object_path(w.kind, w.name), body.dump(), "application/json");
-  if (response && response->status == ok) {
-    const auto reply = json::parse(response->body, nullptr, false);
+  const auto response =
+    state_->send({ "PUT",
+                   object_path(w.kind, w.name),
+                   { { "Content-Type", "application/json" } },
+                   body.dump() },
+                 0);
+  if (response.status == ok) {
+    const auto reply = json::parse(response.body, nullptr, false);
     return { reply.at("version").get<std::uint64_t>(), {} };
   }
   // The write may have been applied although its response was lost, and a retry
   // then conflicts with its own earlier write. The request id in the object
   // distinguishes this from a conflict with another writer.
-  const bool is_conflict = response && response->status == conflict;
+  const bool is_conflict = response.status == conflict;
   const auto current = get(w.kind, w.name);
   if (current && current.value.request_id == w.request_id) {
     return { current.value.version, {} };
