Sidecar, entry: answers whose JSON has other types end nothing

What callers would see: none has been reported. An engine's event such as `data: 5`, a version that is a string, or a list of the store without its objects ended the process: the exception left the worker thread.

Cause: the clients of engines and of the object store checked that an answer is JSON, and read its fields with functions that throw.

Change: fields are decoded as on the users' platform (store::try_decode): the generation counts as cut, versions as not read, the store as not available. A write whose answer can't be read is looked up, as one whose answer was lost.

Related paths, by reading: callers' completions and scorers' answers are checked field by field, declarations and settings by schemas (sound); messages between instances are protobuf (sound). The fence of a stored ledger, which only entries write, is still read with a function that throws.

Measured: engine_client/ and platform_client/refuses_* ended with an exception before, and pass now.

--- a/cactusford/engine/client-test.cc
+++ b/cactusford/engine/client-test.cc
@@ -7,6 +7,7 @@
 
 #include <criterion/criterion.h>
 
+#include <cstring>
 #include <functional>
 #include <thread>
 
@@ -133,6 +134,36 @@
   }
 }
 
+// Guards against a sidecar that ends because its engine's JSON has fields of
+// other types.
+Test(engine_client, refuses_fields_of_other_types, .timeout = 30)
+{
+  for (const auto* event : { "5",
+                             "[]",
+                             "{\"count\":\"x\"}",
+                             "{\"count\":-1}",
+                             "{\"text\":7}",
+                             "{\"finish_reason\":null}" }) {
+    SECTION(event)
+    {
+      const auto lines = "data: " + std::string{ event } + "\n\n";
+      server_thread running{ "HTTP/1.1 200 OK\r\n\r\n", lines.c_str() };
+      client c{ running.server.address() };
+      cr_assert(generate(c).error.kind == error_kind::stream_cut);
+    }
+  }
+  for (const auto* body : { "5", "[]", "{\"active\":\"x\"}" }) {
+    SECTION(body)
+    {
+      const auto answer = "HTTP/1.1 200 OK\r\nContent-Length: " +
+                          std::to_string(std::strlen(body)) + "\r\n\r\n" + body;
+      server_thread running{ answer.c_str(), "x" };
+      client c{ running.server.address() };
+      cr_assert(c.read_versions("m").error.kind == error_kind::backend_failed);
+    }
+  }
+}
+
 // Guards against a worker that a server keeps busy with a byte now and then.
 Test(engine_client, ends_in_time_while_bytes_arrive, .timeout = 60)
 {
--- a/cactusford/engine/client.cc
+++ b/cactusford/engine/client.cc
@@ -2,6 +2,7 @@
 
 #include "cactusford/http/blocking_exchange.h"
 #include "cactusford/link/link.h"
+#include "cactusford/store/fields.h"
 
 #include <nlohmann/json.hpp>
 
@@ -36,7 +37,7 @@
 class event_reader
 {
 public:
-  // Returns false if a line is too long or not JSON.
+  // Returns false if a line is too long, not JSON, or refused by `on_event`.
   template<typename F>
   bool feed(std::string_view data, F on_event)
   {
@@ -49,11 +50,10 @@
       if (!line.starts_with("data: ")) {
         continue;
       }
-      const auto j = json::parse(line.substr(6), nullptr, false);
-      if (j.is_discarded()) {
+      const auto j = store::parse_message(line.substr(6));
+      if (!j.is_object() || !on_event(j)) {
         return false;
       }
-      on_event(j);
     }
     text_.erase(0, at);
     return text_.size() <= max_line;
@@ -98,12 +98,21 @@
   bool malformed = false;
   const auto on_event = [&](const json& j) {
     if (j.contains("finish_reason")) {
-      end.finish_reason = j.value("finish_reason", std::string{});
-      return;
+      const auto reason = store::try_decode(
+        [&] { return store::string_field(j, "finish_reason"); });
+      end.finish_reason = reason.value_or("");
+      return reason.has_value();
     }
-    on_tokens({ j.value("count", 0U),
-                j.value("text", std::string{}),
-                j.value("weight_version", std::uint64_t{ 0 }) });
+    const auto decoded = store::try_decode([&] {
+      return token_chunk{ static_cast<std::uint32_t>(
+                            store::uint_field_or(j, "count", 0)),
+                          store::string_field_or(j, "text", ""),
+                          store::uint_field_or(j, "weight_version", 0) };
+    });
+    if (decoded) {
+      on_tokens(*decoded);
+    }
+    return decoded.has_value();
   };
   http::blocking_callbacks callbacks;
   callbacks.on_head = [&](const http::head& h) { status = h.status; };
@@ -209,13 +218,15 @@
       answer.value.status != ok) {
     return { {}, { error_kind::backend_failed, "versions cannot be read" } };
   }
-  const auto j = json::parse(answer.value.body, nullptr, false);
-  if (j.is_discarded()) {
-    return { {}, { error_kind::backend_failed, "versions are not JSON" } };
+  const auto j = store::parse_message(answer.value.body);
+  const auto decoded = store::try_decode([&] {
+    return versions{ store::uint_field_or(j, "active", 0),
+                     store::uint_field_or(j, "staged", 0) };
+  });
+  if (!j.is_object() || !decoded) {
+    return { {}, { error_kind::backend_failed, "versions cannot be read" } };
   }
-  return { { j.value("active", std::uint64_t{ 0 }),
-             j.value("staged", std::uint64_t{ 0 }) },
-           {} };
+  return { *decoded, {} };
 }
 
 } // namespace cactusford::engine
--- a/cactusford/platform/client-test.cc
+++ b/cactusford/platform/client-test.cc
@@ -7,6 +7,7 @@
 
 #include <criterion/criterion.h>
 
+#include <cstring>
 #include <thread>
 
 using namespace cactusford;
@@ -55,6 +56,38 @@
   }
 }
 
+// Guards against a process that ends because the store's JSON is not what it
+// expects.
+Test(platform_client, refuses_answers_of_other_types, .timeout = 30)
+{
+  for (const auto* body : { "5",
+                            "no JSON",
+                            "{}",
+                            "{\"kind\":1,\"name\":\"x\",\"version\":-1}",
+                            "{\"version\":\"1\"}",
+                            "{\"revision\":1,\"objects\":5}",
+                            "{\"revision\":1,\"objects\":[5]}" }) {
+    SECTION(body)
+    {
+      asio::io_context io;
+      standins::flooding_server server{ io,
+                                        "HTTP/1.1 200 OK\r\nContent-Length: " +
+                                          std::to_string(std::strlen(body)) +
+                                          "\r\n\r\n" + body,
+                                        "x" };
+      std::thread serving{ [&] { io.run(); } };
+      client c{ server.address() };
+      cr_assert(c.get("pool", "x").error.kind ==
+                error_kind::platform_unavailable);
+      cr_assert(c.changes(0, 0).error.kind == error_kind::platform_unavailable);
+      cr_assert(c.put({ "pool", "x", 0, "{}", "r1", false }).error.kind ==
+                error_kind::platform_unavailable);
+      io.stop();
+      serving.join();
+    }
+  }
+}
+
 // Guards against a call that waits for a store that has stopped to send.
 Test(platform_client, ends_in_time_while_the_store_is_silent, .timeout = 60)
 {
--- a/cactusford/platform/client.cc
+++ b/cactusford/platform/client.cc
@@ -1,6 +1,7 @@
 #include "cactusford/platform/client.h"
 
 #include "cactusford/http/blocking_exchange.h"
+#include "cactusford/store/fields.h"
 #include "cactusford/timeline/event.h"
 
 #include <nlohmann/json.hpp>
@@ -26,12 +27,12 @@
 object_from(const json& j)
 {
   object o;
-  o.kind = j.at("kind");
-  o.name = j.at("name");
-  o.version = j.at("version");
-  o.deleted = j.value("deleted", false);
-  o.spec = j.value("spec", std::string{});
-  o.request_id = j.value("request_id", std::string{});
+  o.kind = store::string_field(j, "kind");
+  o.name = store::string_field(j, "name");
+  o.version = store::uint_field(j, "version");
+  o.deleted = store::bool_field_or(j, "deleted", false);
+  o.spec = store::string_field_or(j, "spec", "");
+  o.request_id = store::string_field_or(j, "request_id", "");
   return o;
 }
 
@@ -108,19 +109,19 @@
   if (response.status == not_found) {
     return { {}, { error_kind::not_found, kind + "/" + name } };
   }
-  const auto body = json::parse(response.body, nullptr, false);
-  if (body.is_discarded()) {
-    return { {}, unavailable("the answer is not JSON") };
+  auto o = store::try_decode(
+    [&] { return object_from(store::parse_message(response.body)); });
+  if (!o) {
+    return { {}, unavailable("the answer is not an object: " + o.fault.what) };
   }
-  auto o = object_from(body);
-  if (state_->is_stale(o)) {
+  if (state_->is_stale(*o)) {
     timeline::log(timeline::event{ "platform_stale" }
-                    .with("kind", o.kind)
-                    .with("name", o.name)
-                    .with("version", o.version));
+                    .with("kind", o->kind)
+                    .with("name", o->name)
+                    .with("version", o->version));
     return { {}, { error_kind::platform_stale, kind + "/" + name, 1000 } };
   }
-  return { std::move(o), {} };
+  return { std::move(*o), {} };
 }
 
 result<change_list>
@@ -135,22 +136,25 @@
   if (response.status != ok) {
     return { {}, unavailable("changes") };
   }
-  const auto body = json::parse(response.body, nullptr, false);
-  if (body.is_discarded()) {
-    return { {}, unavailable("the answer is not JSON") };
-  }
-  change_list list;
-  list.revision = body.at("revision");
-  for (const auto& item : body.at("objects")) {
-    list.objects.push_back(object_from(item));
+  auto list = store::try_decode([&] {
+    const auto body = store::parse_message(response.body);
+    change_list decoded;
+    decoded.revision = store::uint_field(body, "revision");
+    for (const auto& item : store::array_field(body, "objects")) {
+      decoded.objects.push_back(object_from(item));
+    }
+    return decoded;
+  });
+  if (!list) {
+    return { {}, unavailable("the answer is not a list: " + list.fault.what) };
   }
-  if (list.revision < since) {
+  if (list->revision < since) {
     timeline::log(timeline::event{ "platform_stale" }
-                    .with("revision", list.revision)
+                    .with("revision", list->revision)
                     .with("since", since));
     return { {}, { error_kind::platform_stale, "changes", 1000 } };
   }
-  return { std::move(list), {} };
+  return { std::move(*list), {} };
 }
 
 result<std::uint64_t>
@@ -168,8 +172,12 @@
                    body.dump() },
                  0);
   if (response.status == ok) {
-    const auto reply = json::parse(response.body, nullptr, false);
-    return { reply.at("version").get<std::uint64_t>(), {} };
+    const auto version = store::try_decode([&] {
+      return store::uint_field(store::parse_message(response.body), "version");
+    });
+    if (version) {
+      return { *version, {} };
+    }
   }
   // The write may have been applied although its response was lost, and a retry
   // then conflicts with its own earlier write. The request id in the object
