Sidecar: the longest answer of a service is stated with the client

The linter found that the client of the backend server included the links between instances only for one limit.

--- a/cactusford/engine/client.cc
+++ b/cactusford/engine/client.cc
@@ -1,7 +1,6 @@
 #include "cactusford/engine/client.h"
 
 #include "cactusford/http/blocking_exchange.h"
-#include "cactusford/link/link.h"
 #include "cactusford/store/fields.h"
 
 #include <nlohmann/json.hpp>
@@ -22,10 +21,6 @@
 constexpr std::uint64_t order_timeout_ms = 30000;
 constexpr std::uint64_t read_timeout_ms = 2000;
 constexpr std::size_t max_line = 1U << 20;
-// Longest answer of a service: one message to the entry, less its framing.
-constexpr std::size_t framing_bytes = 64U << 10;
-constexpr std::size_t max_answer_bytes =
-  link::limits{}.max_message - framing_bytes;
 // Longest answer to an order or to a question for versions.
 constexpr std::size_t max_control_bytes = 64U << 10;
 constexpr int ok = 200;
--- a/cactusford/engine/client.h
+++ b/cactusford/engine/client.h
@@ -5,6 +5,7 @@
 #include "cactusford/error.h"
 
 #include <atomic>
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <string>
@@ -56,6 +57,10 @@
                          const service_request&) = default;
 };
 
+// Longest body of a service's answer. With its framing it fits into one message
+// to the entry.
+constexpr std::size_t max_answer_bytes = 7U << 20;
+
 struct service_answer
 {
   std::uint32_t status = 0;
--- a/cactusford/sidecar/call_handler.cc
+++ b/cactusford/sidecar/call_handler.cc
@@ -31,6 +31,10 @@
   }
 }
 
+constexpr std::size_t framing_bytes = 64U << 10;
+static_assert(engine::max_answer_bytes + framing_bytes <=
+              link::limits{}.max_message);
+
 std::uint64_t
 fingerprint_of(const call_request& r)
 {
