Soak: engines that fail midway, load weights and are listed anew

New faults, with random numbers of their own, so that the others of a seed stay: an engine loads weights whose versions skip numbers; aborts streams in the middle of an event; answers resumed runs with 500 while the store loses answers; its entry is removed and created within one answer of a watch.

New checks: a result of a single version names one; a result names a version for each event that an engine sent; an item is given up only after three errors since it was submitted; an engine isn't left without items at the end. A run of an item that was in several batches must be allowed by one of them; for items of one batch the check is as it was. The tests of the checker break each rule on purpose.

--- a/soak/cluster.cc
+++ b/soak/cluster.cc
@@ -27,6 +27,7 @@
 // The workload: each trainer has one step of several groups open, and
 // non-idempotent calls arrive continuously.
 constexpr std::size_t items_per_step = 8;
+constexpr int slots_per_engine = 8;
 constexpr std::size_t items_per_group = 2;
 constexpr std::uint64_t event_interval_ms = 15;
 constexpr std::uint64_t call_interval_ms = 40;
@@ -76,11 +77,20 @@
 // Longest time after the last fault until all accepted work is complete.
 constexpr std::uint64_t drain_limit_ms = 25000;
 
+constexpr std::uint64_t poll_interval_ms = 100;
+
 // One of this many steps, on average, is deleted by its trainer before it is
 // complete, and a trainer gives up after one of this many refusals.
 constexpr std::uint64_t steps_per_early_end = 4;
 constexpr std::uint64_t refusals_per_give_up = 3;
 
+// One of this many steps submits the items of the step before again, as a
+// trainer does with groups that were not complete in time.
+constexpr std::uint64_t steps_per_resubmission = 3;
+
+// Versions skip numbers: trainers name them as they like.
+constexpr std::uint64_t max_version_step = 3;
+
 std::string
 address_of(std::uint16_t port)
 {
@@ -173,10 +183,15 @@
 
   std::string id;
   std::string data_centre;
+  std::uint64_t started_ms = http::now_ms();
   standins::stream_engine standin;
   proxy engine_proxy;
   std::size_t runs_checked = 0;
   std::size_t arrivals_checked = 0;
+  std::map<std::string, int> failures_checked;
+  // Active faults that make it fail items.
+  int aborting = 0;
+  int failing = 0;
   // Requests that arrive before this time do not count for the limit of a cold
   // server.
   std::uint64_t counts_from_ms = 0;
@@ -185,6 +200,9 @@
 
 struct cluster::trainer
 {
+  // Requires texts of a single version.
+  bool single_version = false;
+  std::vector<std::string> items;
   std::string batch;
   std::string body;
   std::size_t next_position = 0;
@@ -234,7 +252,13 @@
   };
   reserved_ports ports{ io_ };
   for (std::size_t i = 0; i < options_.plan.engines; ++i) {
-    engines_.push_back(std::make_unique<engine>(io_, i));
+    auto e = std::make_unique<engine>(io_, i);
+    e->standin.on_event = [this](const std::string& item,
+                                 std::uint64_t event,
+                                 std::uint64_t version) {
+      invariants_.on_event(item, event, version);
+    };
+    engines_.push_back(std::move(e));
   }
   for (std::size_t i = 0; i < options_.plan.entries; ++i) {
     auto e = std::make_unique<entry>();
@@ -247,22 +271,16 @@
   }
   for (std::size_t i = 0; i < options_.trainers; ++i) {
     trainers_.push_back(std::make_unique<trainer>());
+    trainers_.back()->single_version = i % 2 == 1;
   }
   change_configuration();
   for (const auto& e : engines_) {
-    announce(
-      e->id, "engines", e->data_centre, e->engine_proxy.address(), false);
+    store_.put("backends", e->id, announcement_of(*e));
   }
-  announce("scorer",
-           "scorers",
-           scorer_data_centre,
-           engines_[0]->standin.address(),
-           false);
-  announce("service",
-           "calls",
-           service_data_centre,
-           address_of(service_.port()),
-           false);
+  announce(
+    "scorer", "scorers", scorer_data_centre, engines_[0]->standin.address());
+  announce(
+    "service", "calls", service_data_centre, address_of(service_.port()));
 }
 
 // Announces a server that starts now. Each announcement has a start time: where
@@ -271,8 +289,7 @@
 cluster::announce(const std::string& id,
                   const char* service,
                   const std::string& data_centre,
-                  const std::string& address,
-                  bool is_cold)
+                  const std::string& address)
 {
   constexpr int slots = 64;
   store_.put("backends",
@@ -281,11 +298,24 @@
                { "address", address },
                { "data_centre", data_centre },
                { "started_ms", http::now_ms() },
-               { "cold_left_ms", is_cold ? cold_ms : 0 },
                { "slots", slots },
                { "version", 1 } });
 }
 
+json
+cluster::announcement_of(const engine& e) const
+{
+  const auto now = http::now_ms();
+  const auto cold_until_ms = std::max(e.standin.cold_until_ms, now);
+  return { { "service", "engines" },
+           { "address", e.engine_proxy.address() },
+           { "data_centre", e.data_centre },
+           { "started_ms", e.started_ms },
+           { "cold_left_ms", cold_until_ms - now },
+           { "slots", slots_per_engine },
+           { "version", e.standin.version } };
+}
+
 // The engine is cold from now on, and its process has started again. Its runs
 // were aborted before.
 void
@@ -295,7 +325,30 @@
   e.set_fault(link_fault::none);
   e.standin.cold_until_ms = now + cold_ms;
   invariants_.on_cold(e.id, e.standin.cold_until_ms);
-  announce(e.id, "engines", e.data_centre, e.engine_proxy.address(), true);
+  e.started_ms = now;
+  store_.put("backends", e.id, announcement_of(e));
+}
+
+// Loads the newest weights, or those that a trainer names only now. Its runs go
+// on with them.
+void
+cluster::load_weights(engine& e)
+{
+  if (e.standin.version == newest_weights_) {
+    newest_weights_ += 1 + random_() % max_version_step;
+  }
+  e.standin.version = newest_weights_;
+  store_.put("backends", e.id, announcement_of(e));
+}
+
+// Faults of one kind may overlap on an engine.
+void
+cluster::set_failures(engine& e, bool fail_resumed_runs, bool active)
+{
+  (fail_resumed_runs ? e.failing : e.aborting) += active ? 1 : -1;
+  const auto event = 1 + random_() % events_per_item;
+  e.standin.fails_resumed_runs = e.failing > 0;
+  e.standin.abort_inside_event = e.failing + e.aborting > 0 ? event : 0;
 }
 
 void
@@ -411,6 +464,14 @@
            { "due_ms", 3000 },     { "give_up_ms", 600000 } };
 }
 
+json
+single_version_route()
+{
+  auto r = route("s", "engines", routes::call_kind::rollout);
+  r["single_version"] = true;
+  return r;
+}
+
 std::string
 version_route_name(std::uint64_t version)
 {
@@ -436,6 +497,7 @@
             { "cold_per_second", backend_limits{}.cold_per_second } } } },
       { "routes",
         { route("b", "engines", call_kind::rollout),
+          single_version_route(),
           route("score", "scorers", call_kind::idempotent),
           route("call", "calls", call_kind::non_idempotent),
           route(version_route_name(version_),
@@ -508,8 +570,9 @@
 cluster::track_fault(const fault& f, int delta)
 {
   const auto now = http::now_ms();
-  const bool is_store_fault =
-    f.kind >= fault_kind::refuse_store && f.kind <= fault_kind::compact_store;
+  const bool is_store_fault = (f.kind >= fault_kind::refuse_store &&
+                               f.kind <= fault_kind::compact_store) ||
+                              f.kind == fault_kind::fail_resumed_runs;
   const bool is_data_centre_fault = f.kind > fault_kind::compact_store;
   const bool is_engine_fault =
     f.kind >= fault_kind::delay_engine && f.kind <= fault_kind::silence_engine;
@@ -582,6 +645,12 @@
     for (; e->runs_checked < e->standin.runs.size(); ++e->runs_checked) {
       invariants_.on_run(e->standin.runs[e->runs_checked].item, now);
     }
+    for (const auto& [item, count] : e->standin.failed_runs) {
+      for (auto& checked = e->failures_checked[item]; checked < count;
+           ++checked) {
+        invariants_.on_failed_run(item);
+      }
+    }
     check_arrivals(*e);
   }
 }
@@ -677,6 +746,19 @@
     case fault_kind::restart_engine_cold:
       engine.set_fault(link_fault::reset);
       break;
+    case fault_kind::load_weights:
+      load_weights(engine);
+      break;
+    case fault_kind::abort_streams:
+      set_failures(engine, false, true);
+      break;
+    case fault_kind::fail_resumed_runs:
+      set_failures(engine, true, true);
+      store_loses_responses_ = true;
+      break;
+    case fault_kind::relist_engine:
+      store_.recreate("backends", engine.id, announcement_of(engine));
+      break;
   }
 }
 
@@ -719,6 +801,13 @@
     case fault_kind::restart_engine_cold:
       restart_cold(engine);
       break;
+    case fault_kind::abort_streams:
+      set_failures(engine, false, false);
+      break;
+    case fault_kind::fail_resumed_runs:
+      set_failures(engine, true, false);
+      store_loses_responses_ = false;
+      break;
     default:
       break;
   }
@@ -739,21 +828,32 @@
     t.is_idle = true;
     return;
   }
-  t = {};
+  const bool is_repeat =
+    !t.items.empty() && random_() % steps_per_resubmission == 0;
+  t.next_position = 0;
+  t.only_refused = true;
+  t.send_attempts = 0;
   t.is_idle = false;
   t.batch = "batch-" + std::to_string(next_id_++);
+  if (is_repeat) {
+    reused_items_ += t.items.size();
+  } else {
+    t.items.clear();
+    for (std::size_t i = 0; i < items_per_step; ++i) {
+      t.items.push_back(t.batch + "-" + std::to_string(i));
+    }
+  }
   json j{ { "model", "m" }, { "min_version", 1 }, { "items", json::array() } };
-  std::set<std::string> items;
   for (std::size_t i = 0; i < items_per_step; ++i) {
-    const auto id = t.batch + "-" + std::to_string(i);
-    items.insert(id);
+    const auto& id = t.items[i];
     j["items"].push_back(
       { { "id", id },
         { "group", t.batch + "g" + std::to_string(i / items_per_group) },
         { "scorer", "score-" + id } });
   }
   t.body = j.dump();
-  invariants_.on_sent(t.batch, items);
+  invariants_.on_sent(
+    t.batch, { t.items.begin(), t.items.end() }, t.single_version);
   send_batch(t);
 }
 
@@ -761,9 +861,10 @@
 cluster::send_batch(trainer& t)
 {
   ++t.send_attempts;
-  const http::request r{
-    "POST", "/b/", { { "Host", "h" }, { "Id", t.batch } }, t.body
-  };
+  const http::request r{ "POST",
+                         t.single_version ? "/s/" : "/b/",
+                         { { "Host", "h" }, { "Id", t.batch } },
+                         t.body };
   http::exchange_options o;
   o.timeout_ms = request_timeout_ms;
   call_client_.fetch(
@@ -831,8 +932,11 @@
           response.status == ok && page.is_object()) {
         std::vector<observed_result> results;
         for (const auto& x : page.at("results")) {
-          results.push_back(
-            { x.at("id"), x.at("done"), x.at("text"), x.at("score") });
+          results.push_back({ x.at("id"),
+                              x.at("done"),
+                              x.at("text"),
+                              x.at("score"),
+                              x.at("versions") });
         }
         invariants_.on_page(t.batch, asked_ms, http::now_ms(), from, results);
         t.next_position = invariants_.results_seen(t.batch);
@@ -931,6 +1035,36 @@
   });
 }
 
+// Sends more items at once than all engines but one run, and expects that each
+// engine gets some: the faults must not have left one counted as busy.
+void
+cluster::check_engines_are_used()
+{
+  std::map<std::string, std::size_t> runs_before;
+  for (const auto& e : engines_) {
+    runs_before[e->id] = e->standin.runs.size();
+  }
+  is_draining_ = false;
+  const auto steps = engines_.size() * slots_per_engine / items_per_step;
+  while (trainers_.size() < steps) {
+    trainers_.push_back(std::make_unique<trainer>());
+  }
+  for (auto& t : trainers_) {
+    t->items.clear();
+    start_step(*t);
+  }
+  is_draining_ = true;
+  const auto deadline = http::now_ms() + drain_limit_ms;
+  while (!all_work_done() && http::now_ms() < deadline) {
+    run_for(poll_interval_ms);
+  }
+  for (const auto& e : engines_) {
+    if (e->standin.runs.size() == runs_before[e->id]) {
+      invariants_.on_idle_engine(e->id);
+    }
+  }
+}
+
 // Schedules changes at regular intervals or, with `only_store_paths`, just
 // after each fault on a connection to the store, when a change may be learned
 // late.
@@ -956,7 +1090,6 @@
 cluster::run()
 {
   constexpr std::uint64_t startup_ms = 800;
-  constexpr std::uint64_t poll_interval_ms = 100;
   run_for(startup_ms);
   for (auto& t : trainers_) {
     start_step(*t);
@@ -976,6 +1109,9 @@
   while (!all_work_done() && http::now_ms() < deadline) {
     run_for(poll_interval_ms);
   }
+  if (all_work_done()) {
+    check_engines_are_used();
+  }
   has_finished_ = true;
   invariants_.finish();
 }
--- a/soak/cluster.h
+++ b/soak/cluster.h
@@ -13,6 +13,7 @@
 #include "standins/stream_engine.h"
 
 #include <asio/io_context.hpp>
+#include <nlohmann/json.hpp>
 
 #include <memory>
 #include <random>
@@ -48,6 +49,8 @@
   const invariant_checker& invariants() const { return invariants_; }
   const change_checker& changes() const { return changes_; }
   std::size_t applied_faults() const { return applied_faults_; }
+  // Items that were submitted again in a later batch.
+  std::size_t reused_items() const { return reused_items_; }
 
 private:
   struct entry;
@@ -80,9 +83,12 @@
   void announce(const std::string& id,
                 const char* service,
                 const std::string& data_centre,
-                const std::string& address,
-                bool is_cold);
+                const std::string& address);
+  nlohmann::json announcement_of(const engine& e) const;
   void restart_cold(engine& e);
+  void load_weights(engine& e);
+  void set_failures(engine& e, bool fail_resumed_runs, bool active);
+  void check_engines_are_used();
   void check_arrivals(engine& e);
   void check_drained(const std::string& server,
                      const std::string& data_centre,
@@ -111,6 +117,8 @@
   bool is_draining_ = false;
   bool has_finished_ = false;
   std::size_t applied_faults_ = 0;
+  std::size_t reused_items_ = 0;
+  std::uint64_t newest_weights_ = 1;
   std::uint64_t next_id_ = 1;
 };
 
--- a/soak/invariant_checker-test.cc
+++ b/soak/invariant_checker-test.cc
@@ -16,7 +16,8 @@
   return { item,
            true,
            cactusford::standins::stream_engine::text_of(item, events_per_item),
-           "sig-score-" + item };
+           "sig-score-" + item,
+           { 1 } };
 }
 
 invariant_checker
@@ -114,6 +115,73 @@
                1);
 }
 
+// Guards against a checker that overlooks a text of other versions than the
+// result names.
+Test(invariant_checker, reports_texts_of_other_versions)
+{
+  invariant_checker checker;
+  checker.on_sent("b", { "x" }, true);
+  auto result = complete_result("x");
+  SECTION("one version generated all events")
+  {
+    checker.on_event("x", 1, 1);
+    checker.on_event("x", 1, 2);
+    checker.on_event("x", 2, 1);
+    checker.on_page("b", 1, 2, 0, { result });
+    cr_assert(checker.violations().empty());
+  }
+  SECTION("another one generated the last event")
+  {
+    checker.on_event("x", 3, 2);
+    checker.on_page("b", 1, 2, 1, { result });
+    cr_assert_eq(checker.violations().size(), 2, "also listed twice");
+  }
+  SECTION("a result names two")
+  {
+    result.versions = { 1, 2 };
+    checker.on_sent("c", { "x" }, true);
+    checker.on_page("c", 1, 2, 0, { result });
+    cr_assert_eq(checker.violations().size(), 3);
+  }
+}
+
+// Guards against a checker that overlooks an item that was given up too early.
+Test(invariant_checker, reports_items_given_up_without_cause)
+{
+  invariant_checker checker;
+  checker.on_sent("b", { "x" });
+  for (std::uint32_t i = 0; i < attempts_per_item; ++i) {
+    checker.on_failed_run("x");
+  }
+  SECTION("an item may be given up after that many errors")
+  {
+    checker.on_page("b", 1, 2, 0, { { "x", false, "", "", {} } });
+    cr_assert(checker.violations().empty());
+    cr_assert_eq(checker.given_up(), 1);
+  }
+  SECTION("they do not count for a later batch")
+  {
+    checker.on_sent("c", { "x" });
+    checker.on_page("c", 1, 2, 0, { { "x", false, "", "", {} } });
+    cr_assert_eq(checker.violations().size(), 1);
+  }
+}
+
+// Guards against a checker that takes the end of one batch of an item for that
+// of all.
+Test(invariant_checker, allows_runs_of_items_that_were_submitted_again)
+{
+  invariant_checker checker;
+  checker.on_sent("b", { "x" });
+  checker.on_ended("b", 10);
+  checker.on_sent("c", { "x" });
+  checker.on_run("x", 5000);
+  cr_assert(checker.violations().empty());
+  checker.on_ended("c", 5000);
+  checker.on_run("x", 9000);
+  cr_assert_eq(checker.violations().size(), 1);
+}
+
 // Guards against a checker that overlooks a request to a drained data centre.
 Test(invariant_checker, reports_requests_to_a_drained_data_centre)
 {
--- a/soak/invariant_checker.cc
+++ b/soak/invariant_checker.cc
@@ -25,12 +25,15 @@
 
 void
 invariant_checker::on_sent(const std::string& id,
-                           const std::set<std::string>& items)
+                           const std::set<std::string>& items,
+                           bool single_version)
 {
   auto& b = batches_[id];
   b.items = items;
+  b.single_version = single_version;
   for (const auto& i : items) {
-    batch_by_item_[i] = id;
+    failed_runs_[i] = 0;
+    batches_by_item_[i].push_back(id);
   }
 }
 
@@ -46,6 +49,30 @@
   batches_[id].refused = true;
 }
 
+// Each event must come from one of the versions that the result names. With a
+// single version, that one must have generated every event.
+void
+invariant_checker::check_versions(const batch& b, const observed_result& r)
+{
+  if (b.single_version && r.versions.size() != 1) {
+    add_violation("single",
+                  r.item + " names " + std::to_string(r.versions.size()) +
+                    " versions");
+  }
+  for (const auto& [event, versions] : event_versions_[r.item]) {
+    const bool is_named = std::any_of(
+      r.versions.begin(), r.versions.end(), [&](std::uint64_t version) {
+        return versions.contains(version);
+      });
+    if (!is_named) {
+      add_violation("attributed",
+                    r.item + " names no version that generated event " +
+                      std::to_string(event));
+      return;
+    }
+  }
+}
+
 void
 invariant_checker::check_result(const std::string& id, const observed_result& r)
 {
@@ -54,9 +81,13 @@
     add_violation("mixed", id + " contains the foreign item " + r.item);
   }
   if (!r.done) {
-    add_violation("lost", r.item + " was abandoned");
+    ++given_up_;
+    if (failed_runs_[r.item] < attempts_per_item) {
+      add_violation("lost", r.item + " was abandoned");
+    }
     return;
   }
+  check_versions(batches_[id], r);
   if (r.text != standins::stream_engine::text_of(r.item, events_per_item)) {
     add_violation("whole", r.item + " has the wrong text");
   }
@@ -120,20 +151,51 @@
 void
 invariant_checker::on_run(const std::string& item, std::uint64_t now_ms)
 {
-  const auto found = batch_by_item_.find(item);
-  if (found == batch_by_item_.end()) {
+  const auto found = batches_by_item_.find(item);
+  if (found == batches_by_item_.end()) {
     add_violation("unasked", item + " ran, but was never sent");
     return;
   }
-  const auto& b = batches_[found->second];
-  if (b.refused) {
+  const auto& ids = found->second;
+  const bool all_refused =
+    std::all_of(ids.begin(), ids.end(), [&](const auto& id) {
+      return batches_[id].refused;
+    });
+  if (all_refused) {
     add_violation("refused", item + " ran, but its batch was refused");
   }
-  if (b.ended_ms != 0 && now_ms > b.ended_ms + cancel_limit_ms) {
+  const bool all_over =
+    std::all_of(ids.begin(), ids.end(), [&](const auto& id) {
+      const auto& b = batches_[id];
+      const bool has_ended =
+        b.ended_ms != 0 && now_ms > b.ended_ms + cancel_limit_ms;
+      return b.refused || has_ended;
+    });
+  if (all_over && !all_refused) {
     add_violation("unasked", item + " ran after its batch was deleted");
   }
 }
 
+void
+invariant_checker::on_event(const std::string& item,
+                            std::uint64_t event,
+                            std::uint64_t version)
+{
+  event_versions_[item][event].insert(version);
+}
+
+void
+invariant_checker::on_failed_run(const std::string& item)
+{
+  ++failed_runs_[item];
+}
+
+void
+invariant_checker::on_idle_engine(const std::string& engine)
+{
+  add_violation("idle", engine + " got no item although items were waiting");
+}
+
 void
 invariant_checker::on_call_answer(const std::string& id,
                                   int status,
--- a/soak/invariant_checker.h
+++ b/soak/invariant_checker.h
@@ -18,6 +18,8 @@
   bool done = false;
   std::string text;
   std::string score;
+  // Weight versions that the result names.
+  std::vector<std::uint64_t> versions;
 
   friend bool operator==(const observed_result&,
                          const observed_result&) = default;
@@ -48,8 +50,10 @@
   }
 
   // Records that a batch with these items is sent, and that an entry accepted
-  // it with 202.
-  void on_sent(const std::string& batch, const std::set<std::string>& items);
+  // it with 202. An item may have been in earlier batches.
+  void on_sent(const std::string& batch,
+               const std::set<std::string>& items,
+               bool single_version = false);
   void on_accepted(const std::string& batch);
 
   // Records that the sender gave up and every response said that nothing runs.
@@ -69,8 +73,17 @@
   // Records that the deletion of the batch was acknowledged.
   void on_ended(const std::string& batch, std::uint64_t now_ms);
 
-  // Records that an engine started a run of an item.
+  // Records that an engine started a run of an item, that it sent an event, and
+  // that it answered a run with an error.
   void on_run(const std::string& item, std::uint64_t now_ms);
+  void on_event(const std::string& item,
+                std::uint64_t event,
+                std::uint64_t version);
+  void on_failed_run(const std::string& item);
+
+  // Records that an engine that could run items got none although more were
+  // waiting than the others can run.
+  void on_idle_engine(const std::string& engine);
 
   // Records the response to a non-idempotent call, which must run at most once.
   // An empty body stands for no response.
@@ -114,6 +127,7 @@
 
   std::size_t results() const { return results_; }
   std::size_t calls_answered() const { return calls_answered_; }
+  std::size_t given_up() const { return given_up_; }
 
 private:
   struct position
@@ -124,6 +138,7 @@
   struct batch
   {
     std::set<std::string> items;
+    bool single_version = false;
     bool accepted = false;
     bool refused = false;
     std::uint64_t accepted_ms = 0;
@@ -140,13 +155,19 @@
 
   void add_violation(const std::string& rule, const std::string& what);
   void check_result(const std::string& id, const observed_result& r);
+  void check_versions(const batch& b, const observed_result& r);
 
   backend_limits limits_;
   std::map<std::string, std::uint64_t> drained_at_ms_;
   std::map<std::string, cold_server> cold_servers_;
   std::size_t busiest_cold_second_ = 0;
   std::map<std::string, batch> batches_;
-  std::map<std::string, std::string> batch_by_item_;
+  std::map<std::string, std::vector<std::string>> batches_by_item_;
+  // The versions that generated each event of an item.
+  std::map<std::string, std::map<std::uint64_t, std::set<std::uint64_t>>>
+    event_versions_;
+  std::map<std::string, std::uint32_t> failed_runs_;
+  std::size_t given_up_ = 0;
   std::map<std::string, int> call_runs_;
   std::set<std::string> calls_refused_;
   std::vector<std::string> violations_;
@@ -154,6 +175,9 @@
   std::size_t calls_answered_ = 0;
 };
 
+// Errors of engines after which an item is given up.
+constexpr std::uint32_t attempts_per_item = 3;
+
 // Events that an engine streams for each item.
 constexpr std::uint64_t events_per_item = 30;
 
--- a/soak/main.cc
+++ b/soak/main.cc
@@ -21,6 +21,7 @@
   int in_force_ms = 0;
   int only_store_paths = 0;
   int only_data_centres = 0;
+  int only_engines = 0;
   std::string folder = "soak-logs";
   std::string error;
 };
@@ -81,6 +82,13 @@
       0,
       "only drain and cut off data centres, and restart engines cold",
       nullptr },
+    { "only-engines",
+      0,
+      POPT_ARG_NONE,
+      &c.only_engines,
+      0,
+      "only let engines fail items midway, load weights and be listed anew",
+      nullptr },
     { "folder", 0, POPT_ARG_STRING, &folder, 0, "folder for the logs", "PATH" },
     POPT_AUTOHELP POPT_TABLEEND
   };
@@ -122,6 +130,7 @@
   o.in_force_ms = static_cast<std::uint64_t>(c.in_force_ms);
   o.plan.only_store_paths = c.only_store_paths != 0;
   o.plan.only_data_centres = c.only_data_centres != 0;
+  o.plan.only_engines = c.only_engines != 0;
   o.program = program;
   o.folder = c.folder + "/seed-" + std::to_string(seed);
   cluster test_cluster{ o };
@@ -135,7 +144,8 @@
   }
   const bool passed = violations.empty();
   std::printf("soak: seed=%d verdict=%s faults=%zu results=%zu calls=%zu "
-              "probes=%zu undisturbed=%zu cold_busiest=%zu\n",
+              "probes=%zu undisturbed=%zu cold_busiest=%zu given_up=%zu "
+              "reused=%zu\n",
               seed,
               passed ? "kept" : "broken",
               test_cluster.applied_faults(),
@@ -143,7 +153,9 @@
               test_cluster.invariants().calls_answered(),
               test_cluster.changes().probes(),
               test_cluster.changes().undisturbed_probes(),
-              test_cluster.invariants().busiest_cold_second());
+              test_cluster.invariants().busiest_cold_second(),
+              test_cluster.invariants().given_up(),
+              test_cluster.reused_items());
   std::fflush(stdout);
   return passed;
 }
--- a/soak/plan.cc
+++ b/soak/plan.cc
@@ -28,6 +28,8 @@
 constexpr std::uint64_t max_drain_ms = 8500;
 constexpr std::uint64_t engine_restart_ms = 200;
 
+constexpr std::uint64_t engine_mean_gap_ms = 600;
+
 constexpr std::array store_path_faults{ fault_kind::pause_entry,
                                         fault_kind::delay_store,
                                         fault_kind::reset_store,
@@ -46,7 +48,8 @@
     "delay_engine",        "reset_engine",      "cut_engine_one_way",
     "silence_engine",      "refuse_store",      "lose_answers",
     "compact_store",       "drain_data_centre", "cut_data_centre",
-    "restart_engine_cold",
+    "restart_engine_cold", "load_weights",      "abort_streams",
+    "fail_resumed_runs",   "relist_engine",
   };
   return names.at(static_cast<std::size_t>(k));
 }
@@ -55,6 +58,8 @@
 
 constexpr auto data_centre_faults =
   static_cast<std::size_t>(fault_kind::drain_data_centre);
+constexpr auto engine_faults =
+  static_cast<std::size_t>(fault_kind::load_weights);
 
 // Has its own random numbers, so that the other faults of a seed don't depend
 // on the faults of data centres.
@@ -71,7 +76,7 @@
   while (at < o.length_ms) {
     fault f;
     f.kind = static_cast<fault_kind>(
-      random_between(data_centre_faults, fault_kind_count));
+      random_between(data_centre_faults, engine_faults));
     f.at_ms = at;
     at += random_between(0, 2 * data_centre_mean_gap_ms);
     if (f.kind == fault_kind::restart_engine_cold) {
@@ -89,6 +94,30 @@
   return plan;
 }
 
+// Has its own random numbers too. The faults of one kind overlap on several
+// engines, as all load weights that are published.
+std::vector<fault>
+plan_for_engines(const plan_options& o)
+{
+  constexpr std::uint64_t stream = 0xe9e;
+  std::mt19937_64 random{ o.seed ^ stream };
+  const auto random_between = [&](std::uint64_t from, std::uint64_t to) {
+    return from + random() % (to - from);
+  };
+  std::vector<fault> plan;
+  for (auto at = first_fault_ms; at < o.length_ms;
+       at += random_between(0, 2 * engine_mean_gap_ms)) {
+    fault f;
+    f.kind =
+      static_cast<fault_kind>(random_between(engine_faults, fault_kind_count));
+    f.target = random() % o.engines;
+    f.at_ms = at;
+    f.duration_ms = random_between(min_duration_ms, max_duration_ms);
+    plan.push_back(f);
+  }
+  return plan;
+}
+
 } // namespace
 
 std::vector<fault>
@@ -97,6 +126,9 @@
   if (o.only_data_centres) {
     return plan_for_data_centres(o);
   }
+  if (o.only_engines) {
+    return plan_for_engines(o);
+  }
   std::mt19937_64 random{ o.seed };
   const auto random_below = [&](std::uint64_t n) { return random() % n; };
   const auto random_fraction = [&] {
@@ -132,8 +164,9 @@
     at += random_below(2 * mean_gap);
   }
   if (!o.only_store_paths) {
-    const auto more = plan_for_data_centres(o);
-    plan.insert(plan.end(), more.begin(), more.end());
+    for (const auto& more : { plan_for_data_centres(o), plan_for_engines(o) }) {
+      plan.insert(plan.end(), more.begin(), more.end());
+    }
     std::stable_sort(
       plan.begin(), plan.end(), [](const fault& a, const fault& b) {
         return a.at_ms < b.at_ms;
--- a/soak/plan.h
+++ b/soak/plan.h
@@ -38,9 +38,17 @@
   drain_data_centre,
   cut_data_centre,
   restart_engine_cold,
+  // Faults of one engine: it loads newer weights, aborts its streams in the
+  // middle of an event, answers resumed runs with status 500 while the store
+  // loses responses of writes, or its entry in the store is removed and created
+  // again at once.
+  load_weights,
+  abort_streams,
+  fail_resumed_runs,
+  relist_engine,
 };
 
-constexpr std::size_t fault_kind_count = 19;
+constexpr std::size_t fault_kind_count = 23;
 
 std::string_view
 name_of(fault_kind k) noexcept;
@@ -69,6 +77,9 @@
   // Restricts the faults to those of data centres, so that all entries are
   // undisturbed and each request to a drained data centre is checked.
   bool only_data_centres = false;
+  // Restricts the faults to those of engines that fail items midway, change
+  // their weights and their entries.
+  bool only_engines = false;
 };
 
 constexpr std::size_t data_centre_count = 3;
--- a/standins/object_store.cc
+++ b/standins/object_store.cc
@@ -147,14 +147,18 @@
   for (const auto& i : j.at("items")) {
     batches::item item;
     item.id = i.at("id").get<std::string>();
-    item.path = "/run/";
+    item.path = i.value("path", "/run/");
+    const auto fields = i.value("fields", json::object());
+    for (const auto& [name, value] : fields.items()) {
+      item.fields.push_back({ name, value.get<std::string>() });
+    }
     item.body = i.value("body", "b");
     item.group = i.at("group").get<std::string>();
     item.length_hint = i.value("hint", std::uint64_t{ 0 });
     if (i.contains("scorer")) {
       item.scorer = batches::scorer_call{ i.at("scorer").get<std::string>(),
-                                          "h",
-                                          "/score/",
+                                          i.value("scorer_host", "h"),
+                                          i.value("scorer_path", "/score/"),
                                           i.value("scorer_body", "s") };
     }
     s.items.push_back(std::move(item));
@@ -192,6 +196,7 @@
   r.due_ms = j.value("due_ms", r.due_ms);
   r.give_up_ms = j.value("give_up_ms", r.give_up_ms);
   r.is_public = j.value("public", r.is_public);
+  r.single_version = j.value("single_version", r.single_version);
   r.homes =
     data_centres::homes_from(j.value("homes", std::vector<std::string>{}));
   return r;
@@ -346,6 +351,22 @@
   return revision_;
 }
 
+std::uint64_t
+object_store::recreate(const std::string& kind,
+                       const std::string& name,
+                       const json& spec)
+{
+  auto& all = objects_[kind];
+  const auto found = all.find(name);
+  if (found != all.end()) {
+    auto removed = found->second;
+    removed.revision = ++revision_;
+    all.erase(found);
+    history_[kind].push_back({ std::move(removed), true });
+  }
+  return put(kind, name, spec);
+}
+
 const store::object*
 object_store::find(const std::string& kind, const std::string& name) const
 {
--- a/standins/object_store.h
+++ b/standins/object_store.h
@@ -35,6 +35,12 @@
                     const std::string& name,
                     const nlohmann::json& spec);
 
+  // Removes an object and creates it again. The answer of a watch shows both
+  // changes.
+  std::uint64_t recreate(const std::string& kind,
+                         const std::string& name,
+                         const nlohmann::json& spec);
+
   // Performs a call directly, without a connection and without faults.
   store::reply write(const store::call& c) { return perform(c); }
 
--- a/standins/stream_engine.cc
+++ b/standins/stream_engine.cc
@@ -48,7 +48,7 @@
   const auto item = std::string{ http::find(r.fields, "Id").value_or("") };
   if (r.target == "/score/") {
     ++scores[item];
-    arrivals.push_back({ item, http::now_ms(), true });
+    arrivals.push_back({ item, http::now_ms(), true, r.fields });
     c.respond({ 200, { { "Id", item }, { "Signature", "sig-" + item } }, "" });
     return;
   }
@@ -59,7 +59,7 @@
     return;
   }
   const auto now = http::now_ms();
-  arrivals.push_back({ item, now, false });
+  arrivals.push_back({ item, now, false, r.fields });
   if (loading) {
     c.respond({ 503, { { "Id", item }, { "Not-Run", "1" } }, "" });
     return;
@@ -77,6 +77,7 @@
     return;
   }
   if (fails_resumed_runs && last_event > 0) {
+    ++failed_runs[item];
     c.respond({ 500, { { "Id", item } }, "" });
     return;
   }
@@ -140,6 +141,9 @@
       const auto change = run_version == version
                             ? std::string{}
                             : "version: " + std::to_string(version) + "\n";
+      if (on_event) {
+        on_event(item, next_event, version);
+      }
       c.write(change + "id: " + std::to_string(next_event) +
               "\ndata: " + event_data(item, next_event) + "\n\n");
       stream(c, item, next_event + 1, version);
--- a/standins/stream_engine.h
+++ b/standins/stream_engine.h
@@ -32,6 +32,8 @@
   std::uint64_t abort_inside_event = 0;
   // Answers resumed runs with status 500.
   bool fails_resumed_runs = false;
+  // Number of runs answered so, by item.
+  std::map<std::string, int> failed_runs;
   // Crashes the engine, which aborts all its runs. Its port stays refused: it
   // must not be given to a server of another test, which would get the runs of
   // entries that still list this engine.
@@ -52,9 +54,15 @@
     std::string id;
     std::uint64_t at_ms = 0;
     bool is_score = false;
+    http::headers fields;
   };
   std::vector<arrival> arrivals;
 
+  // Called with each event that is sent, and the version that generated it.
+  std::function<
+    void(const std::string& item, std::uint64_t event, std::uint64_t version)>
+    on_event;
+
   struct run
   {
     std::string item;
