Batches: an item sets no headers of the system

What callers would see: an item with a host of its own ran for that host, as its header replaced the route's (by test). By reading: one with the event to resume after began in its middle, and one with a version that no engine has never ran.

Cause: only headers of the channel were dropped from an item. Those of the system were replaced if the system had a value of its own to set.

Change: the host, and every name that the system uses, are dropped. Framing fields were dropped before.

Scorers' calls have no headers of the trainer's (sound).

--- a/cactusford/batches/runs.cc
+++ b/cactusford/batches/runs.cc
@@ -12,6 +12,7 @@
 #include <asio/post.hpp>
 
 #include <algorithm>
+#include <array>
 
 namespace cactusford::batches {
 
@@ -44,6 +45,24 @@
 // An engine that is further behind the published version loads it soon.
 constexpr std::uint64_t accepted_lag = 1;
 
+// Returns true for headers that an item may not set: those of the channel, the
+// host, by which its route was chosen, and those that the system sets itself.
+// With its own resume position or version an item would not be whole, or would
+// never run.
+bool
+is_reserved(const edge::header_names& n, std::string_view name)
+{
+  const std::array own{ &n.request_id,       &n.deadline_ms, &n.signature,
+                        &n.expected_backend, &n.backend,     &n.load,
+                        &n.not_run,          &n.last_event,  &n.weight_version,
+                        &n.expected_version, &n.wait_ms,     &n.retry_after,
+                        &n.workspace,        &n.urgency,     &n.cold_ms };
+  return http::is_hop_by_hop(name) || http::same_name(name, "Host") ||
+         std::any_of(own.begin(), own.end(), [&](const auto* each) {
+           return http::same_name(name, *each);
+         });
+}
+
 std::uint32_t
 urgency_of_rank(std::uint32_t priority)
 {
@@ -252,7 +271,7 @@
   r.body = item.body;
   r.fields.push_back({ "Host", b.stored.host });
   for (const auto& h : item.fields) {
-    if (!http::is_hop_by_hop(h.name)) {
+    if (!is_reserved(names, h.name)) {
       http::set(r.fields, h.name, h.value);
     }
   }
