Batches: an id is one segment of a path

What callers would see: none has been reported. By reading: a batch with the id `x?y` is forwarded to the other entry as `x`, and one with `x/status` names the status of another batch's object in the store, as ids are written into targets.

Cause: the same as for items: text that the caller chooses goes into a head.

Change: an id with a slash, a question mark or a character that no target has is answered 400, before the batch is forwarded or stored.

Related paths: ids in reads and ends of batches come from a parsed path, may hold a slash, and only name objects that are read (left). Names of other kinds come from operators and from this program.

Measured: submission_check/batch_ids_are_one_segment; no test sends one the whole way.

--- a/cactusford/batches/submission_check-test.cc
+++ b/cactusford/batches/submission_check-test.cc
@@ -64,6 +64,18 @@
   }
 }
 
+// Guards against a batch that is stored as part of another object.
+Test(submission_check, batch_ids_are_one_segment)
+{
+  for (const auto* id : { "b000000000000001", "a-b_c.d~e", "a:b@c", "a%2fb" }) {
+    cr_assert(is_batch_id(id), "%s", id);
+  }
+  for (const auto* id :
+       { "", ".", "..", "a/status", "../b", "a?b", "a#b", "a b", "a\r\nb" }) {
+    cr_assert_not(is_batch_id(id), "%s", id);
+  }
+}
+
 // Guards against a submission whose items cannot be written as one request
 // each.
 Test(submission_check, accepted_items_can_be_written)
--- a/cactusford/batches/submission_check.cc
+++ b/cactusford/batches/submission_check.cc
@@ -13,6 +13,14 @@
 
 } // namespace
 
+bool
+is_batch_id(const std::string& id)
+{
+  return http::is_target("/" + id) &&
+         id.find_first_of("/?") == std::string::npos && !id.empty() &&
+         id != "." && id != "..";
+}
+
 std::optional<std::string>
 invalid_part(const item& i)
 {
--- a/cactusford/batches/submission_check.h
+++ b/cactusford/batches/submission_check.h
@@ -9,6 +9,11 @@
 
 namespace cactusford::batches {
 
+// Returns true if the id can be the last segment of a request's target. With a
+// slash or a question mark it would name another object of the store.
+bool
+is_batch_id(const std::string& id);
+
 // Returns which item and which of its parts cannot be part of a request's head,
 // or nullopt if there is none. A line break in one of them would let a trainer
 // send a request of its own choosing to a backend server.
--- a/cactusford/batches/submissions.cc
+++ b/cactusford/batches/submissions.cc
@@ -77,6 +77,10 @@
     caller.respond(answer_duplicate(b->stored, workspace));
     return;
   }
+  if (!is_batch_id(id)) {
+    caller.respond(answer(400, R"({"error":"invalid_id"})"));
+    return;
+  }
   auto pending = make_pending_submission(caller,
                                          id,
                                          caller.request().target,
@@ -224,7 +228,7 @@
 {
   const auto& body = pending->caller.request().body;
   auto submission = deps.dialect.submission_from(body);
-  if (!submission || pending->id.empty()) {
+  if (!submission || !is_batch_id(pending->id)) {
     pending->caller.respond(answer(400));
     return;
   }
