--- a/soak/invariant_checker.cc
+++ b/soak/invariant_checker.cc
@@ -59,15 +59,15 @@
                   r.item + " names " + std::to_string(r.versions.size()) +
                     " versions");
   }
-  for (const auto& [event, versions] : event_versions_[r.item]) {
+  for (const auto& generated : event_versions_[r.item]) {
     const bool is_named = std::any_of(
       r.versions.begin(), r.versions.end(), [&](std::uint64_t version) {
-        return versions.contains(version);
+        return generated.second.contains(version);
       });
     if (!is_named) {
       add_violation("attributed",
                     r.item + " names no version that generated event " +
-                      std::to_string(event));
+                      std::to_string(generated.first));
       return;
     }
   }
