A response that a reset cuts off is not complete

Callers got a part of a body as the whole one. A backend server answered a long upload at once, with a response without a length, sent part of its body and reset the connection while the upload was still being written.

Such a body ends with the connection, so only an orderly end completes it. The client took end of file for that. The socket's error is reported once: the pending write is performed before the read of the same event and takes the reset, and the read that follows sees end of file.

A connection whose write has failed is now never taken to have ended in order. The failed write may have ended while its handler is still queued, so the end is judged behind the handlers that are queued. A response that a server ends in order before it has read the request stays complete.

--- a/cactusford/http/client.cc
+++ b/cactusford/http/client.cc
@@ -135,6 +135,7 @@
   void read();
   void on_data(std::string_view bytes);
   void on_read_error(const asio::error_code& ec);
+  void on_orderly_end();
   bool on_head(head&& h);
   bool on_body(std::string_view data);
   bool on_end();
@@ -148,6 +149,7 @@
   http::parser parser;
   std::shared_ptr<exchange> current;
   bool writing = false;
+  bool has_write_failed = false;
   // A request with `reset_on_abandon` was sent and its complete response has
   // not arrived, so closing the connection must reset it.
   bool reset_on_close = false;
@@ -323,10 +325,11 @@
     message,
     [self = shared_from_this(), e](asio::error_code ec, std::size_t) {
       self->writing = false;
-      // The read reports a failed write too. A response may have arrived before
-      // the failure, so the exchange is not ended here.
-      if (ec && self->current == e && !self->closed) {
+      // A response may have arrived before the failure, so the exchange ends
+      // when all that arrived has been read.
+      if (ec) {
         self->is_reusable = false;
+        self->has_write_failed = true;
       }
       e->bytes = {};
       e->options.body = nullptr;
@@ -403,18 +406,31 @@
     close();
     return;
   }
-  // Only an orderly shutdown completes a response without a length.
+  // Only an orderly shutdown completes a response without a length. A reset
+  // also reads as one if a pending write has taken the socket's error; that
+  // write has ended then, and its handler runs before what is posted now.
   if (ec == asio::error::eof && is_body_close_delimited && !skips_response) {
     is_reusable = false;
-    const auto self = shared_from_this();
+    asio::post(pool->io, [self = shared_from_this(), e = current] {
+      if (!self->closed && self->current == e) {
+        self->on_orderly_end();
+      }
+    });
+    return;
+  }
+  finish(exchange_outcome::connection_lost);
+}
+
+void
+connection::on_orderly_end()
+{
+  const auto self = shared_from_this();
+  if (!has_write_failed) {
     parser.feed_end();
-    if (response_complete && !closed) {
-      finish(exchange_outcome::complete);
-      return;
-    }
   }
   if (!closed) {
-    finish(exchange_outcome::connection_lost);
+    finish(response_complete ? exchange_outcome::complete
+                             : exchange_outcome::connection_lost);
   }
 }
 
