Only exact responses are read

Callers could get as a backend server's answer: - what followed a response of status 000, which was skipped as an interim one, and any status from 600 to 999; - a head with a blank in a name ("Content-Length : 5", " folded: x"), whose line was passed on or framed the body, also in trailers and in callers' requests; - the chunks themselves, sizes included, as the body: with a coding such as "xchunked", "chunked, chunked" or "chunked;a=b", up to the connection's end; - a body still coded with gzip ("gzip, chunked"), whose coding was dropped; - a body joined of other bytes: two bytes of any value behind a chunk, bytes above 0x7f in a chunk size, and a folded value with its parts joined; - the body of an interim response or a 204 in place of that of the next response, bare line feeds, HTTP/2.0 and the like, an unasked 101.

The cause is one: http-parser is installed without its strict mode, and takes all of this. A checker now follows each line that frames a message (start line, fields, chunk sizes, the ends of chunks, trailers) byte by byte before http-parser sees it. Coding, version and the statuses that have no body are judged with the head. All readers of HTTP/1.1 share this parser, so a caller's name that is not a token gets a 400 and nothing is run.

The length that comes with a 304 no longer makes the reader wait for a body.

--- /dev/null
+++ b/cactusford/http/line_checker.cc
@@ -0,0 +1,139 @@
+#include "cactusford/http/line_checker.h"
+
+#include "cactusford/http/message.h"
+
+#include <algorithm>
+
+namespace cactusford::http {
+
+namespace {
+
+constexpr std::string_view digits = "0123456789";
+constexpr std::string_view hex_digits = "0123456789abcdefABCDEF";
+
+// A chunk size has as many digits as 64 bits, so it cannot wrap around.
+constexpr std::size_t max_size_digits = 16;
+
+// The bytes up to the reason phrase.
+constexpr std::size_t status_bytes = std::string_view{ "HTTP/1.1 200" }.size();
+
+bool
+contains(std::string_view all, char c) noexcept
+{
+  return all.find(c) != std::string_view::npos;
+}
+
+bool
+is_text(char c) noexcept
+{
+  return c == ' ' || c == '\t' || is_field_value({ &c, 1 });
+}
+
+// Only versions 1.0 and 1.1 and status codes from 100 to 599 are defined.
+bool
+is_in_status_line(std::size_t at, char c) noexcept
+{
+  constexpr std::string_view start = "HTTP/1.";
+  constexpr std::size_t minor_at = start.size();
+  constexpr std::size_t code_at = minor_at + 2;
+  if (at < start.size()) {
+    return c == start[at];
+  }
+  if (at == minor_at) {
+    return c == '0' || c == '1';
+  }
+  if (at == code_at - 1 || at == status_bytes) {
+    return c == ' ';
+  }
+  if (at == code_at) {
+    return c >= '1' && c <= '5';
+  }
+  return at < status_bytes ? contains(digits, c) : is_text(c);
+}
+
+bool
+is_in_field(checked_line& line, char c) noexcept
+{
+  if (line.is_in_value) {
+    return is_text(c);
+  }
+  line.is_in_value = c == ':' && line.size > 0;
+  return line.is_in_value || is_token({ &c, 1 });
+}
+
+bool
+is_in_chunk_size(checked_line& line, char c) noexcept
+{
+  if (line.is_in_value) {
+    return is_text(c);
+  }
+  line.is_in_value = c == ';' && line.size > 0;
+  return line.is_in_value ||
+         (line.size < max_size_digits && contains(hex_digits, c));
+}
+
+bool
+is_allowed(checked_line& line, char c) noexcept
+{
+  switch (line.kind) {
+    case line_kind::request_line:
+      return is_text(c);
+    case line_kind::status_line:
+      return is_in_status_line(line.size, c);
+    case line_kind::field:
+      return is_in_field(line, c);
+    case line_kind::chunk_size:
+      return is_in_chunk_size(line, c);
+    case line_kind::chunk_end:
+      return false;
+  }
+  return false;
+}
+
+bool
+may_end(const checked_line& line) noexcept
+{
+  switch (line.kind) {
+    case line_kind::request_line:
+    case line_kind::chunk_end:
+      return true;
+    case line_kind::status_line:
+      return line.size >= status_bytes;
+    case line_kind::field:
+      return line.size == 0 || line.is_in_value;
+    case line_kind::chunk_size:
+      return line.size > 0;
+  }
+  return false;
+}
+
+void
+take(checked_line& line, char c) noexcept
+{
+  if (line.has_carriage_return) {
+    line.state = c != '\n'        ? line_state::malformed
+                 : line.size == 0 ? line_state::ended_empty
+                                  : line_state::ended;
+  } else if (c == '\r' && may_end(line)) {
+    line.has_carriage_return = true;
+  } else if (is_allowed(line, c)) {
+    ++line.size;
+  } else {
+    line.state = line_state::malformed;
+  }
+}
+
+} // namespace
+
+std::size_t
+check(checked_line& line, std::string_view bytes) noexcept
+{
+  std::size_t count = 0;
+  while (count < bytes.size() && line.state == line_state::open) {
+    take(line, bytes[count]);
+    ++count;
+  }
+  return count;
+}
+
+} // namespace cactusford::http
--- a/cactusford/http/parser.cc
+++ b/cactusford/http/parser.cc
@@ -1,8 +1,12 @@
 #include "cactusford/http/parser.h"
 
+#include "cactusford/http/line_checker.h"
+
 #include <http_parser.h>
 
+#include <algorithm>
 #include <limits>
+#include <optional>
 
 namespace cactusford::http {
 
@@ -36,6 +40,10 @@
   std::size_t head_bytes = 0;
   // Text of the fields of the current head.
   std::size_t field_text = 0;
+  // The line that is being read; none inside a body.
+  std::optional<checked_line> line;
+  // An empty line stands before the next request line.
+  bool has_empty_line = false;
 
   static impl& of(http_parser* p) { return *static_cast<impl*>(p->data); }
 
@@ -55,6 +63,19 @@
     head_bytes += part.size() + overhead;
   }
 
+  void begin_line(line_kind kind) { line = checked_line{ kind }; }
+
+  void begin_start_line()
+  {
+    has_empty_line = false;
+    begin_line(raw.type == HTTP_REQUEST ? line_kind::request_line
+                                        : line_kind::status_line);
+  }
+
+  std::size_t next_part(std::string_view bytes);
+  void begin_next_part();
+  void on_line_end(const checked_line& ended);
+
   void add_name(std::string_view part)
   {
     field_text += part.size();
@@ -77,17 +98,77 @@
 
 constexpr int go_on = 0;
 
+constexpr int skip_body = 1;
+constexpr int reject_head = -1;
+
+constexpr auto no_length = std::numeric_limits<std::uint64_t>::max();
+
+constexpr unsigned first_final_status = 200;
+constexpr unsigned switching_protocols = 101;
+constexpr unsigned no_content = 204;
+constexpr unsigned not_modified = 304;
+
+bool
+is_chunked(const http_parser& p)
+{
+  return (p.flags & F_CHUNKED) != 0;
+}
+
 // RFC 9112, 6.3: a response with neither a length nor chunks ends with the
 // connection, unless its status has no body.
 bool
 is_close_delimited(const http_parser& p)
 {
-  constexpr unsigned no_content = 204;
-  constexpr unsigned not_modified = 304;
-  const bool has_body = p.status_code >= 200 && p.status_code != no_content &&
+  const bool has_body = p.status_code >= first_final_status &&
+                        p.status_code != no_content &&
                         p.status_code != not_modified;
-  return has_body && (p.flags & F_CHUNKED) == 0 &&
-         p.content_length == std::numeric_limits<std::uint64_t>::max();
+  return has_body && !is_chunked(p) && p.content_length == no_length;
+}
+
+std::string_view
+without_trailing_blanks(std::string_view text)
+{
+  return text.substr(0, text.find_last_not_of(" \t") + 1);
+}
+
+// Chunks are the only coding that is read. A body under another one, or under
+// several, would be passed on as it is coded.
+bool
+is_coding_known(const http_parser& p, const head& h)
+{
+  std::size_t count = 0;
+  bool is_known = true;
+  for (const auto& f : h.fields) {
+    if (same_name(f.name, "Transfer-Encoding")) {
+      ++count;
+      is_known = same_name(without_trailing_blanks(f.value), "chunked");
+    }
+  }
+  return count == 0 || (count == 1 && is_known && is_chunked(p));
+}
+
+// Returns false if a response of this status would have a body that RFC 9110
+// does not allow, so that its end is not known, or switches the protocol, which
+// no request asks for.
+bool
+is_framing_allowed(const http_parser& p)
+{
+  const bool is_interim = p.status_code < first_final_status;
+  if (p.status_code == switching_protocols) {
+    return false;
+  }
+  const bool has_body =
+    is_chunked(p) || (p.content_length != no_length && p.content_length > 0);
+  return !has_body || !(is_interim || p.status_code == no_content);
+}
+
+bool
+is_head_allowed(const http_parser& p, const head& h)
+{
+  const bool is_known_version =
+    p.http_major == 1 && (p.http_minor == 1 || !is_chunked(p));
+  return is_known_version && is_coding_known(p, h) &&
+         (p.type == HTTP_REQUEST || is_framing_allowed(p));
 }
 
 } // namespace
@@ -99,6 +180,7 @@
   http_parser_init(&impl_->raw,
                    kind == parser_kind::request ? HTTP_REQUEST : HTTP_RESPONSE);
   impl_->raw.data = impl_.get();
+  impl_->begin_start_line();
 }
 
 parser::~parser() = default;
@@ -146,6 +228,9 @@
     };
     s.on_headers_complete = [](http_parser* p) {
       auto& self = Impl::of(p);
+      if (!is_head_allowed(*p, self.current)) {
+        return reject_head;
+      }
       if (p->type == HTTP_REQUEST) {
         self.current.method =
           http_method_str(static_cast<http_method>(p->method));
@@ -157,7 +242,11 @@
       self.in_head = false;
       self.head_bytes = 0;
       self.field_text = 0;
-      return self.pause_unless(self.callbacks.on_head(std::move(self.current)));
+      // The length that comes with this status is that of another response.
+      const bool is_without_body =
+        p->type == HTTP_RESPONSE && p->status_code == not_modified;
+      self.pause_unless(self.callbacks.on_head(std::move(self.current)));
+      return is_without_body ? skip_body : go_on;
     };
     s.on_body = [](http_parser* p, const char* at, std::size_t size) {
       auto& self = Impl::of(p);
@@ -176,20 +265,90 @@
 
 } // namespace
 
+// Returns how many bytes belong to the current line, or to the body.
 std::size_t
-parser::feed(std::string_view bytes)
+parser::impl::next_part(std::string_view bytes)
 {
-  if (impl_->malformed || bytes.empty()) {
-    return 0;
+  if (line) {
+    return check(*line, bytes);
+  }
+  return static_cast<std::size_t>(
+    std::min<std::uint64_t>(bytes.size(), raw.content_length));
+}
+
+void
+parser::impl::on_line_end(const checked_line& ended)
+{
+  const bool is_empty = ended.state == line_state::ended_empty;
+  switch (ended.kind) {
+    case line_kind::request_line:
+      // RFC 9112, 2.2: one empty line may precede a request.
+      malformed = malformed || (is_empty && has_empty_line);
+      has_empty_line = is_empty;
+      begin_line(is_empty ? line_kind::request_line : line_kind::field);
+      return;
+    case line_kind::status_line:
+      begin_line(line_kind::field);
+      return;
+    case line_kind::field:
+      if (!is_empty) {
+        begin_line(line_kind::field);
+      } else if (is_chunked(raw)) {
+        begin_line(line_kind::chunk_size);
+      } else {
+        line.reset();
+      }
+      return;
+    case line_kind::chunk_size:
+      if (raw.content_length == 0) {
+        begin_line(line_kind::field);
+      } else {
+        line.reset();
+      }
+      return;
+    case line_kind::chunk_end:
+      begin_line(line_kind::chunk_size);
+      return;
   }
-  const auto consumed = http_parser_execute(
-    &impl_->raw, &parser_settings<impl>(), bytes.data(), bytes.size());
-  const auto error = HTTP_PARSER_ERRNO(&impl_->raw);
-  if (impl_->raw.upgrade != 0 || (error != HPE_OK && error != HPE_PAUSED)) {
-    impl_->malformed = true;
+}
+
+// Called when the bytes of a part have been parsed.
+void
+parser::impl::begin_next_part()
+{
+  const bool is_start = line && (line->kind == line_kind::request_line ||
+                                 line->kind == line_kind::status_line);
+  if (!is_inside && !is_start) {
+    begin_start_line();
+  } else if (line && line->state != line_state::open) {
+    on_line_end(*line);
+  } else if (!line && is_chunked(raw) && raw.content_length == 0) {
+    begin_line(line_kind::chunk_end);
   }
-  if (impl_->in_head) {
-    impl_->head_bytes += consumed;
+}
+
+std::size_t
+parser::feed(std::string_view bytes)
+{
+  std::size_t consumed = 0;
+  while (consumed < bytes.size() && state() == parse_state::parsing) {
+    const auto rest = bytes.substr(consumed);
+    const auto part = rest.substr(0, impl_->next_part(rest));
+    if (impl_->line && impl_->line->state == line_state::malformed) {
+      impl_->malformed = true;
+      break;
+    }
+    const auto size = http_parser_execute(
+      &impl_->raw, &parser_settings<impl>(), part.data(), part.size());
+    consumed += size;
+    const auto error = HTTP_PARSER_ERRNO(&impl_->raw);
+    if (impl_->raw.upgrade != 0 || (error != HPE_OK && error != HPE_PAUSED)) {
+      impl_->malformed = true;
+    }
+    if (impl_->in_head) {
+      impl_->head_bytes += size;
+    }
+    impl_->begin_next_part();
   }
   return consumed;
 }
--- a/cactusford/http/parser.h
+++ b/cactusford/http/parser.h
@@ -1,4 +1,4 @@
-// Incremental HTTP/1.1 parser based on http-parser in strict mode.
+// Incremental HTTP/1.1 parser: http-parser and a stricter check of lines.
 #pragma once
 
 #include "cactusford/http/message.h"
