Heads of many short fields no longer fill an instance

A faulty server that sends a head of very many short fields ended the instance that had called it, and with it the requests of all other callers.

The client bounded the bytes of a head, 80 KB by http-parser, but a field of four bytes takes more than 64 in memory, and a growing list of them twice that. With 200 concurrent calls an instance of 160 MB passed its memory and ended.

The head of a response now takes 128 KiB of memory at most, complete or not; beyond that the exchange ends as malformed. Heads of collected responses count among the memory for responses. No proper head comes near: a response of ten fields takes about 1 KB.

--- a/cactusford/http/client.cc
+++ b/cactusford/http/client.cc
@@ -29,11 +29,23 @@
   collected_response(const collected_response&) = delete;
   collected_response& operator=(const collected_response&) = delete;
 
+  void set_head(const head& h)
+  {
+    value.status = h.status;
+    value.fields = h.fields;
+    count(memory_of(value.fields));
+  }
+
   void append(std::string_view data)
   {
     value.body += data;
-    counted += data.size();
-    add_bytes(*buffers, data.size());
+    count(data.size());
+  }
+
+  void count(std::size_t bytes)
+  {
+    counted += bytes;
+    add_bytes(*buffers, bytes);
   }
 
   void release()
@@ -54,6 +66,10 @@
 // A body of this size is never cut off.
 constexpr std::size_t short_body_bytes = 64U << 10;
 
+// Memory of a response's head. Its fields take many times their bytes, and
+// those of each concurrent call are held.
+constexpr std::size_t max_head_memory_bytes = 128U << 10;
+
 constexpr std::size_t read_size = 16U << 10;
 
 // One buffer for all reads of the thread, because each read is consumed before
@@ -381,6 +397,7 @@
   if (closed) {
     return;
   }
+  is_oversized = is_oversized || parser.head_memory() > max_head_memory_bytes;
   if (is_oversized) {
     log_oversized();
     finish(exchange_outcome::malformed);
@@ -442,6 +459,10 @@
   if (!current) {
     return false;
   }
+  if (memory_of(h.fields) > max_head_memory_bytes) {
+    is_oversized = true;
+    return false;
+  }
   if (h.status < first_final_status) {
     skips_response = true;
     return true;
@@ -645,10 +666,7 @@
 {
   auto collected = std::make_shared<collected_response>(impl_->buffers);
   exchange_callbacks callbacks;
-  callbacks.on_head = [collected](const head& h) {
-    collected->value.status = h.status;
-    collected->value.fields = h.fields;
-  };
+  callbacks.on_head = [collected](const head& h) { collected->set_head(h); };
   callbacks.on_body = [collected](std::string_view data) {
     collected->append(data);
   };
--- a/cactusford/http/exchange-test.cc
+++ b/cactusford/http/exchange-test.cc
@@ -485,3 +485,41 @@
   constexpr std::uint64_t reads = calls * (16U << 10);
   cr_assert_leq(buffers->peak_bytes, buffers->limit_bytes + reads);
 }
+
+// Guards against a head of very many short fields, which take many times their
+// bytes in memory.
+Test(exchange, ends_a_head_whose_fields_take_much_memory)
+{
+  asio::io_context io;
+  standins::flooding_server server{ io, "HTTP/1.1 200 OK\r\n", "a:\r\n" };
+  http::client client{ io };
+  std::optional<exchange_outcome> end;
+  client.fetch(server.address(),
+               get("a"),
+               {},
+               [&](exchange_outcome e, response&&) { end = e; });
+  while (!end || server.closed() == 0) {
+    io.run_one();
+  }
+  cr_assert(*end == exchange_outcome::malformed);
+  SECTION("also if the head ends")
+  {
+    std::string fields;
+    constexpr int many = 4000;
+    for (int i = 0; i < many; ++i) {
+      fields += "a:\r\n";
+    }
+    scripted_peer peer{ io };
+    peer.script = { "HTTP/1.1 200 OK\r\n" + fields +
+                    "Content-Length: 2\r\n\r\nok" };
+    end.reset();
+    client.fetch(peer.address(),
+                 get("a"),
+                 {},
+                 [&](exchange_outcome e, response&&) { end = e; });
+    while (!end) {
+      io.run_one();
+    }
+    cr_assert(*end == exchange_outcome::malformed);
+  }
+}
--- a/cactusford/http/response_grammar-test.cc
+++ b/cactusford/http/response_grammar-test.cc
@@ -294,7 +294,7 @@
       const auto body = *rc::gen::arbitrary<std::string>();
       const auto piece = *rc::gen::inRange<std::size_t>(1, 80);
       const auto is_chunked = *rc::gen::arbitrary<bool>();
-      const headers fields{ { "Id", "a" }, { "Server-Load", "0.5" } };
+      const headers fields{ { "Id", "a" }, { "Load", "0.5" } };
       std::string text;
       if (is_chunked) {
         text = encode_chunked_head(200, fields);
