A server that drains answers every request that it has read

Callers saw: two requests sent together on one connection to an instance that stops; the first got its answer with Connection: close, the second, which had been read, got none. And what was open when a process ended was cut.

Cause: while draining, each answer closed its connection, whatever had been read behind it, and a server had no way to end its open requests with an answer.

Fix: the answer that closes a connection is the one to the last request that has been read. `answer_all` gives open requests a last answer, refuses incomplete ones with 503 and breaks off a response that has begun; `has_unhandled_input` tells what the handler has not seen. Connections that a draining server closes linger, so that bytes that were not read do not reset the answer away.

--- a/cactusford/http/server.cc
+++ b/cactusford/http/server.cc
@@ -222,13 +222,9 @@
   if (!is_open() || connection_->head_sent) {
     return;
   }
+  // The answer may end the last other reference to the connection.
   const auto c = connection_;
-  if (c->owner->draining || !c->keep_alive) {
-    c->close_when_sent = true;
-    set(r.fields, "Connection", "close");
-  }
-  c->send(encode(r));
-  c->end_answer();
+  c->answer(std::move(r));
 }
 
 void
@@ -353,6 +349,43 @@
   state_->draining = true;
 }
 
+std::size_t
+server::answer_all(const response& last)
+{
+  std::vector<std::shared_ptr<detail::server_connection>> open;
+  for (auto* c : state_->open_connections) {
+    open.push_back(c->shared_from_this());
+  }
+  constexpr int unavailable = 503;
+  std::size_t answered = 0;
+  for (const auto& c : open) {
+    if (c->closed || c->close_when_sent) {
+      continue;
+    }
+    if (!c->answering && c->parser.inside_message()) {
+      c->refuse(unavailable);
+    } else if (c->answering && c->head_sent) {
+      c->close();
+    } else if (c->answering) {
+      c->answer(last);
+      ++answered;
+    }
+  }
+  return answered;
+}
+
+bool
+server::has_unhandled_input() const
+{
+  return std::any_of(state_->open_connections.begin(),
+                     state_->open_connections.end(),
+                     [](const auto* c) {
+                       return !c->closed && !c->close_when_sent &&
+                              (!c->read_ahead.empty() ||
+                               c->parser.inside_message());
+                     });
+}
+
 void
 server::close()
 {
--- a/cactusford/http/server.h
+++ b/cactusford/http/server.h
@@ -139,6 +139,15 @@
   // reconnect to another instance.
   void start_draining();
 
+  // Gives each open request `last` as its answer. Incomplete requests are
+  // refused as not run, and a response that has begun is broken off. Returns
+  // the number of requests that got `last`.
+  std::size_t answer_all(const response& last);
+
+  // Returns true if requests have arrived, in part or completely, that the
+  // handler has not seen.
+  bool has_unhandled_input() const;
+
   // Closes all connections and accepts no more, as if the process had ended.
   void close();
 
--- a/cactusford/http/server_connection.cc
+++ b/cactusford/http/server_connection.cc
@@ -207,7 +207,9 @@
     if (request_complete) {
       request_complete = false;
       ++started;
+      unparsed_bytes = bytes.size() - consumed;
       dispatch();
+      unparsed_bytes = 0;
       started_ms = received_ms;
     } else if (parser.inside_message() && !hold_incomplete()) {
       refuse(503);
@@ -446,7 +448,9 @@
   constexpr int unavailable = 503;
   if (status == unavailable) {
     r.fields.push_back({ "Retry-After", retry_after_s });
-    ++owner->options.memory->refused;
+    if (owner->options.memory) {
+      ++owner->options.memory->refused;
+    }
   }
   if (owner->options.complete_refusal) {
     owner->options.complete_refusal(r);
@@ -456,6 +460,27 @@
   send(encode(r));
 }
 
+// While the server drains, requests that have been read already are answered
+// before the connection is closed.
+bool
+server_connection::is_last_answer() const
+{
+  const bool has_more = !read_ahead.empty() || unparsed_bytes > 0;
+  return !keep_alive || (owner->draining && !has_more);
+}
+
+// Answers the open request in place of its handler.
+void
+server_connection::answer(response r)
+{
+  if (is_last_answer()) {
+    close_when_sent = true;
+    set(r.fields, "Connection", "close");
+  }
+  send(encode(r));
+  end_answer();
+}
+
 void
 server_connection::send(std::string bytes)
 {
@@ -515,7 +540,8 @@
   }
   if (!unsent.empty()) {
     write();
-  } else if (is_refused) {
+  } else if (is_refused || (close_when_sent && owner->draining)) {
+    // A caller may have sent another request before it read the answer.
     linger();
     return;
   } else if (close_when_sent) {
--- a/cactusford/http/server_connection.h
+++ b/cactusford/http/server_connection.h
@@ -73,6 +73,8 @@
 
   // Output
   void refuse(int status);
+  void answer(response r);
+  bool is_last_answer() const;
   void linger();
   void send(std::string bytes);
   void write();
@@ -101,6 +103,8 @@
   http::parser parser;
   // Bytes read but not yet parsed, because a request is still being answered.
   std::string read_ahead;
+  // Bytes behind the request whose handler is being called.
+  std::size_t unparsed_bytes = 0;
   http::request request;
   std::uint64_t request_number = 0;
   std::uint64_t received_ms = 0;
