An entry that stops refuses what can't end, and answers what still runs

Callers saw: in a planned stop, in calm, requests that came late in the grace were passed on and cut without an answer when the process ended, also those that run at most once and can't be repeated.

Cause: `leave` took all requests until the end, and the process stopped with calls in flight; only calls in queues were refused.

Fix: `edge/stopping`, a pure function, decides from the time since SIGTERM, the grace and the latest end of a request whether it is taken. Refusals come at once with 503, Retry-After 0.05 and Connection: close. Queued calls follow the same rule, reads of results wait no longer than until the last answers. 700 ms before the kill all others get 502, or 503 if no server may have run them, and the process ends once they have been written.

--- a/cactusford/edge/edge.cc
+++ b/cactusford/edge/edge.cc
@@ -12,6 +12,7 @@
 #include "cactusford/edge/hosted.h"
 #include "cactusford/edge/piggyback.h"
 #include "cactusford/edge/reachability_probes.h"
+#include "cactusford/edge/stopping.h"
 #include "cactusford/http/server.h"
 #include "cactusford/http/socket.h"
 #include "cactusford/membership/directory.h"
@@ -34,11 +35,18 @@
 // after two failed checks. Callers that arrive before are still served.
 constexpr std::uint64_t min_drain_ms = 2800;
 
-// Time reserved before the platform kills the process, so that the last answers
-// are still delivered.
-constexpr std::uint64_t kill_margin_ms = 700;
+constexpr std::uint64_t drain_poll_interval_ms = 50;
 
-constexpr std::uint64_t drain_poll_interval_ms = 100;
+// Between the last write to a caller and the end of the process, which resets
+// connections with unread bytes.
+constexpr std::uint64_t delivery_ms = 100;
+
+// Retry-After for calls that this instance no longer takes: another one can
+// take them at once.
+constexpr std::string_view stopping_retry_after_s = "0.05";
+
+// Calls about batches read or write a few objects of the store.
+constexpr std::uint64_t batch_call_ms = 1500;
 
 // Changes of backend servers are coalesced for this long: weight versions
 // change one by one after each load, and each answer of the watch counts as a
@@ -194,6 +202,11 @@
   bool is_ready() const;
   void leave();
   void poll_drained();
+  bool is_idle() const;
+  void answer_open_requests();
+  bool refuse_late(const http::call& c,
+                   const std::string& id,
+                   std::uint64_t latest_end_ms);
 
   void on_caller(http::call c);
   void on_peer(const http::call& c);
@@ -284,7 +297,14 @@
   std::set<std::pair<std::string, std::string>> exported_workspaces;
   bool is_leaving = false;
   bool has_handed_over_batches = false;
-  std::uint64_t leave_started_ms = 0;
+  stop_state stop;
+  // Requests that were refused because the process stops, and those that got
+  // their last answer at the end of the grace.
+  std::uint64_t refused_late = 0;
+  std::size_t answered_last = 0;
+  bool has_answered_last = false;
+  // When this process was last seen to have something to send.
+  std::uint64_t last_busy_ms = 0;
   // Refusals for memory that `log_request_memory` has reported.
   std::uint64_t logged_refusals = 0;
 };
@@ -1035,8 +1055,10 @@
     const auto remaining_ms =
       http::find_number(request.fields, wire.headers.deadline_ms)
         .value_or(route->timeout_ms);
-    batch_manager.accept(
-      c, id, caller.workspace, c.received_ms() + remaining_ms);
+    const auto give_up_ms = c.received_ms() + remaining_ms;
+    if (!refuse_late(c, id, give_up_ms)) {
+      batch_manager.accept(c, id, caller.workspace, give_up_ms);
+    }
     return;
   }
   forward(c, *route, id, caller);
@@ -1050,6 +1072,15 @@
     return;
   }
   b.workspace = std::move(caller.workspace);
+  const auto now = http::now_ms();
+  b.wait_ms = allowed_wait_ms(stop, now, b.wait_ms);
+  const auto caller_wait_ms =
+    http::find_number(c.request().fields, wire.headers.deadline_ms)
+      .value_or(batch_call_ms);
+  const auto takes_ms = std::min(b.wait_ms + batch_call_ms, caller_wait_ms);
+  if (refuse_late(c, b.id, now + takes_ms)) {
+    return;
+  }
   switch (b.what) {
     case batch_operation::read_results:
       batch_manager.read(c, b, false);
@@ -1129,12 +1160,43 @@
   refuse(c, std::string{ homes_retry_after_s });
 }
 
+// Refuses a request that may not end before this process does.
+bool
+edge_process::refuse_late(const http::call& c,
+                          const std::string& id,
+                          std::uint64_t latest_end_ms)
+{
+  const auto now = http::now_ms();
+  if (takes_request(stop, now, latest_end_ms)) {
+    return false;
+  }
+  ++refused_late;
+  metrics.add("calls_refused_stopping");
+  const auto end_ms = last_answers_ms(stop);
+  process::log_line(
+    timeline::event{ "call_refused" }
+      .with("request", id)
+      .with("why", "stopping")
+      .with("left_ms", end_ms > now ? end_ms - now : 0)
+      .with("needs_ms", latest_end_ms > now ? latest_end_ms - now : 0));
+  refuse(c, std::string{ stopping_retry_after_s });
+  return true;
+}
+
 void
 edge_process::forward(const http::call& c,
                       const routes::route& r,
                       std::string id,
                       const caller_identity& caller)
 {
+  const auto caller_wait_ms =
+    http::find_number(c.request().fields, wire.headers.deadline_ms)
+      .value_or(r.timeout_ms);
+  const auto give_up_ms =
+    c.received_ms() + std::min(caller_wait_ms, r.timeout_ms);
+  if (refuse_late(c, id, give_up_ms)) {
+    return;
+  }
   forward_request f;
   const auto& request = c.request();
   auto body = c.take_body();
@@ -1160,10 +1222,7 @@
                caller.workspace,
                caller.weight,
                caller.max_running };
-  const auto caller_wait_ms =
-    http::find_number(f.request.fields, wire.headers.deadline_ms)
-      .value_or(r.timeout_ms);
-  f.give_up_ms = c.received_ms() + std::min(caller_wait_ms, r.timeout_ms);
+  f.give_up_ms = give_up_ms;
   const auto reserved = std::make_shared<answer_reservation>(
     buffers, expected_answer(lengths, r.path_prefix));
   const auto cancel = calls.start(
@@ -1310,7 +1369,7 @@
 {
   is_leaving = true;
   last_announced_ms = 0;
-  leave_started_ms = http::now_ms();
+  stop = { http::now_ms(), runtime.settings.grace_ms, true };
   caller_server.start_draining();
   store.stop_relaying();
   batch_manager.leave([this] { has_handed_over_batches = true; });
@@ -1318,23 +1377,53 @@
   poll_drained();
 }
 
+bool
+edge_process::is_idle() const
+{
+  return caller_server.active_requests() == 0 &&
+         !caller_server.has_unhandled_input() &&
+         caller_server.unsent_bytes() == 0 &&
+         readiness_server.unsent_bytes() == 0 &&
+         metrics_server.unsent_bytes() == 0 &&
+         peer_server.active_requests() == 0 && peer_server.unsent_bytes() == 0;
+}
+
+// Answers what can't end before this process does, so that no caller has to
+// guess from a closed connection. Waiting calls have not run.
+void
+edge_process::answer_open_requests()
+{
+  has_answered_last = true;
+  constexpr int bad_gateway = 502;
+  answered_last = calls.end_calls();
+  answered_last += caller_server.answer_all(empty_response(bad_gateway));
+}
+
 void
 edge_process::poll_drained()
 {
-  const auto drain_ms = http::now_ms() - leave_started_ms;
-  const bool idle =
-    caller_server.active_requests() == 0 && caller_server.unsent_bytes() == 0 &&
-    peer_server.active_requests() == 0 && drain_ms >= min_drain_ms;
-  const auto limit = runtime.settings.grace_ms - kill_margin_ms;
-  // One interval before the end, so that the refusals are still delivered.
-  if (drain_ms + drain_poll_interval_ms >= limit) {
-    calls.refuse_waiting();
+  const auto now = http::now_ms();
+  const auto stayed_ms = now - stop.started_ms;
+  const bool is_ending = now >= last_answers_ms(stop);
+  if (is_ending && !has_answered_last) {
+    answer_open_requests();
+  } else if (now >= newcomers_until_ms(stop)) {
+    calls.refuse_waiting_beyond(max_end_ms(stop));
+  }
+  if (!is_idle()) {
+    last_busy_ms = now;
   }
-  if ((idle && has_handed_over_batches && meter.has_left()) ||
-      drain_ms >= limit) {
+  const bool has_left =
+    stayed_ms >= min_drain_ms && has_handed_over_batches && meter.has_left();
+  const bool may_end =
+    now >= last_busy_ms + delivery_ms && (has_left || is_ending);
+  if (may_end || now >= forced_exit_ms(stop)) {
     process::log_line(timeline::event{ "left" }
                         .with("busy", caller_server.active_requests())
-                        .with("stayed_ms", drain_ms));
+                        .with("refused", refused_late)
+                        .with("answered_last", answered_last)
+                        .with("unsent", caller_server.unsent_bytes())
+                        .with("stayed_ms", stayed_ms));
     runtime.stop();
     return;
   }
--- a/cactusford/edge/forward.cc
+++ b/cactusford/edge/forward.cc
@@ -193,6 +193,23 @@
   };
 }
 
+std::size_t
+forwarder::end_calls()
+{
+  refuse_waiting();
+  std::size_t unknown = 0;
+  const auto open = open_calls_;
+  for (const auto& call : open) {
+    if (call->finished || call->input.demand.is_scorer) {
+      continue;
+    }
+    const bool has_run = call->runs > 0;
+    unknown += has_run ? 1 : 0;
+    finish(call, has_run ? forward_end::unknown : forward_end::not_run, {});
+  }
+  return unknown;
+}
+
 // Reports only the first run of a request, even if later attempts run it again.
 void
 forwarder::report_run_started(call_state& call)
--- a/cactusford/edge/forward.h
+++ b/cactusford/edge/forward.h
@@ -171,6 +171,13 @@
   // Refuses all calls that wait in queues.
   void refuse_waiting();
 
+  // Refuses those of callers that may end later than this, on the steady clock.
+  void refuse_waiting_beyond(std::uint64_t latest_end_ms);
+
+  // Ends all calls of callers: those that no server may have run as not run,
+  // all others as unknown. Returns the number of the latter.
+  std::size_t end_calls();
+
   // Called when servers have been drained or undrained: calls that wait in
   // queues are started or refused at once.
   void on_servers_changed();
--- a/cactusford/edge/queueing.cc
+++ b/cactusford/edge/queueing.cc
@@ -158,6 +158,21 @@
   }
 }
 
+void
+forwarder::refuse_waiting_beyond(std::uint64_t latest_end_ms)
+{
+  for (const auto& [service, q] : queues_) {
+    const auto is_late = [&queue = *q, latest_end_ms](std::uint64_t id) {
+      const auto& input = queue.waiting.at(id)->input;
+      return !input.demand.is_scorer && input.give_up_ms > latest_end_ms;
+    };
+    for (const auto& r :
+         admission::refuse_if(q->state, admission::refusal::leaving, is_late)) {
+      refuse_queued(*q, r);
+    }
+  }
+}
+
 void
 forwarder::on_servers_changed()
 {
