An endpoint that is destroyed calls no handlers of its streams

Seen: an entry that reached its drain limit with calls open ended with an assertion of the C library instead of exit code 0, after `process_stopped` and a `call_retry` behind it in its log.

Cause: `~endpoint` closed its connections, and each open stream called `on_close`. The daemon that owns the endpoint is destroyed after the dispatcher and the call handlers that had set those callbacks.

Fix: handlers are dropped before the connections are closed; whoever destroys an endpoint wants no more calls.

--- a/cactusford/link/link-test.cc
+++ b/cactusford/link/link-test.cc
@@ -183,3 +183,35 @@
     endpoints.run_until([&] { return messages == 1; });
   }
 }
+
+// Guards against calls into objects that are gone: a process that ends with
+// open streams destroys their owners before its endpoint.
+Test(link, an_endpoint_that_is_destroyed_calls_no_handler)
+{
+  int closed = 0;
+  int reached = 0;
+  std::vector<stream_ptr> open;
+  const auto count = [&](std::error_code) { ++closed; };
+  {
+    endpoint_pair endpoints{ [&](const stream_ptr& s) {
+      ++reached;
+      s->on_close = count;
+      open.push_back(s);
+    } };
+    SECTION("a stream that is open at both ends")
+    {
+      const auto s = endpoints.client.open(endpoints.bound, "/open");
+      s->on_close = count;
+      s->send("hello");
+      open.push_back(s);
+      endpoints.run_until([&] { return reached == 1; });
+    }
+    SECTION("a stream whose connection is not open yet")
+    {
+      open.push_back(
+        endpoints.client.open({ "127.0.0.1", 1 }, "/not-connected"));
+      open.back()->on_close = count;
+    }
+  }
+  cr_assert_eq(closed, 0);
+}
--- a/cactusford/link/link.cc
+++ b/cactusford/link/link.cc
@@ -194,6 +194,7 @@
   void reset(std::int32_t id);
   void resume(std::int32_t id);
   void close(std::error_code ec);
+  void drop_handlers();
   // Refuses new streams and closes the connection when the open ones have
   // ended.
   void drain();
@@ -685,6 +686,19 @@
   }
 }
 
+void
+connection::drop_handlers()
+{
+  for (const auto& s : pending_streams_) {
+    s->on_message = nullptr;
+    s->on_close = nullptr;
+  }
+  for (const auto& [id, s] : streams_) {
+    s->on_message = nullptr;
+    s->on_close = nullptr;
+  }
+}
+
 void
 connection::close(std::error_code ec)
 {
@@ -889,14 +903,17 @@
     }
   }
 
+  // Calls no handler, as their owners may be gone by now.
   void close_all()
   {
     asio::error_code ignored;
     acceptor_.close(ignored);
     for (auto& [raw, c] : std::exchange(accepted_, {})) {
+      c->drop_handlers();
       c->close(link_error::closed_early);
     }
     for (auto& [peer, c] : std::exchange(outgoing_, {})) {
+      c->drop_handlers();
       c->close(link_error::closed_early);
     }
   }
