An entry ends the calls that outlast its drain limit with a typed error

Callers saw: calls that still ran when an entry reached `drain_limit_ms` lost their connection without an answer, streams too, so they could not tell whether a call had run.

Cause: the entry stopped its event loop with calls open.

Fix: at the limit the dispatcher ends all calls. Those at a sidecar get `outcome_unknown`, streams that have begun an error event and an orderly end without [DONE], calls that were not sent "not run". The process then waits half a second at most until the answers have been written.

--- a/cactusford/entry/call_dispatcher.cc
+++ b/cactusford/entry/call_dispatcher.cc
@@ -19,6 +19,7 @@
 constexpr std::uint32_t drained_retry_ms = 1000;
 constexpr std::uint32_t no_backend_retry_ms = 500;
 constexpr std::uint32_t not_home_retry_ms = 100;
+constexpr std::uint32_t leaving_retry_ms = 50;
 
 } // namespace
 
@@ -142,6 +143,17 @@
   calls_.erase(c->handle);
 }
 
+void
+call_dispatcher::end_all()
+{
+  const auto open = calls_;
+  for (const auto& [handle, c] : open) {
+    c->may_have_run = c->may_have_run || c->stream != nullptr;
+    finish(
+      c, { error_kind::leaving, settings_.process.instance, leaving_retry_ms });
+  }
+}
+
 routing::target*
 call_dispatcher::target_of(const call& c)
 {
--- a/cactusford/entry/call_dispatcher.h
+++ b/cactusford/entry/call_dispatcher.h
@@ -61,6 +61,10 @@
   // Ends the call without calling `on_done`.
   void cancel(std::uint64_t handle);
 
+  // Ends all calls: those that are at a sidecar with an unknown outcome, the
+  // others as not run.
+  void end_all();
+
   // Number of slots in a pool on backend servers that take new work.
   std::uint32_t available_slots(const std::string& pool) const;
 
--- a/cactusford/entry/entry.cc
+++ b/cactusford/entry/entry.cc
@@ -18,6 +18,8 @@
 // The platform's load balancer keeps sending requests until it polls /readyz
 // again; until then callers get "leaving", which counts as not run.
 constexpr std::uint64_t refuse_period_ms = 1500;
+// How long callers may take to read their last answers.
+constexpr std::uint64_t last_answers_ms = 500;
 
 class entry_process
 {
@@ -90,8 +92,17 @@
     const auto leaving_for_ms = leaving_since_ == 0 ? 0 : now - leaving_since_;
     const bool idle = leaving_for_ms >= refuse_period_ms &&
                       http_.open_requests() == 0 && owner_.is_idle();
-    if (idle ||
-        leaving_for_ms > daemon_.settings.drain_limit_ms + refuse_period_ms) {
+    const auto limit_ms = daemon_.settings.drain_limit_ms + refuse_period_ms;
+    const bool is_over = leaving_for_ms > limit_ms;
+    if (is_over && !has_ended_calls_) {
+      has_ended_calls_ = true;
+      timeline::log(timeline::event{ "calls_ended_at_limit" }.with(
+        "open", http_.open_requests()));
+      dispatcher_.end_all();
+    }
+    const bool has_answered =
+      http_.open_requests() == 0 || leaving_for_ms > limit_ms + last_answers_ms;
+    if (idle || (is_over && has_answered)) {
       stop();
       return;
     }
@@ -118,6 +129,7 @@
   http_server http_;
   rpc_server rpc_;
   std::uint64_t leaving_since_ = 0;
+  bool has_ended_calls_ = false;
 };
 
 } // namespace
