Names of deeply nested objects stay readable

What callers saw: a backend server whose entry another writer had overwritten with a deeply nested one stayed in use, an order to drain a data centre with a deeply nested spec was not followed when it came in a watch, and a page that held only such objects ended the list early.

Cause: parse_leniently replaced the whole object by the mark, and with it its name. Those who read the list act on the name: they drop the server, take the order, or continue the list after it.

Evidence: odd_entries/keep_their_name_when_nested_too_deeply and the new section of salvage/one_unreadable_object_hides_no_other failed before, at depths of 100 to 400,000, for objects, arrays and both mixed.

Fix: a value nested deeper than the bound is replaced by the mark, and the rest of its object stays. The object is still reported as unreadable, because it contains the mark. Text without matching brackets is handled as before.

--- a/cactusford/store/fields.cc
+++ b/cactusford/store/fields.cc
@@ -185,6 +185,9 @@
   }
   const auto marked = mark_unreadable(text);
   j = parse_message(marked);
+  if (j.is_discarded()) {
+    j = parse_message(replace_deep_values(marked));
+  }
   if (j.is_discarded()) {
     j = parse_message(replace_unreadable_elements(marked));
   }
--- a/cactusford/store/salvage-test.cc
+++ b/cactusford/store/salvage-test.cc
@@ -30,6 +30,16 @@
 
 using names = std::vector<std::string>;
 
+std::string
+repeated(std::string_view text, std::size_t times)
+{
+  std::string all;
+  for (std::size_t i = 0; i < times; ++i) {
+    all += text;
+  }
+  return all;
+}
+
 } // namespace
 
 // Guards against 503 for every call because an entry knows no backend server:
@@ -71,6 +81,21 @@
     const std::string closed(10'000, ']');
     cr_assert(names_read(deep + closed) == others);
   }
+  SECTION("the name of an object that is nested too deeply stays readable")
+  {
+    const names all{ "first", "b", "last" };
+    for (const std::size_t depth : { 100U, 5'000U, 400'000U }) {
+      const auto arrays = std::string(depth, '[') + std::string(depth, ']');
+      cr_expect(names_read(R"({"n":"b","v":)" + arrays + "}") == all);
+      cr_expect(names_read(R"({"v":)" + arrays + R"(,"n":"b"})") == all);
+      const auto objects =
+        repeated(R"({"x":)", depth) + "1" + std::string(depth, '}');
+      cr_expect(names_read(R"({"n":"b","v":)" + objects + "}") == all);
+      const auto mixed =
+        repeated(R"([{"]}":)", depth / 2) + "0" + repeated("}]", depth / 2);
+      cr_expect(names_read(R"({"n":"b","v":)" + mixed + "}") == all);
+    }
+  }
   SECTION("duplicate keys and long strings are valid")
   {
     const names all{ "first", "b", "last" };
--- a/cactusford/store/salvage.cc
+++ b/cactusford/store/salvage.cc
@@ -167,6 +167,30 @@
   return marked;
 }
 
+std::string
+replace_deep_values(std::string_view text)
+{
+  std::string cut;
+  cut.reserve(text.size());
+  std::size_t depth = 0;
+  std::size_t at = 0;
+  while (at < text.size()) {
+    const char c = text[at];
+    const auto end = c == '"' ? skip_string(text, at) : at + 1;
+    const bool opens = c == '{' || c == '[';
+    const bool closes = (c == '}' || c == ']') && depth > 0;
+    depth += opens ? 1 : 0;
+    if (depth <= max_nesting_depth) {
+      cut += text.substr(at, end - at);
+    } else if (opens && depth == max_nesting_depth + 1) {
+      cut += mark_string;
+    }
+    depth -= closes ? 1 : 0;
+    at = end;
+  }
+  return cut;
+}
+
 std::string
 replace_unreadable_elements(std::string_view text)
 {
--- a/cactusford/store/salvage.h
+++ b/cactusford/store/salvage.h
@@ -19,6 +19,11 @@
 std::string
 mark_unreadable(std::string_view text);
 
+// Replaces by the mark each value that is nested more than `max_nesting_depth`
+// deep.
+std::string
+replace_deep_values(std::string_view text);
+
 // In the arrays directly inside the outermost object, replaces each element
 // that is not valid JSON by itself, or is nested too deeply, by a string that
 // is the mark. An element with unbalanced brackets also swallows the elements
