A usage lease of another writer no longer ends an entry

What callers saw: an entry ended each time it read a lease of the usage duty whose fence was not a number, or whose holder was not a text; the product's entries likewise for the lease of a trainer. A lease that was unreadable as a whole was never taken over again, so that usage was no longer reported. A window named by another writer with an old number was given up one window at a time, one line each; one with a number ahead of all clocks stopped the reports.

Cause: lease_from read fields with json::value, which throws for another type, past the thread that reads the watch; it parsed without the bound on depth. The duty ignored an unreadable lease. The meter trusted the number in a name.

Evidence: lease/is_taken_over_after_another_writer_overwrote_it; on the code before, the call throws at {"holder":7}.

Fix: the fields are decoded with the checked readers. An unreadable lease counts as one of an unknown holder and is taken over after its whole duration, since who held it may still act. The meter gives up past windows at once and leaves out those ahead of all clocks.

--- a/cactusford/duties/duty.cc
+++ b/cactusford/duties/duty.cc
@@ -32,6 +32,7 @@
 holder_from(const nlohmann::json& spec)
 {
   return store::try_decode([&] {
+    store::uint_field_or(spec, "fence", 0);
     return holder{ store::string_field(spec, "holder"),
                    store::string_field(spec, "address"),
                    store::uint_field(spec, "progress") };
@@ -87,6 +88,7 @@
   const auto read = holder_from(o.spec);
   if (!read) {
     store::log_unreadable(duty_kind, { o.name, read.fault });
+    on_unreadable_lease(o.revision);
     return;
   }
   if (o.revision < lease_.seen.version) {
@@ -111,10 +113,23 @@
     ownership::on_conflict(lease_);
   }
   ownership::on_read(
-    lease_, ownership::lease_from(o.revision, o.spec.dump()), http::boot_ms());
+    lease_, ownership::lease_from(o.revision, o.spec), http::boot_ms());
   log_transition(was_held, "taken");
 }
 
+// Another writer has overwritten the lease. It is taken over like that of a
+// holder which has crashed; otherwise nobody would perform the duty again.
+void
+duty::on_unreadable_lease(std::uint64_t revision)
+{
+  if (revision <= lease_.seen.version || lease_.busy || lease_.held) {
+    return;
+  }
+  holder_ = {};
+  const std::string unknown{ ownership::unreadable_holder };
+  ownership::on_read(lease_, { revision, unknown, revision }, http::boot_ms());
+}
+
 void
 duty::on_confirmed()
 {
@@ -173,6 +188,9 @@
     if (r.result == store::call_result::done && !r.items.empty()) {
       lease_.busy = false;
       apply(r.items.front());
+    } else if (!r.unreadable_objects.empty()) {
+      lease_.busy = false;
+      on_unreadable_lease(r.unreadable_objects.front().revision);
     } else if (r.result == store::call_result::missing) {
       ownership::on_read(lease_, {}, now);
     } else {
--- a/cactusford/duties/duty.h
+++ b/cactusford/duties/duty.h
@@ -50,6 +50,10 @@
   void on_lease(const store::object* o);
   void on_confirmed();
 
+  // Called by the watch with the revision of a lease object that cannot be
+  // read.
+  void on_unreadable_lease(std::uint64_t revision);
+
   // Performs the next action of the lease, if one is due.
   void tick();
 
--- a/cactusford/entry/lease_manager.cc
+++ b/cactusford/entry/lease_manager.cc
@@ -15,7 +15,8 @@
 is_listed(const configuration::snapshot& view, const std::string& instance)
 {
   const auto found = view.instances->find(instance);
-  return found != view.instances->end();
+  return found != view.instances->end() ||
+         instance == ownership::unreadable_holder;
 }
 
 } // namespace
--- a/cactusford/ownership/lease-test.cc
+++ b/cactusford/ownership/lease-test.cc
@@ -172,3 +172,25 @@
   });
   cr_assert(ok);
 }
+
+// Guards against a process that ends when it reads a lease which another writer
+// has overwritten, and against a lease that nobody takes over again.
+Test(lease, is_taken_over_after_another_writer_overwrote_it)
+{
+  constexpr std::size_t deep = 400'000;
+  for (const auto& spec : { std::string{},
+                            std::string{ "7" },
+                            std::string{ R"({"holder":7})" },
+                            std::string{ R"({"holder":"a","fence":"x"})" },
+                            std::string{ R"({"holder":"a","fence":-1})" },
+                            std::string{ R"({"holder":"a","fence":1e30})" },
+                            std::string(deep, '[') + std::string(deep, ']') }) {
+    auto client = candidate("b", 0);
+    on_read(client, lease_from(7, spec), 1000);
+    cr_expect_eq(client.seen.fence, 7, "%.40s", spec.c_str());
+    cr_expect(next_action(client, true, 1000) != action::acquire);
+    client.busy = false;
+    cr_expect(next_action(client, true, 1000 + client.duration_ms) ==
+              action::acquire);
+  }
+}
--- a/cactusford/ownership/lease.cc
+++ b/cactusford/ownership/lease.cc
@@ -1,5 +1,7 @@
 #include "cactusford/ownership/lease.h"
 
+#include "cactusford/store/fields.h"
+
 #include <nlohmann/json.hpp>
 
 namespace cactusford::ownership {
@@ -133,13 +135,18 @@
 lease
 lease_from(std::uint64_t version, const std::string& spec)
 {
-  const auto j = nlohmann::json::parse(spec, nullptr, false);
-  lease l;
-  l.version = version;
-  if (j.is_object()) {
-    l.holder = j.value("holder", std::string{});
-    l.fence = j.value("fence", std::uint64_t{ 0 });
-  }
+  return lease_from(version, store::parse_message(spec));
+}
+
+lease
+lease_from(std::uint64_t version, const nlohmann::json& spec)
+{
+  const auto read = store::try_decode([&] {
+    return lease{ version,
+                  store::string_field(spec, "holder"),
+                  store::uint_field_or(spec, "fence", 0) };
+  });
+  auto l = read.value_or(lease{ version, std::string{ unreadable_holder }, 0 });
   // The acquiring write is stored before its version, and so its fencing token,
   // is known.
   if (l.fence == 0) {
--- a/cactusford/ownership/lease.h
+++ b/cactusford/ownership/lease.h
@@ -3,8 +3,11 @@
 // milliseconds of a steady clock. See docs/OWNERSHIP.md.
 #pragma once
 
+#include <nlohmann/json_fwd.hpp>
+
 #include <cstdint>
 #include <string>
+#include <string_view>
 
 namespace cactusford::ownership {
 
@@ -87,7 +90,14 @@
 std::string
 to_spec(const lease& l);
 
+// The holder of a lease object that cannot be read. It is no valid name of an
+// instance, and such a lease is taken over only after its whole duration: who
+// held it before may still act.
+constexpr std::string_view unreadable_holder = "?";
+
 lease
 lease_from(std::uint64_t version, const std::string& spec);
+lease
+lease_from(std::uint64_t version, const nlohmann::json& spec);
 
 } // namespace cactusford::ownership
--- a/cactusford/usage/meter.cc
+++ b/cactusford/usage/meter.cc
@@ -35,6 +35,9 @@
 // A window that the platform has not accepted by then is given up.
 constexpr std::uint64_t give_up_ms = 90000;
 
+// Larger than the difference of any two clocks.
+constexpr std::uint64_t max_clock_difference_ms = 3600'000;
+
 // How long the store may hold the watch of the leases.
 constexpr std::uint64_t watch_wait_ms = 2000;
 
@@ -69,7 +72,13 @@
                     duty_.on_lease(c.deleted ? nullptr : &c.value);
                   }
                 },
-                [this] { duty_.on_confirmed(); } } }
+                [this] { duty_.on_confirmed(); },
+                [this](const store::unreadable_object& u) {
+                  store::log_unreadable(duties::duty_kind, u);
+                  if (u.name == duty_name && !u.deleted) {
+                    duty_.on_unreadable_lease(u.revision);
+                  }
+                } } }
   , ticker_{ io }
 {
 }
@@ -101,6 +110,14 @@
   return corrected_ms / settings_.window_ms;
 }
 
+// Returns false for a number that no instance's clock can have reached: it is
+// that of another writer.
+bool
+meter::is_possible_window(std::uint64_t number)
+{
+  return number <= window_at(now() + max_clock_difference_ms);
+}
+
 void
 meter::note_run(const std::string& workspace, std::uint64_t at_ms)
 {
@@ -224,7 +241,9 @@
     return;
   }
   if (corrected_ms > end_ms + give_up_ms) {
-    give_up_window(next_window_);
+    // All of them at once: another writer's window may be years old.
+    const auto last = window_at(corrected_ms - give_up_ms) - 1;
+    give_up_windows(next_window_, std::max(next_window_, last));
     return;
   }
   const auto found = fixed_windows_.find(next_window_);
@@ -254,7 +273,7 @@
     for (const auto& o : r.items) {
       const auto number = http::parse_number(o.name);
       const auto value = counts_from(o.spec);
-      if (!number || !value) {
+      if (!number || !value || !is_possible_window(*number)) {
         store::log_unreadable(window_kind, { o.name, value.fault });
       } else if (*number <= duty_.recorded()) {
         windows_to_remove_.insert(*number);
@@ -264,7 +283,9 @@
     }
     loaded_fence_ = fence;
     loaded_at_ms_ = http::boot_ms();
-    next_window_ = duty_.recorded() == 0 ? 0 : duty_.recorded() + 1;
+    const bool has_progress =
+      duty_.recorded() != 0 && is_possible_window(duty_.recorded());
+    next_window_ = has_progress ? duty_.recorded() + 1 : 0;
     if (next_window_ == 0 && !fixed_windows_.empty()) {
       next_window_ = fixed_windows_.begin()->first;
     }
@@ -365,12 +386,18 @@
 }
 
 void
-meter::give_up_window(std::uint64_t number)
+meter::give_up_windows(std::uint64_t first, std::uint64_t last)
 {
-  ++totals_.given_up;
-  process::log_line(
-    timeline::event{ "usage_window_given_up" }.with("window", number));
-  finish_window(number);
+  totals_.given_up += last - first + 1;
+  process::log_line(timeline::event{ "usage_window_given_up" }
+                      .with("window", first)
+                      .with("last", last));
+  for (auto at = fixed_windows_.lower_bound(first);
+       at != fixed_windows_.end() && at->first <= last;
+       at = fixed_windows_.erase(at)) {
+    windows_to_remove_.insert(at->first);
+  }
+  finish_window(last);
 }
 
 void
--- a/cactusford/usage/meter.h
+++ b/cactusford/usage/meter.h
@@ -103,7 +103,8 @@
   void on_report_sent(const fixed_window& w,
                       http::exchange_outcome end,
                       const http::response& r);
-  void give_up_window(std::uint64_t number);
+  bool is_possible_window(std::uint64_t number);
+  void give_up_windows(std::uint64_t first, std::uint64_t last);
   void finish_window(std::uint64_t number);
   void remove_recorded_windows();
   void retry_later();
