Objects of another writer no longer end the product's programs

What callers saw: entries and sidecars ended each time they read the configuration while one stored object had a field of another type, a member of a home map that was no object, or a deeply nested spec; an answer of the platform with one malformed object was dropped as a whole, so that no change was followed. A completion with a deeply nested max_tokens ended the entry, and the command line tool ended at a stored spec that is no JSON.

Cause: specs were taken for checked when they were read, and read with json::value, which throws; JSON was parsed without the bound on depth, and copying a deep value recurses.

Evidence: configuration/leaves_out_what_another_writer_stored; on the code before, the decoders throw at {"model":7}.

Fix: a stored spec is parsed with the bound and checked against the schema of its kind whenever it is read. One that fails is reported by object_unreadable, and the last readable value stays in force. The platform client reads objects one by one. Ledgers, scores, completions and the command line tool use the same bounded reader.

--- a/cactusford/configuration/declaration.cc
+++ b/cactusford/configuration/declaration.cc
@@ -1,6 +1,7 @@
 #include "cactusford/configuration/declaration.h"
 
 #include "cactusford/settings/settings.h"
+#include "cactusford/store/fields.h"
 
 #include <nlohmann/json.hpp>
 
@@ -72,11 +73,49 @@
          });
 }
 
+// Parses a stored spec. Other writers may have stored it unchecked, so it is
+// checked like a declaration. Throws `store::field_error`.
 json
-parse_spec(const std::string& spec)
+parse_spec(std::string_view kind, const std::string& spec)
 {
-  auto j = json::parse(spec, nullptr, false);
-  return j.is_object() ? j : json::object();
+  const auto schema = schemas().find(kind);
+  const bool is_declared = schema != schemas().end();
+  if (is_declared && spec.size() > max_spec_bytes) {
+    throw store::field_error{ { "spec", "too large" } };
+  }
+  auto j = store::parse_message(spec);
+  if (!j.is_object()) {
+    throw store::field_error{ { "spec", "not a JSON object" } };
+  }
+  if (is_declared) {
+    if (const auto error = settings::validate(schema->second, j)) {
+      throw store::field_error{ { "spec", error.detail } };
+    }
+  }
+  return j;
+}
+
+std::vector<std::string>
+strings_of(const json& j, const char* key)
+{
+  std::vector<std::string> all;
+  if (!store::has_field(j, key)) {
+    return all;
+  }
+  for (const auto& text : store::array_field(j, key)) {
+    if (!text.is_string()) {
+      throw store::field_error{ { key, "not an array of strings" } };
+    }
+    all.push_back(text.get<std::string>());
+  }
+  return all;
+}
+
+const json&
+list_of(const json& j, const char* key)
+{
+  static const auto none = json::array();
+  return store::has_field(j, key) ? store::array_field(j, key) : none;
 }
 
 } // namespace
@@ -116,7 +155,7 @@
     return { error_kind::too_large,
              "spec is over " + std::to_string(max_spec_bytes) + " bytes" };
   }
-  const auto document = json::parse(spec, nullptr, false);
+  const auto document = store::parse_message(spec);
   if (document.is_discarded()) {
     return { error_kind::bad_request, "spec is not JSON" };
   }
@@ -126,104 +165,124 @@
   return {};
 }
 
-pool
+store::decoded<pool>
 pool_from(const std::string& spec)
 {
-  const auto j = parse_spec(spec);
-  pool p;
-  p.model = j.value("model", p.model);
-  p.max_swapping_share = j.value("max_swapping_share", p.max_swapping_share);
-  return p;
+  return store::try_decode([&] {
+    const auto j = parse_spec("pool", spec);
+    pool p;
+    p.model = j.value("model", p.model);
+    p.max_swapping_share = j.value("max_swapping_share", p.max_swapping_share);
+    return p;
+  });
 }
 
-service
+store::decoded<service>
 service_from(const std::string& spec)
 {
-  const auto j = parse_spec(spec);
-  service s;
-  s.deadline_ms = j.value("deadline_ms", s.deadline_ms);
-  return s;
+  return store::try_decode([&] {
+    const auto j = parse_spec("service", spec);
+    service s;
+    s.deadline_ms = j.value("deadline_ms", s.deadline_ms);
+    return s;
+  });
 }
 
-trainer
+store::decoded<trainer>
 trainer_from(const std::string& spec)
 {
-  const auto j = parse_spec(spec);
-  trainer t;
-  t.share = j.value("share", t.share);
-  t.model = j.value("model", t.model);
-  t.staleness_bound = j.value("staleness_bound", t.staleness_bound);
-  t.run_ahead = j.value("run_ahead", t.run_ahead);
-  return t;
+  return store::try_decode([&] {
+    const auto j = parse_spec("trainer", spec);
+    trainer t;
+    t.share = j.value("share", t.share);
+    t.model = j.value("model", t.model);
+    t.staleness_bound = j.value("staleness_bound", t.staleness_bound);
+    t.run_ahead = j.value("run_ahead", t.run_ahead);
+    return t;
+  });
 }
 
-rollout_job
+store::decoded<rollout_job>
 rollout_job_from(const std::string& spec)
 {
-  const auto j = parse_spec(spec);
-  rollout_job r;
-  r.trainer = j.value("trainer", r.trainer);
-  r.pool = j.value("pool", r.pool);
-  r.scorer = j.value("scorer", r.scorer);
-  r.steps = j.value("steps", r.steps);
-  r.groups = j.value("groups", r.groups);
-  r.group_size = j.value("group_size", r.group_size);
-  r.max_tokens = j.value("max_tokens", r.max_tokens);
-  r.prompt_tokens = j.value("prompt_tokens", r.prompt_tokens);
-  return r;
+  return store::try_decode([&] {
+    const auto j = parse_spec("rollout_job", spec);
+    rollout_job r;
+    r.trainer = j.value("trainer", r.trainer);
+    r.pool = j.value("pool", r.pool);
+    r.scorer = j.value("scorer", r.scorer);
+    r.steps = j.value("steps", r.steps);
+    r.groups = j.value("groups", r.groups);
+    r.group_size = j.value("group_size", r.group_size);
+    r.max_tokens = j.value("max_tokens", r.max_tokens);
+    r.prompt_tokens = j.value("prompt_tokens", r.prompt_tokens);
+    return r;
+  });
 }
 
-model_weights
+store::decoded<model_weights>
 weights_from(const std::string& spec)
 {
-  const auto j = parse_spec(spec);
-  model_weights w;
-  w.model = j.value("model", w.model);
-  w.version = j.value("version", w.version);
-  return w;
+  return store::try_decode([&] {
+    const auto j = parse_spec("weights", spec);
+    model_weights w;
+    w.model = j.value("model", w.model);
+    w.version = j.value("version", w.version);
+    return w;
+  });
 }
 
-drain
+store::decoded<drain>
 drain_from(const std::string& spec)
 {
-  const auto j = parse_spec(spec);
-  drain d;
-  d.reason = j.value("reason", d.reason);
-  return d;
+  return store::try_decode([&] {
+    const auto j = parse_spec("drain", spec);
+    drain d;
+    d.reason = j.value("reason", d.reason);
+    return d;
+  });
 }
 
-instance
+store::decoded<instance>
 instance_from(const std::string& spec)
 {
-  const auto j = parse_spec(spec);
-  instance i;
-  i.role = j.value("role", i.role);
-  i.region = j.value("region", i.region);
-  i.data_centre = j.value("data_centre", i.data_centre);
-  i.link = j.value("link", i.link);
-  i.serves = j.value("serves", i.serves);
-  const auto state = j.value("state", std::string{ "live" });
-  i.state = state == "leaving" ? instance_state::leaving : instance_state::live;
-  return i;
+  return store::try_decode([&] {
+    const auto j = parse_spec("instance", spec);
+    instance i;
+    i.role = store::string_field_or(j, "role", i.role);
+    i.region = store::string_field_or(j, "region", i.region);
+    i.data_centre = store::string_field_or(j, "data_centre", i.data_centre);
+    i.link = store::string_field_or(j, "link", i.link);
+    i.serves = store::string_field_or(j, "serves", i.serves);
+    i.state = store::string_field_or(j, "state", "live") == "leaving"
+                ? instance_state::leaving
+                : instance_state::live;
+    return i;
+  });
 }
 
-home_map
+store::decoded<home_map>
 home_map_from(const std::string& spec)
 {
-  const auto j = parse_spec(spec);
-  home_map m;
-  for (const auto& item : j.value("members", json::array())) {
-    m.members.push_back({ item.value("instance", std::string{}),
-                          item.value("since_ms", std::uint64_t{ 0 }),
-                          item.value("incarnation", std::uint64_t{ 0 }) });
-  }
-  for (const auto& item : j.value("former", json::array())) {
-    m.former.push_back({ item.value("instance", std::string{}),
-                         item.value("incarnation", std::uint64_t{ 0 }),
-                         item.value("until_ms", std::uint64_t{ 0 }),
-                         item.value("peers", std::vector<std::string>{}) });
-  }
-  return m;
+  return store::try_decode([&] {
+    const auto j = parse_spec("home_map", spec);
+    home_map m;
+    for (const auto& item : list_of(j, "members")) {
+      m.members.push_back({ store::string_field(item, "instance"),
+                            store::uint_field_or(item, "since_ms", 0),
+                            store::uint_field_or(item, "incarnation", 0) });
+    }
+    if (m.members.size() > max_home_members) {
+      throw store::field_error{ { "members", "too many entries" } };
+    }
+    for (const auto& item : list_of(j, "former")) {
+      m.former.push_back({ store::string_field(item, "instance"),
+                           store::uint_field_or(item, "incarnation", 0),
+                           store::uint_field_or(item, "until_ms", 0),
+                           strings_of(item, "peers") });
+    }
+    return m;
+  });
 }
 
 std::string
--- a/cactusford/configuration/declaration.h
+++ b/cactusford/configuration/declaration.h
@@ -3,6 +3,7 @@
 
 #include "cactusford/error.h"
 #include "cactusford/platform/client.h"
+#include "cactusford/store/fields.h"
 
 #include <cstdint>
 #include <string>
@@ -154,23 +155,23 @@
                   const std::string& name,
                   const std::string& spec);
 
-// Converts a spec that was checked when it was accepted. A missing field takes
-// its default.
-pool
+// Decodes a stored spec. It is checked again, as other writers may have stored
+// it unchecked. A missing field takes its default.
+store::decoded<pool>
 pool_from(const std::string& spec);
-service
+store::decoded<service>
 service_from(const std::string& spec);
-trainer
+store::decoded<trainer>
 trainer_from(const std::string& spec);
-rollout_job
+store::decoded<rollout_job>
 rollout_job_from(const std::string& spec);
-model_weights
+store::decoded<model_weights>
 weights_from(const std::string& spec);
-drain
+store::decoded<drain>
 drain_from(const std::string& spec);
-instance
+store::decoded<instance>
 instance_from(const std::string& spec);
-home_map
+store::decoded<home_map>
 home_map_from(const std::string& spec);
 
 std::string
--- a/cactusford/configuration/state-test.cc
+++ b/cactusford/configuration/state-test.cc
@@ -176,3 +176,110 @@
   cr_assert(!position.parents.empty());
   cr_assert(find_position({}, "new", "dc").is_watcher);
 }
+
+namespace {
+
+// Specs that another writer stores unchecked under the kinds of the
+// configuration.
+std::vector<std::string>
+odd_specs()
+{
+  constexpr std::size_t deep = 400'000;
+  const std::string arrays = std::string(deep, '[') + std::string(deep, ']');
+  std::vector<std::string> all{ "",      "nul", "null", "7",       "[]",
+                                "\"x\"", "{",   arrays, "\xff\xfe" };
+  for (const auto* key : { "model",
+                           "share",
+                           "deadline_ms",
+                           "max_swapping_share",
+                           "trainer",
+                           "pool",
+                           "groups",
+                           "group_size",
+                           "steps",
+                           "version",
+                           "reason",
+                           "role",
+                           "link",
+                           "serves",
+                           "state",
+                           "data_centre",
+                           "members",
+                           "former" }) {
+    for (const std::string value : { "null",
+                                     "true",
+                                     "-1",
+                                     "0.5",
+                                     "1e400",
+                                     "1e308",
+                                     "18446744073709551615",
+                                     "18446744073709551616",
+                                     "[]",
+                                     "[7]",
+                                     "[{}]",
+                                     R"([{"instance":7}])",
+                                     R"([{"instance":"i","since_ms":-1}])",
+                                     R"([{"instance":"i","peers":[7]}])",
+                                     "{}",
+                                     R"("x")" }) {
+      all.push_back("{\"" + std::string{ key } + "\":" + value + "}");
+    }
+    all.push_back("{\"" + std::string{ key } + "\":" + arrays + "}");
+  }
+  return all;
+}
+
+} // namespace
+
+// Guards against entries and sidecars that end, each time they read the list
+// again, because another writer stored one object of the wrong shape: the error
+// was thrown past the thread that reads the configuration.
+Test(configuration, leaves_out_what_another_writer_stored, .timeout = 60)
+{
+  state s;
+  merge(s, std::vector{ make_trainer(1, 0.25), make_instance("i0", "dc") });
+  std::uint64_t version = 10;
+  for (const auto* kind : { "pool",
+                            "service",
+                            "trainer",
+                            "rollout_job",
+                            "weights",
+                            "drain",
+                            "instance",
+                            "home_map" }) {
+    for (const auto& spec : odd_specs()) {
+      merge(s,
+            std::vector{
+              platform::object{ kind, "odd", ++version, false, spec, "" } });
+    }
+    merge(s,
+          std::vector{
+            platform::object{ kind, "odd", ++version, true, "[[[", "" } });
+  }
+  cr_assert_eq(s.view->trainers->at("t").value.share, 0.25);
+  cr_assert(s.view->instances->contains("i0"));
+  SECTION("later changes are followed")
+  {
+    merge(s, std::vector{ make_trainer(++version, 0.75) });
+    cr_assert_eq(s.view->trainers->at("t").value.share, 0.75);
+  }
+  SECTION("the last readable value stays in force")
+  {
+    merge(s,
+          std::vector{ platform::object{
+            "trainer", "t", ++version, false, R"({"model":7})", "" } });
+    cr_assert_eq(s.view->trainers->at("t").value.model, "m");
+  }
+  SECTION("values outside the declared bounds are left out")
+  {
+    merge(s,
+          std::vector{ platform::object{
+            "rollout_job",
+            "j",
+            ++version,
+            false,
+            R"({"trainer":"t","pool":"p","groups":4000000000})",
+            "" } });
+    cr_assert_not(s.view->jobs->contains("j"));
+  }
+}
--- a/cactusford/configuration/state.cc
+++ b/cactusford/configuration/state.cc
@@ -1,5 +1,7 @@
 #include "cactusford/configuration/state.h"
 
+#include "cactusford/timeline/event.h"
+
 #include <xxhash.h>
 
 #include <algorithm>
@@ -37,14 +39,32 @@
 put(std::shared_ptr<const table<T>>& current,
     const std::string& name,
     const platform::object& o,
-    T (*parse)(const std::string&))
+    store::decoded<T> (*parse)(const std::string&))
 {
-  auto& next = make_writable(current);
   if (o.deleted) {
-    next.erase(name);
-  } else {
-    next[name] = { parse(o.spec), o.version };
+    make_writable(current).erase(name);
+    return;
+  }
+  auto value = parse(o.spec);
+  if (!value) {
+    // The last readable value stays in force.
+    timeline::log(timeline::event{ "object_unreadable" }
+                    .with("kind", o.kind)
+                    .with("name", o.name)
+                    .with("version", o.version)
+                    .with("field", value.fault.field)
+                    .with("why", value.fault.what));
+    return;
   }
+  make_writable(current)[name] = { std::move(*value), o.version };
+}
+
+// The table of weights is keyed by model.
+std::string
+model_of(const platform::object& o)
+{
+  const auto weights = weights_from(o.spec);
+  return weights ? weights->model : std::string{};
 }
 
 void
@@ -59,7 +79,7 @@
   } else if (o.kind == "rollout_job") {
     put(view.jobs, o.name, o, rollout_job_from);
   } else if (o.kind == "weights") {
-    put(view.weights, weights_from(o.spec).model, o, weights_from);
+    put(view.weights, model_of(o), o, weights_from);
   } else if (o.kind == "instance") {
     put(view.instances, o.name, o, instance_from);
   } else if (o.kind == "home_map") {
--- a/cactusford/entry/http.cc
+++ b/cactusford/entry/http.cc
@@ -1,6 +1,7 @@
 #include "cactusford/entry/http.h"
 
 #include "cactusford/http/server.h"
+#include "cactusford/store/fields.h"
 #include "cactusford/timeline/event.h"
 
 #include <nlohmann/json.hpp>
@@ -135,7 +136,7 @@
     return result<parsed_completion>{ {},
                                       { error_kind::bad_request, message } };
   };
-  const auto j = json::parse(body, nullptr, false);
+  const auto j = store::parse_message(body);
   if (!j.is_object()) {
     return invalid("the body is not a JSON object");
   }
--- a/cactusford/entry/owner.cc
+++ b/cactusford/entry/owner.cc
@@ -1,5 +1,6 @@
 #include "cactusford/entry/owner.h"
 
+#include "cactusford/store/fields.h"
 #include "cactusford/timeline/event.h"
 
 #include <nlohmann/json.hpp>
@@ -32,6 +33,15 @@
   return text;
 }
 
+// Returns the fencing token in a ledger, or 0 if there is none.
+std::uint64_t
+fence_in(const std::string& spec)
+{
+  const auto fence = store::try_decode(
+    [&] { return store::uint_field(store::parse_message(spec), "fence"); });
+  return fence.value_or(0);
+}
+
 rollout::fetch_reply
 error_reply(const failure& f)
 {
@@ -523,7 +533,7 @@
   spec.deadline_ms = score_deadline_ms;
   const auto value = std::make_shared<std::optional<double>>();
   spec.on_answer = [value](const calls::answer& a) {
-    const auto j = nlohmann::json::parse(a.body(), nullptr, false);
+    const auto j = store::parse_message(a.body());
     if (a.status() == 200 && j.is_object() && j.contains("score") &&
         j["score"].is_number()) {
       *value = j["score"].get<double>();
@@ -595,7 +605,7 @@
                            process::generate_id(),
                            false };
   daemon_.run_on_worker(
-    [this, w] {
+    [this, w, own_fence = s->fence] {
       auto r = daemon_.platform.put(w);
       if (r.error.kind != error_kind::conflict) {
         return std::pair{ r, false };
@@ -603,12 +613,7 @@
       // Another owner wrote the ledger. An older owner's entry is overwritten
       // by the next write; a newer owner has taken over the trainer.
       const auto stored = daemon_.platform.get(w.kind, w.name);
-      const auto own_spec = nlohmann::json::parse(w.spec);
-      const auto stored_spec =
-        nlohmann::json::parse(stored.value.spec, nullptr, false);
-      const bool is_fenced = stored && stored_spec.is_object() &&
-                             stored_spec.value("fence", std::uint64_t{ 0 }) >
-                               own_spec.value("fence", std::uint64_t{ 0 });
+      const bool is_fenced = stored && fence_in(stored.value.spec) > own_fence;
       r.value = stored.value.version;
       return std::pair{ r, is_fenced };
     },
--- a/cactusford/entry/rpc.cc
+++ b/cactusford/entry/rpc.cc
@@ -221,10 +221,9 @@
     }
     // A repeated or late publication changes nothing, as versions only
     // increase.
-    const auto published_version =
-      configuration::weights_from(stored.value.spec).version;
-    if (stored && !stored.value.deleted &&
-        published_version >= in.weight_version()) {
+    const auto published = configuration::weights_from(stored.value.spec);
+    if (stored && !stored.value.deleted && published &&
+        published->version >= in.weight_version()) {
       out.set_configuration_version(stored.value.version);
       return {};
     }
--- a/cactusford/operators/command.cc
+++ b/cactusford/operators/command.cc
@@ -4,6 +4,7 @@
 #include "cactusford/operators/client.h"
 #include "cactusford/operators/files.h"
 #include "cactusford/process/daemon.h"
+#include "cactusford/store/fields.h"
 #include "cactusford/timeline/history.h"
 #include "cactusford/timeline/render.h"
 
@@ -129,6 +130,14 @@
   return exit_done;
 }
 
+// A spec that is not JSON, which another writer has stored, is shown as text.
+json
+spec_from(const std::string& text)
+{
+  auto spec = store::parse_message(text);
+  return spec.is_discarded() ? json(text) : spec;
+}
+
 int
 apply(const options& o)
 {
@@ -167,8 +176,8 @@
     }
     const bool absent = stored.value.version() == 0 || stored.value.deleted();
     const auto before =
-      absent ? json::object() : json::parse(stored.value.spec());
-    const auto patch = json::diff(before, json::parse(d.spec));
+      absent ? json::object() : spec_from(stored.value.spec());
+    const auto patch = json::diff(before, spec_from(d.spec));
     if (absent || !patch.empty()) {
       ++changes;
       std::cout << d.kind << "/" << d.name << (absent ? " (new) " : " ")
@@ -194,12 +203,12 @@
   }
   for (const auto& d : answer.value.declarations()) {
     if (!d.deleted()) {
-      std::cout << json{
-        { "kind", d.kind() },
-        { "name", d.name() },
-        { "version", d.version() },
-        { "spec", json::parse(d.spec()) }
-      }.dump() << "\n";
+      std::cout << json{ { "kind", d.kind() },
+                         { "name", d.name() },
+                         { "version", d.version() },
+                         { "spec", spec_from(d.spec()) } }
+                     .dump(-1, ' ', false, json::error_handler_t::replace)
+                << "\n";
     }
   }
   return exit_done;
--- a/cactusford/platform/client.cc
+++ b/cactusford/platform/client.cc
@@ -36,6 +36,30 @@
   return o;
 }
 
+// Leaves out an object of a list that cannot be read, so that the others are
+// not lost.
+store::decoded<object>
+read_object(const json& item)
+{
+  auto o = store::try_decode([&] {
+    if (store::contains_unreadable(item)) {
+      throw store::field_error{ { "", "not valid JSON" } };
+    }
+    return object_from(item);
+  });
+  if (!o) {
+    const auto name = store::try_decode([&] {
+      return store::string_field(item, "kind") + "/" +
+             store::string_field(item, "name");
+    });
+    timeline::log(timeline::event{ "object_unreadable" }
+                    .with("name", name.value_or(""))
+                    .with("field", o.fault.field)
+                    .with("why", o.fault.what));
+  }
+  return o;
+}
+
 failure
 unavailable(const std::string& what)
 {
@@ -137,11 +161,13 @@
     return { {}, unavailable("changes") };
   }
   auto list = store::try_decode([&] {
-    const auto body = store::parse_message(response.body);
+    const auto body = store::parse_leniently(response.body).value;
     change_list decoded;
     decoded.revision = store::uint_field(body, "revision");
     for (const auto& item : store::array_field(body, "objects")) {
-      decoded.objects.push_back(object_from(item));
+      if (auto o = read_object(item)) {
+        decoded.objects.push_back(std::move(*o));
+      }
     }
     return decoded;
   });
--- a/tests/fixture.h
+++ b/tests/fixture.h
@@ -83,7 +83,7 @@
     if (r && r->status == 200) {
       const auto spec =
         nlohmann::json::parse(r->body).at("spec").get<std::string>();
-      if (configuration::home_map_from(spec).members.size() == expected) {
+      if (configuration::home_map_from(spec)->members.size() == expected) {
         return;
       }
     }
