Accept fractions where the settings have integers

A platform that writes 2000.0 for a number of milliseconds, or 2.5 for a slack, got a program that ended at its start with exit code 2.

The schema's "integer" refuses every number with a point. Such values are now rounded down before the check, which is the stricter side of each of these keys. Bounds and other types are checked as before.

Before, the new test failed with "key [drain_within_ms]: Value type not permitted by 'type' constraint"; it passes now.

--- a/cactusford/edge/settings-test.cc
+++ b/cactusford/edge/settings-test.cc
@@ -22,6 +22,34 @@
             "the rank of the instance in the list is kept");
 }
 
+// A platform that writes all numbers as fractions sent settings with which no
+// program started.
+Test(hosted_settings, integers_may_be_written_as_fractions)
+{
+  const auto parse = [](const std::string& keys) {
+    return hosted_settings_from(
+      R"({"instance": "a", "data_centre": "a", "store": "1.2.3.4:5", )" + keys +
+      "}");
+  };
+  const auto s = parse(R"("in_force_ms": 2000.0, "memory_mb": 260.0,
+    "drain_within_ms": 2500.0, "tolerated_data_centres": 1.0,
+    "warm_up_slack": 2.5)");
+  cr_assert(s, "%s", message_of(s.error).c_str());
+  cr_assert_eq(s.value.in_force_ms, 2000);
+  cr_assert_eq(s.value.memory_mb, 260);
+  cr_assert_eq(s.value.drain_within_ms, 2500);
+  cr_assert_eq(s.value.tolerated_data_centres, 1);
+  cr_assert_eq(s.value.warm_up_slack, 2, "the stricter limit");
+  SECTION("values out of bounds and of other types are still refused")
+  {
+    cr_assert_not(parse(R"("in_force_ms": 99.5)"));
+    cr_assert_not(parse(R"("memory_mb": -0.5)"));
+    cr_assert_not(parse(R"("memory_mb": 1e300)"));
+    cr_assert_not(parse(R"("in_force_ms": "2000")"));
+    cr_assert_not(hosted_settings_from("[1.0]"));
+  }
+}
+
 Test(hosted_settings, errors_name_the_invalid_key)
 {
   const auto refused = [](const char* text, const char* key) {
--- a/cactusford/edge/settings.cc
+++ b/cactusford/edge/settings.cc
@@ -6,6 +6,7 @@
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <cmath>
 
 namespace cactusford::edge {
 
@@ -75,6 +76,26 @@
   }
 }
 
+// Rounds fractions down where the schema has an integer. A platform may write a
+// number of milliseconds as 2000.0.
+void
+round_integers(const json& schema, json& document)
+{
+  if (!document.is_object()) {
+    return;
+  }
+  constexpr double max_exact = 1e15;
+  for (const auto& [key, rule] : schema.at("properties").items()) {
+    const auto found = document.find(key);
+    const bool is_fraction = rule.value("type", "") == "integer" &&
+                             found != document.end() &&
+                             found->is_number_float();
+    if (is_fraction && std::abs(found->get<double>()) < max_exact) {
+      *found = static_cast<std::int64_t>(std::floor(found->get<double>()));
+    }
+  }
+}
+
 mechanism_switches
 switches_from(const std::vector<std::string>& disabled)
 {
@@ -99,11 +120,13 @@
 result<hosted_settings>
 hosted_settings_from(std::string_view json_text)
 {
-  const auto document = json::parse(json_text, nullptr, false, true);
+  auto document = json::parse(json_text, nullptr, false, true);
   if (document.is_discarded()) {
     return { {}, { error_kind::settings_invalid, "the file is not JSON" } };
   }
-  if (auto error = settings::validate(json::parse(schema_text), document)) {
+  const auto schema = json::parse(schema_text);
+  round_integers(schema, document);
+  if (auto error = settings::validate(schema, document)) {
     return { {}, error };
   }
   hosted_settings s;
