Survive a blocking call without descriptors

Callers that used up the descriptors of cactusford-entry ended the process: 200 connections to any of its four ports under a limit of 64 descriptors, signal 6, "epoll: Too many open files" or "eventfd_select_interrupter".

Each blocking call makes an event loop of its own, whose descriptors Asio opens with an exception on failure, on a worker thread that catches none. The call now ends as not sent, with the line exchange_not_started.

--- a/cactusford/http/blocking_exchange.cc
+++ b/cactusford/http/blocking_exchange.cc
@@ -1,9 +1,12 @@
 #include "cactusford/http/blocking_exchange.h"
 
 #include "cactusford/http/clock.h"
+#include "cactusford/timeline/event.h"
 
 #include <chrono>
+#include <memory>
 #include <optional>
+#include <system_error>
 
 namespace cactusford::http {
 
@@ -11,6 +14,23 @@
 
 constexpr std::chrono::milliseconds check_interval{ 20 };
 
+// Returns null if the process has no descriptors left for an event loop.
+std::unique_ptr<asio::io_context>
+make_event_loop(const std::string& address)
+{
+  try {
+    auto io = std::make_unique<asio::io_context>(1);
+    // Asio opens the descriptors with the first object that waits.
+    const http::timer first{ *io };
+    return io;
+  } catch (const std::system_error& e) {
+    timeline::log(timeline::event{ "exchange_not_started" }
+                    .with("address", address)
+                    .with("why", e.what()));
+    return nullptr;
+  }
+}
+
 } // namespace
 
 exchange_outcome
@@ -21,8 +41,11 @@
 {
   set(r.fields, "Host", address);
   set(r.fields, "Connection", "close");
-  asio::io_context io{ 1 };
-  client c{ io };
+  const auto io = make_event_loop(address);
+  if (!io) {
+    return exchange_outcome::not_sent;
+  }
+  client c{ *io };
   std::optional<exchange_outcome> outcome;
   exchange_callbacks events;
   auto last_ms = now_ms();
@@ -43,7 +66,7 @@
     return is_silent || (callbacks.is_abandoned && callbacks.is_abandoned());
   };
   while (!outcome && !is_abandoned()) {
-    io.run_one_for(check_interval);
+    io->run_one_for(check_interval);
   }
   if (!outcome) {
     pending.cancel();
