Keep outgoing connections from holding the port of a listener

A process could not listen again while its port was the local port of an outgoing connection, or for a minute of TIME_WAIT after it. A connection to a dead process may also lead to itself: its caller read its own request as the answer, a probe found the dead process alive, and a link request ended as cut.

Sockets of the HTTP client, probes and links now set SO_REUSEADDR before they connect, so that a listener with the same option binds while they exist. A connection whose two ends are equal is reset and counts as not sent. A link without descriptors also pauses before it accepts again; it did nothing else. A failed listen of a link closes its socket.

--- a/cactusford/http/client.cc
+++ b/cactusford/http/client.cc
@@ -299,6 +299,7 @@
       }
     });
   const auto started = std::chrono::steady_clock::now();
+  open_outgoing(socket, *endpoint);
   socket.async_connect(
     *endpoint,
     [self = shared_from_this(), connect_timer, e, started](
@@ -307,7 +308,7 @@
       if (self->closed) {
         return;
       }
-      if (ec) {
+      if (ec || reset_if_self_connected(self->socket)) {
         self->finish(exchange_outcome::not_sent);
         return;
       }
--- a/cactusford/http/probe.cc
+++ b/cactusford/http/probe.cc
@@ -29,12 +29,15 @@
       socket->close(ignored);
     }
   });
+  open_outgoing(*socket, *endpoint);
   socket->async_connect(*endpoint, [socket, timer, done](asio::error_code ec) {
     timer->cancel();
-    if (!ec) {
-      done(probe_result::accepted);
-    } else if (ec == asio::error::connection_refused) {
+    const bool is_refused = ec == asio::error::connection_refused ||
+                            (!ec && reset_if_self_connected(*socket));
+    if (is_refused) {
       done(probe_result::refused);
+    } else if (!ec) {
+      done(probe_result::accepted);
     } else {
       done(probe_result::no_response);
     }
--- a/cactusford/http/socket.cc
+++ b/cactusford/http/socket.cc
@@ -47,6 +47,35 @@
   return asio::ip::tcp::endpoint{ ip, static_cast<std::uint16_t>(*port) };
 }
 
+void
+open_outgoing(asio::ip::tcp::socket& socket,
+              const asio::ip::tcp::endpoint& peer)
+{
+  asio::error_code ec;
+  socket.open(peer.protocol(), ec);
+  if (!ec) {
+    // Without the option the socket still works.
+    socket.set_option(asio::socket_base::reuse_address{ true }, ec);
+  }
+}
+
+bool
+reset_if_self_connected(asio::ip::tcp::socket& socket)
+{
+  asio::error_code no_local;
+  asio::error_code no_remote;
+  const auto local = socket.local_endpoint(no_local);
+  const auto remote = socket.remote_endpoint(no_remote);
+  if (no_local || no_remote || local != remote) {
+    return false;
+  }
+  // An orderly close would leave the port of the absent listener in TIME_WAIT.
+  asio::error_code ignored;
+  socket.set_option(asio::socket_base::linger{ true, 0 }, ignored);
+  socket.close(ignored);
+  return true;
+}
+
 void
 configure_socket(asio::ip::tcp::socket& socket)
 {
--- a/cactusford/http/socket.h
+++ b/cactusford/http/socket.h
@@ -16,6 +16,19 @@
 std::optional<asio::ip::tcp::endpoint>
 endpoint_from(std::string_view address);
 
+// Opens a socket for an outgoing connection. Its local port does not keep a
+// listener of this machine from binding it, not even in TIME_WAIT. On an error
+// the socket stays closed, and connecting it reports the error.
+void
+open_outgoing(asio::ip::tcp::socket& socket,
+              const asio::ip::tcp::endpoint& peer);
+
+// Returns true, and resets the connection, if it leads to the socket itself: a
+// connection to a port on which nobody listens succeeds if the kernel chooses
+// the same port as its local port.
+bool
+reset_if_self_connected(asio::ip::tcp::socket& socket);
+
 // Disables Nagle's algorithm, enables keep-alive probes that detect an
 // unreachable peer, and makes the socket non-blocking.
 void
--- a/cactusford/link/link-test.cc
+++ b/cactusford/link/link-test.cc
@@ -11,6 +11,8 @@
 
 #include <optional>
 
+#include <sys/resource.h>
+
 using namespace cactusford;
 using namespace cactusford::link;
 
@@ -215,3 +217,62 @@
   }
   cr_assert_eq(closed, 0);
 }
+
+// Without descriptors, accepting fails at once, and the process did nothing
+// else but try until a caller left.
+Test(link, a_server_without_descriptors_pauses, .timeout = 60)
+{
+  endpoint_pair endpoints{ [](const stream_ptr&) {} };
+  asio::ip::tcp::socket caller{ endpoints.io };
+  caller.open(asio::ip::tcp::v4());
+  rlimit before{};
+  cr_assert_eq(getrlimit(RLIMIT_NOFILE, &before), 0);
+  const rlimit none{ 0, before.rlim_max };
+  cr_assert_eq(setrlimit(RLIMIT_NOFILE, &none), 0);
+  caller.connect({ asio::ip::make_address("127.0.0.1"), endpoints.bound.port });
+  // Each pause is one handler.
+  constexpr std::size_t many = 1000;
+  std::size_t handlers = 0;
+  const auto end =
+    std::chrono::steady_clock::now() + std::chrono::milliseconds{ 200 };
+  while (std::chrono::steady_clock::now() < end && handlers < many) {
+    handlers += endpoints.io.run_one_for(std::chrono::milliseconds{ 10 });
+  }
+  cr_assert_eq(setrlimit(RLIMIT_NOFILE, &before), 0);
+  cr_assert_lt(handlers, many);
+  endpoints.run_until([&] { return endpoints.server.connections() == 1; });
+}
+
+// A connection to a process that is down may lead to itself. The request was
+// then cut, an outcome that may not be repeated, although nobody had received
+// it.
+Test(link, a_connection_to_itself_is_not_connected, .timeout = 120)
+{
+  asio::io_context io;
+  endpoint client{ io, {} };
+  address absent{ "127.0.0.1", 0 };
+  {
+    // A port that the kernel chooses for a connection, so that it will do so
+    // again.
+    endpoint_pair other{ [](const stream_ptr&) {} };
+    asio::ip::tcp::socket s{ other.io };
+    s.connect({ asio::ip::make_address("127.0.0.1"), other.bound.port });
+    absent.port = s.local_endpoint().port();
+    s.set_option(asio::socket_base::linger{ true, 0 });
+  }
+  constexpr int all_local_ports = 40000;
+  int not_connected = 0;
+  for (int i = 0; i < all_local_ports; ++i) {
+    bool is_done = false;
+    auto s = client.open(absent, "/x");
+    s->on_close = [&](std::error_code ec) {
+      is_done = true;
+      not_connected += ec == link_error::not_connected ? 1 : 0;
+    };
+    while (!is_done) {
+      io.restart();
+      io.run_one();
+    }
+  }
+  cr_assert_eq(not_connected, all_local_ports);
+}
--- a/cactusford/link/link.cc
+++ b/cactusford/link/link.cc
@@ -1,5 +1,6 @@
 #include "cactusford/link/link.h"
 
+#include "cactusford/http/socket.h"
 #include "cactusford/timeline/event.h"
 
 #include <asio/connect.hpp>
@@ -33,6 +34,9 @@
 constexpr std::size_t read_size = 16 << 10;
 constexpr std::size_t write_batch = 256 << 10;
 
+// Pause after a connection could not be accepted, in milliseconds.
+constexpr std::uint64_t accept_retry_ms = 20;
+
 std::atomic<std::uint64_t> sent_bytes{ 0 };
 std::atomic<std::uint64_t> received_bytes{ 0 };
 
@@ -450,9 +454,12 @@
     return;
   }
   tick();
-  socket.async_connect({ ip, peer.port },
+  const tcp::endpoint remote{ ip, peer.port };
+  http::open_outgoing(socket, remote);
+  socket.async_connect(remote,
                        [self = shared_from_this()](asio::error_code failed) {
-                         if (failed || self->closed_) {
+                         if (failed || self->closed_ ||
+                             http::reset_if_self_connected(self->socket)) {
                            self->close(link_error::not_connected);
                          } else {
                            self->start();
@@ -842,6 +849,7 @@
     : io_{ io }
     , limits_{ l }
     , acceptor_{ io }
+    , accept_timer_{ io }
   {
   }
 
@@ -866,10 +874,13 @@
     if (!ec) {
       acceptor_.listen(asio::socket_base::max_listen_connections, ec);
     }
-    if (!ec) {
-      bound = { local.ip, acceptor_.local_endpoint(ec).port() };
-      accept();
+    if (ec) {
+      asio::error_code ignored;
+      acceptor_.close(ignored);
+      return ec;
     }
+    bound = { local.ip, acceptor_.local_endpoint(ec).port() };
+    accept();
     return ec;
   }
 
@@ -935,13 +946,28 @@
         }
         // Beyond the limit a connection is closed at once, so none of its
         // requests runs.
-        if (!ec && self->accepted_.size() < self->limits_.max_connections) {
+        if (ec) {
+          self->accept_later();
+          return;
+        }
+        if (self->accepted_.size() < self->limits_.max_connections) {
           self->add_accepted(c);
         }
         self->accept();
       });
   }
 
+  // Without descriptors, accepting fails at once for as long as a caller waits.
+  void accept_later()
+  {
+    accept_timer_.expires_after(std::chrono::milliseconds{ accept_retry_ms });
+    accept_timer_.async_wait([self = shared_from_this()](asio::error_code ec) {
+      if (!ec && self->acceptor_.is_open()) {
+        self->accept();
+      }
+    });
+  }
+
   void add_accepted(const std::shared_ptr<connection>& c)
   {
     accepted_[c.get()] = c;
@@ -957,6 +983,7 @@
   asio::io_context& io_;
   limits limits_;
   tcp::acceptor acceptor_;
+  asio::steady_timer accept_timer_;
   accept_handler handler_;
   outgoing_map outgoing_;
   std::unordered_map<connection*, std::shared_ptr<connection>> accepted_;
