--- a/cactusford/edge/dialect.h
+++ b/cactusford/edge/dialect.h
@@ -166,6 +166,8 @@
   kind_names kinds;
   store::dialect store;
   std::string ready_path;
+  // Environment variable with the path of the settings file.
+  std::string settings_variable;
 
   std::function<store::decoded<routes::table>(const store::object&)> table_from;
   std::function<store::decoded<backends::announcement>(const store::object&)>
--- a/cactusford/edge/host.cc
+++ b/cactusford/edge/host.cc
@@ -73,6 +73,13 @@
   return parsed;
 }
 
+std::string
+default_path(const dialect& d)
+{
+  const char* path = std::getenv(d.settings_variable.c_str());
+  return path == nullptr ? "" : path;
+}
+
 result<hosted_settings>
 load(const std::string& path)
 {
@@ -190,17 +197,20 @@
                        const hosted_settings&,
                        const dialect&))
 {
-  const auto parsed = parse(argc, argv, description);
+  auto parsed = parse(argc, argv, description);
   if (parsed.show_version) {
     std::cout << version_text << "\n";
     return 0;
   }
-  if (!parsed.error.empty() || parsed.path.empty()) {
-    std::cerr
-      << (parsed.error.empty()
-            ? "missing option --settings: give the path of the settings file"
-            : parsed.error)
-      << "\n";
+  if (parsed.path.empty()) {
+    parsed.path = default_path(d);
+  }
+  if (parsed.error.empty() && parsed.path.empty()) {
+    parsed.error =
+      "missing option --settings: give the path of the settings file";
+  }
+  if (!parsed.error.empty()) {
+    std::cerr << parsed.error << "\n";
     return exit_settings;
   }
   const auto s = load(parsed.path);
