--- a/cactusford/http/socket.cc
+++ b/cactusford/http/socket.cc
@@ -47,6 +47,20 @@
   return asio::ip::tcp::endpoint{ ip, static_cast<std::uint16_t>(*port) };
 }
 
+bool
+is_connectable(std::string_view address)
+{
+  const auto at = endpoint_from(address);
+  if (!at || at->port() == 0) {
+    return false;
+  }
+  const auto ip = at->address().to_v4();
+  // A text with more behind the digits is another address than it seems.
+  const bool is_exact = address.starts_with(ip.to_string() + ":");
+  return is_exact && !ip.is_unspecified() && !ip.is_multicast() &&
+         ip != asio::ip::address_v4::broadcast();
+}
+
 void
 open_outgoing(asio::ip::tcp::socket& socket,
               const asio::ip::tcp::endpoint& peer)
--- a/cactusford/http/socket.h
+++ b/cactusford/http/socket.h
@@ -29,6 +29,11 @@
 bool
 reset_if_self_connected(asio::ip::tcp::socket& socket);
 
+// Returns true if a connection to "ip:port" can be opened: the address is that
+// of one machine, and the port is not 0.
+bool
+is_connectable(std::string_view address);
+
 // Disables Nagle's algorithm, enables keep-alive probes that detect an
 // unreachable peer, and makes the socket non-blocking.
 void
