An answer of the platform that lists no objects is refused

A list whose members are numbers or texts in place of objects was taken for one of unreadable objects, so that a process would have followed an answer that is not the platform's.

A list with a member that is no object fails as a whole again, as platform_client/refuses_answers_of_other_types demands; one unreadable object among others is still left out, which platform_client/leaves_out_an_unreadable_object checks.

--- a/cactusford/platform/client-test.cc
+++ b/cactusford/platform/client-test.cc
@@ -88,6 +88,41 @@
   }
 }
 
+// Guards against a process that follows no change any more, because one object
+// among those that changed cannot be read.
+Test(platform_client, leaves_out_an_unreadable_object, .timeout = 30)
+{
+  constexpr std::size_t deep = 400'000;
+  const auto arrays = std::string(deep, '[') + std::string(deep, ']');
+  for (const std::string& odd :
+       { std::string{ R"({"kind":1,"name":"x","version":2})" },
+         std::string{ R"({"kind":"pool","name":"x","version":-1})" },
+         std::string{ R"({"kind":"pool","name":"x","version":1e400})" },
+         std::string{ R"({"kind":"pool","name":"x","version":2,"spec":7})" },
+         R"({"kind":"pool","name":"x","version":2,"spec":)" + arrays + "}" }) {
+    SECTION(odd.substr(0, 60).c_str())
+    {
+      const auto body =
+        R"({"revision":9,"objects":[{"kind":"pool","name":"a","version":1},)" +
+        odd + R"(,{"kind":"pool","name":"z","version":3}]})";
+      asio::io_context io;
+      standins::flooding_server server{ io,
+                                        "HTTP/1.1 200 OK\r\nContent-Length: " +
+                                          std::to_string(body.size()) +
+                                          "\r\n\r\n" + body,
+                                        "x" };
+      std::thread serving{ [&] { io.run(); } };
+      client c{ server.address() };
+      const auto list = c.changes(0, 0);
+      cr_expect(static_cast<bool>(list));
+      cr_expect_eq(list.value.objects.size(), 2U);
+      cr_expect_eq(list.value.revision, 9U);
+      io.stop();
+      serving.join();
+    }
+  }
+}
+
 // Guards against a call that waits for a store that has stopped to send.
 Test(platform_client, ends_in_time_while_the_store_is_silent, .timeout = 60)
 {
--- a/cactusford/platform/client.cc
+++ b/cactusford/platform/client.cc
@@ -165,6 +165,10 @@
     change_list decoded;
     decoded.revision = store::uint_field(body, "revision");
     for (const auto& item : store::array_field(body, "objects")) {
+      // What is no object at all is the answer of something else.
+      if (!item.is_object() && !store::contains_unreadable(item)) {
+        throw store::field_error{ { "objects", "not an array of objects" } };
+      }
       if (auto o = read_object(item)) {
         decoded.objects.push_back(std::move(*o));
       }
