Bind the ports of the socket tests

Two of the new tests failed once each beside other tests and programs: the kernel gives the port that it chooses in connect to several sockets, and another one may take it once it is free. These tests now bind their ports.

--- a/cactusford/http/socket-test.cc
+++ b/cactusford/http/socket-test.cc
@@ -64,6 +64,8 @@
   tcp::acceptor peer{ io, { asio::ip::address_v4::loopback(), 0 } };
   tcp::socket outgoing{ io };
   http::open_outgoing(outgoing, peer.local_endpoint());
+  // The kernel shares a port that it chooses in connect with other programs.
+  outgoing.bind({ asio::ip::address_v4::loopback(), 0 });
   outgoing.connect(peer.local_endpoint());
   const auto local = outgoing.local_endpoint();
   auto accepted = peer.accept();
@@ -89,10 +91,10 @@
 Test(socket, connections_to_themselves_are_reset, .timeout = 10)
 {
   asio::io_context io;
-  const auto at = unused_endpoint(io);
   tcp::socket s{ io };
-  http::open_outgoing(s, at);
-  s.bind(at);
+  http::open_outgoing(s, { asio::ip::address_v4::loopback(), 0 });
+  s.bind({ asio::ip::address_v4::loopback(), 0 });
+  const auto at = s.local_endpoint();
   s.connect(at);
   cr_assert(http::reset_if_self_connected(s));
   cr_assert_not(s.is_open());
