Wait for a port that is in use

Callers found no service at an instance after a restart: each program ended when one of its ports was the local port of an outgoing connection or in TIME_WAIT (cactusford-edge with 1, cactusford-entry and cactusford-sidecar with 2), again at each start, for up to a minute. It suffices that the port of the metrics is held.

Cause: `listen` was tried once, and its failure ended the start.

A port that is in use, an address that does not exist yet and a lack of descriptors or memory are now waited for, each port on its own, with a try every 200 ms, one line when the wait begins and one when it ends (`http/port_wait`). An entry whose callers' port is missing is not ready. Other errors end the start as before. SIGTERM ends a process that waits.

Evidence, on the programs before: exit codes 1, 2 and 2 for each port.

--- a/cactusford/edge/edge.cc
+++ b/cactusford/edge/edge.cc
@@ -13,6 +13,7 @@
 #include "cactusford/edge/piggyback.h"
 #include "cactusford/edge/reachability_probes.h"
 #include "cactusford/edge/stopping.h"
+#include "cactusford/http/port_wait.h"
 #include "cactusford/http/server.h"
 #include "cactusford/http/socket.h"
 #include "cactusford/membership/directory.h"
@@ -199,6 +200,10 @@
   bool listen(http::server& server,
               const std::string& address,
               const char* key);
+  void end_without_port(const char* key,
+                        const std::string& address,
+                        const std::error_code& ec);
+  bool serves_callers() const;
   bool is_ready() const;
   void leave();
   void poll_drained();
@@ -296,6 +301,7 @@
   // Services and workspaces whose waiting calls were exported last.
   std::set<std::pair<std::string, std::string>> exported_workspaces;
   bool is_leaving = false;
+  int exit_code = 0;
   bool has_handed_over_batches = false;
   stop_state stop;
   // Requests that were refused because the process stops, and those that got
@@ -486,25 +492,53 @@
   if (address.empty()) {
     return true;
   }
-  const auto ec = server.listen(address);
+  const auto end = [this, key, address](const std::error_code& ec) {
+    end_without_port(key, address, ec);
+  };
+  const auto ec = http::listen_when_free(
+    runtime.io,
+    { key,
+      address,
+      [&server, address] { return server.listen(address); },
+      end,
+      [this] { return is_leaving; },
+      process::log_line });
   if (ec) {
-    process::log_line(timeline::event{ "listen_failed" }
-                        .with("key", key)
-                        .with("address", address)
-                        .with("why", ec.message()));
+    end(ec);
   }
   return !ec;
 }
 
+void
+edge_process::end_without_port(const char* key,
+                               const std::string& address,
+                               const std::error_code& ec)
+{
+  process::log_line(
+    timeline::event{ "listen_failed" }
+      .with("key", key)
+      .with("address", address)
+      .with("why", ec.message())
+      .with("remedy", "specify an address and a port that this user may use"));
+  exit_code = 1;
+  runtime.stop();
+}
+
+bool
+edge_process::serves_callers() const
+{
+  return runtime.settings.callers.empty() || caller_server.port() != 0;
+}
+
 // An entry without the crash reports in the store would crash three more
 // backend servers before it quarantined a known poison request, so it is not
 // ready yet.
 bool
 edge_process::is_ready() const
 {
-  return !is_leaving && table != nullptr && backend_list.is_current() &&
-         batch_list.is_current() && quarantine_manager.is_current() &&
-         drains.is_current();
+  return !is_leaving && serves_callers() && table != nullptr &&
+         backend_list.is_current() && batch_list.is_current() &&
+         quarantine_manager.is_current() && drains.is_current();
 }
 
 void
@@ -1439,7 +1473,7 @@
       !listen(peer_server, s.peer, "peer") ||
       !listen(metrics_server, s.metrics, "metrics")) {
     process::flush_line_log();
-    return 1;
+    return exit_code;
   }
   runtime.on_reload = [this](const hosted_settings& fresh) {
     store.use_relays(fresh.peers, fresh.peer_rank);
@@ -1488,7 +1522,7 @@
   set_up_relay_messages();
   start_watches();
   runtime.run([this] { leave(); });
-  return 0;
+  return exit_code;
 }
 
 int
--- a/cactusford/entry/entry.cc
+++ b/cactusford/entry/entry.cc
@@ -36,7 +36,9 @@
 
   failure start()
   {
-    daemon_.is_serving = [this] { return leaving_since_ == 0; };
+    daemon_.is_serving = [this] {
+      return leaving_since_ == 0 && daemon_.is_listening("http");
+    };
     auto error =
       daemon_.start([this](const link::stream_ptr& s) { accept(s); });
     if (!error) {
@@ -48,7 +50,7 @@
     return error;
   }
 
-  void run()
+  int run()
   {
     daemon_.configuration.start(
       [this](const configuration::snapshot_ptr& view, const auto&) {
@@ -56,7 +58,7 @@
         owner_.on_configuration(view);
       });
     tick();
-    daemon_.run([this] { leave(); });
+    return daemon_.run([this] { leave(); });
   }
 
 private:
@@ -143,8 +145,7 @@
     std::cerr << message_of(error) << "\n";
     return process::exit_settings;
   }
-  e.run();
-  return process::exit_ok;
+  return e.run();
 }
 
 } // namespace cactusford::entry
--- a/cactusford/entry/http.cc
+++ b/cactusford/entry/http.cc
@@ -527,13 +527,11 @@
 
   failure start_server()
   {
-    if (const auto ec = server.listen(settings.http)) {
-      return { error_kind::settings_invalid,
-               "key http: " + settings.http + ": " + ec.message() +
-                 "; choose a free port" };
-    }
-    daemon.add_port("http", server.port());
-    return {};
+    return daemon.listen("http", settings.http, [this](std::uint16_t& port) {
+      const auto ec = server.listen(settings.http);
+      port = server.port();
+      return ec;
+    });
   }
 };
 
--- a/cactusford/entry/rpc.cc
+++ b/cactusford/entry/rpc.cc
@@ -2,6 +2,7 @@
 
 #include "cactusford/configuration/configuration.pb.h"
 #include "cactusford/configuration/tree.h"
+#include "cactusford/http/socket.h"
 #include "cactusford/link/request.h"
 #include "cactusford/operators/operators.grpc.pb.h"
 #include "cactusford/rollout/rollout.grpc.pb.h"
@@ -516,8 +517,27 @@
     return part.SerializeAsString();
   }
 
-  failure start()
+  // gRPC does not say why it cannot listen.
+  std::error_code bind_error() const
   {
+    const auto at = http::endpoint_from(settings.rpc);
+    asio::error_code ec;
+    asio::ip::tcp::acceptor acceptor{ daemon.io };
+    if (at) {
+      acceptor.open(at->protocol(), ec);
+    }
+    if (at && !ec) {
+      acceptor.set_option(asio::ip::tcp::acceptor::reuse_address{ true }, ec);
+      acceptor.bind(*at, ec);
+    }
+    return ec;
+  }
+
+  std::error_code try_listen(std::uint16_t& bound)
+  {
+    if (const auto ec = bind_error()) {
+      return ec;
+    }
     grpc::ServerBuilder builder;
     int port = 0;
     builder.AddListeningPort(
@@ -528,11 +548,11 @@
     builder.RegisterService(&operator_api);
     server = builder.BuildAndStart();
     if (!server || port == 0) {
-      return { error_kind::settings_invalid,
-               "key rpc: " + settings.rpc +
-                 " cannot be bound; choose a free port" };
+      return std::make_error_code(http::endpoint_from(settings.rpc)
+                                    ? std::errc::address_in_use
+                                    : std::errc::invalid_argument);
     }
-    daemon.add_port("rpc", static_cast<std::uint16_t>(port));
+    bound = static_cast<std::uint16_t>(port);
     return {};
   }
 
@@ -556,7 +576,10 @@
 failure
 rpc_server::start()
 {
-  return impl_->start();
+  auto& i = *impl_;
+  return i.daemon.listen("rpc", i.settings.rpc, [&i](std::uint16_t& port) {
+    return i.try_listen(port);
+  });
 }
 
 // Shuts the server down while the io thread still runs, as pending calls wait
@@ -564,8 +587,10 @@
 void
 rpc_server::stop()
 {
-  impl_->server->Shutdown(std::chrono::system_clock::now() +
-                          std::chrono::seconds{ 2 });
+  if (impl_->server) {
+    impl_->server->Shutdown(std::chrono::system_clock::now() +
+                            std::chrono::seconds{ 2 });
+  }
 }
 
 void
--- a/cactusford/http/server.cc
+++ b/cactusford/http/server.cc
@@ -325,10 +325,13 @@
   if (!ec) {
     acceptor.listen(asio::socket_base::max_listen_connections, ec);
   }
-  if (!ec) {
-    state_->accept();
+  if (ec) {
+    asio::error_code ignored;
+    acceptor.close(ignored);
+    return ec;
   }
-  return ec;
+  state_->accept();
+  return {};
 }
 
 void
--- a/cactusford/http/server.h
+++ b/cactusford/http/server.h
@@ -129,6 +129,7 @@
   server(const server&) = delete;
   server& operator=(const server&) = delete;
 
+  // May be called again after an error.
   std::error_code listen(const std::string& address);
 
   void set_limits(const server_limits& limits);
--- a/cactusford/process/daemon.cc
+++ b/cactusford/process/daemon.cc
@@ -1,5 +1,6 @@
 #include "cactusford/process/daemon.h"
 
+#include "cactusford/http/port_wait.h"
 #include "cactusford/http/server.h"
 #include "cactusford/process/heap.h"
 #include "cactusford/timeline/event.h"
@@ -9,6 +10,7 @@
 #include <nlohmann/json.hpp>
 #include <popt.h>
 
+#include <algorithm>
 #include <chrono>
 #include <csignal>
 #include <cstdio>
@@ -68,25 +70,23 @@
 failure
 daemon::start(link::accept_handler on_stream)
 {
-  const auto local = link::address_from(settings.link);
-  link::address bound;
-  const auto ec = links.listen(
-    local,
+  const auto accept =
     [this, on_stream = std::move(on_stream)](const link::stream_ptr& s) {
       if (s->path() == "/configuration") {
         configuration.serve(s);
       } else {
         on_stream(s);
       }
-    },
-    bound);
-  if (ec) {
-    return { error_kind::settings_invalid,
-             "key link: " + settings.link + ": " + ec.message() +
-               "; choose a free port" };
-  }
-  add_port("link", bound.port);
-  return start_admin();
+    };
+  const auto try_listen = [this, accept](std::uint16_t& port) {
+    link::address bound;
+    const auto ec =
+      links.listen(link::address_from(settings.link), accept, bound);
+    port = bound.port;
+    return ec;
+  };
+  auto error = listen("link", settings.link, try_listen);
+  return error ? error : start_admin();
 }
 
 failure
@@ -97,13 +97,11 @@
                             [this](const http::call& c) { serve_admin(c); },
                             nullptr,
                             admin_options() } });
-  if (const auto ec = admin_->server.listen(settings.admin)) {
-    return { error_kind::settings_invalid,
-             "key admin: " + settings.admin + ": " + ec.message() +
-               "; choose a free port" };
-  }
-  add_port("admin", admin_->server.port());
-  return {};
+  return listen("admin", settings.admin, [this](std::uint16_t& port) {
+    const auto ec = admin_->server.listen(settings.admin);
+    port = admin_->server.port();
+    return ec;
+  });
 }
 
 void
@@ -124,8 +122,8 @@
   } else if (path == "/healthz") {
     c.respond(text_response(200, "ok\n"));
   } else if (path == "/readyz") {
-    const bool is_ready =
-      configuration.is_ready() && (!is_serving || is_serving());
+    const bool is_ready = is_listening("link") && configuration.is_ready() &&
+                          (!is_serving || is_serving());
     c.respond(is_ready ? text_response(200, "ready\n")
                        : text_response(503, "not_ready\n"));
   } else {
@@ -133,19 +131,49 @@
   }
 }
 
-void
-daemon::add_port(const std::string& name, std::uint16_t port)
+failure
+daemon::listen(const std::string& key,
+               const std::string& address,
+               std::function<std::error_code(std::uint16_t&)> try_listen)
 {
-  ports_[name] = port;
+  ports_[key] = 0;
+  const auto bind = [this, key, try_listen = std::move(try_listen)] {
+    const auto ec = try_listen(ports_[key]);
+    if (!ec) {
+      write_ports();
+    }
+    return ec;
+  };
+  const auto failure_from = [key, address](const std::error_code& ec) {
+    return failure{ error_kind::settings_invalid,
+                    "key " + key + ": " + address + ": " + ec.message() +
+                      "; specify an address and a port that this user may "
+                      "use" };
+  };
+  const auto end = [this, failure_from](const std::error_code& ec) {
+    std::cerr << message_of(failure_from(ec)) << "\n";
+    exit_code_ = exit_settings;
+    stop();
+  };
+  const auto log = [](const timeline::event& e) { timeline::log(e); };
+  const auto ec = http::listen_when_free(
+    io, { key, address, bind, end, [this] { return is_leaving_; }, log });
+  return ec ? failure_from(ec) : failure{};
+}
+
+bool
+daemon::is_listening(const std::string& key) const
+{
+  const auto found = ports_.find(key);
+  return found != ports_.end() && found->second != 0;
 }
 
 void
-daemon::write_ports()
+daemon::write_ports() const
 {
-  timeline::log(timeline::event{ "process_started" }
-                  .with("data_centre", settings.data_centre)
-                  .with("incarnation", incarnation));
-  if (settings.ports_file.empty()) {
+  const bool is_complete = std::all_of(
+    ports_.begin(), ports_.end(), [](const auto& p) { return p.second != 0; });
+  if (settings.ports_file.empty() || !is_running_ || !is_complete) {
     return;
   }
   // Written to a temporary file and renamed, so that a reader never sees a
@@ -155,16 +183,21 @@
   std::rename(part.c_str(), settings.ports_file.c_str());
 }
 
-void
+int
 daemon::run(std::function<void()> on_shutdown)
 {
   asio::signal_set signals{ io, SIGTERM, SIGINT };
   signals.async_wait([&](asio::error_code ec, int) {
     if (!ec) {
       timeline::log(timeline::event{ "process_leaving" });
+      is_leaving_ = true;
       on_shutdown();
     }
   });
+  timeline::log(timeline::event{ "process_started" }
+                  .with("data_centre", settings.data_centre)
+                  .with("incarnation", incarnation));
+  is_running_ = true;
   write_ports();
   const auto work_guard = asio::make_work_guard(io);
   io.run();
@@ -172,6 +205,7 @@
   workers.stop();
   workers.join();
   timeline::log(timeline::event{ "process_stopped" });
+  return exit_code_;
 }
 
 void
--- a/cactusford/process/daemon.h
+++ b/cactusford/process/daemon.h
@@ -18,6 +18,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <system_error>
 
 namespace cactusford::process {
 
@@ -36,12 +37,19 @@
   // stream except those of the configuration.
   failure start(link::accept_handler on_stream);
 
-  // Adds a bound port to the ports file.
-  void add_port(const std::string& name, std::uint16_t port);
+  // Listens on `address`, the value of `key`, with `try_listen`, which also
+  // returns the bound port. A port that is in use is waited for while the
+  // process runs.
+  failure listen(const std::string& key,
+                 const std::string& address,
+                 std::function<std::error_code(std::uint16_t&)> try_listen);
 
-  // Writes the ports file and runs until `stop` is called. `on_shutdown` runs
-  // once, on SIGTERM or SIGINT, and must call `stop` when all work has ended.
-  void run(std::function<void()> on_shutdown);
+  bool is_listening(const std::string& key) const;
+
+  // Runs until `stop` is called, and writes the ports file once all ports are
+  // bound. `on_shutdown` runs once, on SIGTERM or SIGINT, and must call `stop`
+  // when all work has ended. Returns the exit code.
+  int run(std::function<void()> on_shutdown);
 
   void stop();
 
@@ -78,10 +86,14 @@
   struct admin;
   failure start_admin();
   void serve_admin(const http::call& c);
-  void write_ports();
+  void write_ports() const;
 
   std::unique_ptr<admin> admin_;
+  // 0: not bound yet.
   std::map<std::string, std::uint16_t> ports_;
+  bool is_running_ = false;
+  bool is_leaving_ = false;
+  int exit_code_ = exit_ok;
 };
 
 // Reads a settings file and parses it with `parse`, one of the settings
--- a/cactusford/sidecar/sidecar.cc
+++ b/cactusford/sidecar/sidecar.cc
@@ -98,8 +98,7 @@
     });
   runner r{ daemon, handler, weights };
   r.tick();
-  daemon.run([&] { r.leave(); });
-  return process::exit_ok;
+  return daemon.run([&] { r.leave(); });
 }
 
 } // namespace cactusford::sidecar
