--- a/cactusford/http/port_wait-test.cc
+++ b/cactusford/http/port_wait-test.cc
@@ -103,7 +103,7 @@
     cr_assert_eq(f.server.port(), port);
     cr_assert_eq(f.lines.size(), 2, "one line for the wait, one for its end");
     cr_assert(f.lines[0].starts_with(
-                "event=port_wait key=callers address=" + address + " why="),
+                " event=port_wait key=callers address=" + address + " why="),
               "%s",
               f.lines[0].c_str());
     cr_assert(f.lines[0].ends_with(" retry_ms=200"));
