Read blanks between the size of a chunk and its extensions

A proper answer in chunks was refused if blanks stood between a chunk's size and its extensions ("2 ;a=b"), which RFC 9110, 5.6.3, asks a recipient to accept. Found by review of the stricter reading. Blanks without an extension behind them stay refused.

response_grammar/refuses_malformed_chunks has the new case, and two sizes with blanks in other places that stay refused.

--- a/cactusford/http/line_checker.cc
+++ b/cactusford/http/line_checker.cc
@@ -67,9 +67,13 @@
   if (line.is_in_value) {
     return is_text(c);
   }
+  const bool had_blanks = line.is_in_blanks;
   line.is_in_value = c == ';' && line.size > 0;
-  return line.is_in_value ||
-         (line.size < max_size_digits && contains(hex_digits, c));
+  line.is_in_blanks =
+    !line.is_in_value && line.size > 0 && (c == ' ' || c == '\t');
+  return line.is_in_value || line.is_in_blanks ||
+         (!had_blanks && line.size < max_size_digits &&
+          contains(hex_digits, c));
 }
 
 bool
@@ -102,7 +106,7 @@
     case line_kind::field:
       return line.size == 0 || line.is_in_value;
     case line_kind::chunk_size:
-      return line.size > 0;
+      return line.size > 0 && !line.is_in_blanks;
   }
   return false;
 }
--- a/cactusford/http/line_checker.h
+++ b/cactusford/http/line_checker.h
@@ -37,6 +37,8 @@
   std::size_t size = 0;
   // Behind the name of a field, or the size of a chunk.
   bool is_in_value = false;
+  // In the blanks between the size of a chunk and its extensions.
+  bool is_in_blanks = false;
   bool has_carriage_return = false;
 
   friend bool operator==(const checked_line&, const checked_line&) = default;
--- a/cactusford/http/response_grammar-test.cc
+++ b/cactusford/http/response_grammar-test.cc
@@ -272,6 +272,8 @@
                               ";a\r\nok\r\n0\r\n\r\n",
                               "\r\nok\r\n0\r\n\r\n",
                               "2 \r\nok\r\n0\r\n\r\n",
+                              "2 2\r\nok\r\n0\r\n\r\n",
+                              " 2\r\nok\r\n0\r\n\r\n",
                               "2;\x01\r\nok\r\n0\r\n\r\n",
                               "2;a\nb\r\nok\r\n0\r\n\r\n",
                               "2\x80\r\nok\r\n0\r\n\r\n",
@@ -283,6 +285,10 @@
   }
   cr_expect(body_of(in_chunks(
               "1;a=\"b\"\r\no\r\n01\r\nk\r\n0;c\r\nA: b\r\n\r\n")) == "ok");
+  SECTION("but takes the blanks that a recipient must take")
+  {
+    cr_expect(body_of(in_chunks("2 ;a=b\r\nok\r\n0  ; c\r\n\r\n")) == "ok");
+  }
 }
 
 // A server in trouble may change any byte. Guards against a body that is read
