Take reads of results that a stop has shortened

An entry that stopped cut the wait of a read to what was left, added the time of the read itself and then refused it: each read with a wait that came after the first part of the stop got 503. Found by review. The wait now leaves room for the read.

stopping/...: a read that waits as long as allowed is taken. By calculation the rule before refused the same read (2,200 ms of wait and 1,500 ms, of 2,800 ms that were left); the test itself was not run on it.

--- a/cactusford/edge/edge.cc
+++ b/cactusford/edge/edge.cc
@@ -1107,7 +1107,7 @@
   }
   b.workspace = std::move(caller.workspace);
   const auto now = http::now_ms();
-  b.wait_ms = allowed_wait_ms(stop, now, b.wait_ms);
+  b.wait_ms = allowed_wait_ms(stop, now, b.wait_ms, batch_call_ms);
   const auto caller_wait_ms =
     http::find_number(c.request().fields, wire.headers.deadline_ms)
       .value_or(batch_call_ms);
--- a/cactusford/edge/stopping-test.cc
+++ b/cactusford/edge/stopping-test.cc
@@ -24,7 +24,7 @@
   SECTION("a process that does not stop takes everything")
   {
     cr_assert(takes_request({}, start_ms, start_ms + 1'000'000));
-    cr_assert_eq(allowed_wait_ms({}, start_ms, 60'000), 60'000);
+    cr_assert_eq(allowed_wait_ms({}, start_ms, 60'000, 500), 60'000);
   }
   const auto s = stopping(8000);
   SECTION("callers still arrive in the first three seconds, and are served")
@@ -48,9 +48,17 @@
   }
   SECTION("reads wait no longer than until the last answers")
   {
-    cr_assert_eq(allowed_wait_ms(s, start_ms, 1000), 1000);
-    cr_assert_eq(allowed_wait_ms(s, start_ms + 6000, 1000), 700);
-    cr_assert_eq(allowed_wait_ms(s, start_ms + 7200, 1000), 0);
+    cr_assert_eq(allowed_wait_ms(s, start_ms, 1000, 500), 1000);
+    cr_assert_eq(allowed_wait_ms(s, start_ms + 6000, 1000, 500), 500);
+    cr_assert_eq(allowed_wait_ms(s, start_ms + 7200, 1000, 500), 0);
+  }
+  SECTION("a read that waits as long as allowed is taken")
+  {
+    constexpr std::uint64_t call_ms = 1500;
+    const auto late_ms = start_ms + 4500;
+    const auto wait_ms = allowed_wait_ms(s, late_ms, 60'000, call_ms);
+    cr_assert_gt(wait_ms, 0U);
+    cr_assert(takes_request(s, late_ms, late_ms + wait_ms + call_ms));
   }
 }
 
--- a/cactusford/edge/stopping.cc
+++ b/cactusford/edge/stopping.cc
@@ -66,13 +66,14 @@
 std::uint64_t
 allowed_wait_ms(const stop_state& s,
                 std::uint64_t now_ms,
-                std::uint64_t wait_ms) noexcept
+                std::uint64_t wait_ms,
+                std::uint64_t call_ms) noexcept
 {
   if (!s.is_stopping) {
     return wait_ms;
   }
   const auto left_ms = subtract(last_answers_ms(s), now_ms);
-  return std::min(wait_ms, subtract(left_ms, 2 * answer_margin_ms));
+  return std::min(wait_ms, subtract(left_ms, answer_margin_ms + call_ms));
 }
 
 } // namespace cactusford::edge
--- a/cactusford/edge/stopping.h
+++ b/cactusford/edge/stopping.h
@@ -42,10 +42,11 @@
               std::uint64_t latest_end_ms) noexcept;
 
 // Returns how long a read may wait for results that are not there yet, at most
-// `wait_ms`.
+// `wait_ms`, so that one that takes `call_ms` besides is still taken.
 std::uint64_t
 allowed_wait_ms(const stop_state& s,
                 std::uint64_t now_ms,
-                std::uint64_t wait_ms) noexcept;
+                std::uint64_t wait_ms,
+                std::uint64_t call_ms) noexcept;
 
 } // namespace cactusford::edge
