Keep the port of a crashed server bound in the quarantine tests

Its crashed server is an address whose port had been released, so that the system may give it to a server of another test; the probe then finds the server alive, and no crash is counted. That this happened is suspected, not shown. The port now stays bound without listening, which refuses connections as before.

--- a/cactusford/quarantine/manager-test.cc
+++ b/cactusford/quarantine/manager-test.cc
@@ -21,14 +21,22 @@
 
 const fingerprint poison = "00000000000000aa";
 
-// Returns an address that refuses connections, like that of a crashed server.
-std::string
-closed_address(asio::io_context& io)
+// An address that refuses connections, like that of a crashed server. The port
+// stays bound, so that no other process listens on it meanwhile.
+struct closed_port
 {
-  using asio::ip::tcp;
-  tcp::acceptor a{ io, { asio::ip::make_address_v4("127.0.0.1"), 0 } };
-  return "127.0.0.1:" + std::to_string(a.local_endpoint().port());
-}
+  explicit closed_port(asio::io_context& io)
+    : socket{ io, { asio::ip::make_address_v4("127.0.0.1"), 0 } }
+  {
+  }
+
+  std::string address() const
+  {
+    return "127.0.0.1:" + std::to_string(socket.local_endpoint().port());
+  }
+
+  asio::ip::tcp::socket socket;
+};
 
 struct instance
 {
@@ -53,7 +61,7 @@
 {
   asio::io_context io;
   object_store store{ io };
-  std::string closed = closed_address(io);
+  closed_port closed{ io };
   int next_server = 0;
 
   void run_until(const std::function<bool()>& done)
@@ -69,7 +77,7 @@
   {
     const auto before = i.manager.counts().crashes;
     i.manager.on_connection_lost(
-      { "server-" + std::to_string(next_server++), 1 }, closed, f);
+      { "server-" + std::to_string(next_server++), 1 }, closed.address(), f);
     run_until([&] { return i.manager.counts().crashes > before; });
   }
 
@@ -220,8 +228,8 @@
   for (const auto* backend : { "x", "y", "z" }) {
     const backends::incarnation of{ backend, 1 };
     const auto before = a.manager.counts().crashes;
-    a.manager.on_connection_lost(of, f.closed, poison);
-    a.manager.on_connection_lost(of, f.closed, companion);
+    a.manager.on_connection_lost(of, f.closed.address(), poison);
+    a.manager.on_connection_lost(of, f.closed.address(), companion);
     f.run_until([&] { return a.manager.counts().crashes > before; });
     const auto until = http::now_ms() + 50;
     f.run_until([&] { return http::now_ms() >= until; });
