Expect an answer to calls that a stop would cut

not_run/is_not_reported_at_shutdown demanded that a call which arrives late in a stop is run and cut without an answer: the fault that stopping entries have lost. It waited for that run and timed out. The section now demands that such a call is refused at once with 503, and that it does not run afterwards. A call that outlasts the stop has a test of its own: it gets an answer, never 503, and runs once.

--- a/tests/not_run-test.cc
+++ b/tests/not_run-test.cc
@@ -94,13 +94,22 @@
     cluster.run_until([&] { return result->has_value(); });
     cr_assert_eq((*result)->value.status, 200);
   }
-  SECTION("one that does not is cut without an answer")
+  SECTION("one that may not is refused at once, and does not run")
   {
-    // Starts 1.5 s after the signal; the process exits 0.8 s later.
-    const auto result = start_booking_and_wait_until_it_runs(cluster);
-    check_lost(result);
+    // Starts 1.5 s after the signal; the last answers are given 0.8 s later.
+    const auto runs = cluster.service.runs().size();
+    const auto started_ms = http::now_ms();
+    const auto result = start_booking(cluster);
+    cluster.run_until([&] { return result->has_value(); });
+    cr_assert((*result)->end == http::exchange_outcome::complete);
+    cr_assert_eq((*result)->value.status, 503);
+    cr_assert_lt(http::now_ms() - started_ms, work_ms / 2);
+    cr_assert_eq(waitpid(e.pid, nullptr, 0), e.pid);
+    e.pid = 0;
+    cluster.run_for(2 * work_ms);
+    cr_assert_eq(cluster.service.runs().size(), runs);
   }
-  SECTION("and so is one whose entry is killed")
+  SECTION("one whose entry is killed is cut without an answer")
   {
     cluster.start(e);
     cluster.wait_until_ready();
@@ -109,5 +118,24 @@
     kill(e.pid, SIGKILL);
     check_lost(result);
   }
-  cr_assert_eq(cluster.service.runs().size(), 3);
+  cr_assert_eq(cluster.service.runs().size(), 2);
+}
+
+// Guards against a seat that is booked twice: the call outlasts the stop of its
+// entry, which reports that it has not run.
+Test(not_run, is_not_reported_for_a_call_that_outlasts_a_stop, .timeout = 60)
+{
+  constexpr std::uint64_t work_ms = 6000;
+  process_cluster cluster{ "outlasting", 1, json::object(), work_ms };
+  cluster.wait_for_servers();
+  auto& e = cluster.entries.front();
+  const auto result = start_booking_and_wait_until_it_runs(cluster);
+  kill(e.pid, SIGTERM);
+  cluster.run_until([&] { return result->has_value(); });
+  cr_assert((*result)->end == http::exchange_outcome::complete);
+  const auto status = (*result)->value.status;
+  cr_assert(status == 502 || status == 504, "%d", status);
+  cr_assert_eq(waitpid(e.pid, nullptr, 0), e.pid);
+  e.pid = 0;
+  cr_assert_eq(cluster.service.runs().size(), 1);
 }
