--- a/cactusford/http/line_checker.cc
+++ b/cactusford/http/line_checker.cc
@@ -3,6 +3,7 @@
 #include "cactusford/http/message.h"
 
 #include <algorithm>
+#include <array>
 
 namespace cactusford::http {
 
@@ -23,10 +24,35 @@
   return all.find(c) != std::string_view::npos;
 }
 
+using byte_set = std::array<bool, 256>;
+
+template<typename Predicate>
+byte_set
+set_of(Predicate contains_byte)
+{
+  byte_set set{};
+  for (std::size_t i = 0; i < set.size(); ++i) {
+    set[i] = contains_byte(static_cast<char>(i));
+  }
+  return set;
+}
+
 bool
-is_text(char c) noexcept
+is_in(const byte_set& set, char c) noexcept
 {
+  return set[static_cast<unsigned char>(c)];
+}
+
+const byte_set token_bytes = set_of([](char c) { return is_token({ &c, 1 }); });
+
+const byte_set text_bytes = set_of([](char c) {
   return c == ' ' || c == '\t' || is_field_value({ &c, 1 });
+});
+
+bool
+is_text(char c) noexcept
+{
+  return is_in(text_bytes, c);
 }
 
 // Only versions 1.0 and 1.1 and status codes from 100 to 599 are defined.
@@ -58,7 +84,7 @@
     return is_text(c);
   }
   line.is_in_value = c == ':' && line.size > 0;
-  return line.is_in_value || is_token({ &c, 1 });
+  return line.is_in_value || is_in(token_bytes, c);
 }
 
 bool
@@ -127,6 +153,26 @@
   }
 }
 
+// The rest of such a line is text.
+bool
+is_in_text(const checked_line& line) noexcept
+{
+  return !line.has_carriage_return &&
+         (line.is_in_value || line.kind == line_kind::request_line);
+}
+
+// Skips text, of which most bytes of a head are.
+std::size_t
+skip_text(checked_line& line, std::string_view bytes) noexcept
+{
+  std::size_t count = 0;
+  while (count < bytes.size() && is_text(bytes[count])) {
+    ++count;
+  }
+  line.size += count;
+  return count;
+}
+
 } // namespace
 
 std::size_t
@@ -134,8 +180,13 @@
 {
   std::size_t count = 0;
   while (count < bytes.size() && line.state == line_state::open) {
-    take(line, bytes[count]);
-    ++count;
+    if (is_in_text(line)) {
+      count += skip_text(line, bytes.substr(count));
+    }
+    if (count < bytes.size()) {
+      take(line, bytes[count]);
+      ++count;
+    }
   }
   return count;
 }
